--- /dev/null
+++ b/cli/src/commands/entry.rs
@@ -0,0 +1,21 @@
+//! `bramleyshelf entry`.
+
+use bramleyshelf_lib::{entry_shell, settings, store};
+
+use crate::commands::settings_args;
+use crate::failure;
+use crate::process;
+
+/// Fields that an environment variable may override.
+const FIELDS: [&str; 8] =
+    ["instance", "listen", "peer_listen", "domain", "store", "instances", "peers", "notice_ms"];
+
+/// Runs an entry until it is asked to stop.
+pub async fn run(args: settings_args::SettingsArgs) -> Result<(), failure::Failure> {
+    let settings: settings::EntrySettings = args.read(&FIELDS)?;
+    let store = store::Etcd::new(&settings.store);
+    let address = settings.listen;
+    entry_shell::run(settings, store, process::stop_signal())
+        .await
+        .map_err(|source| failure::Failure::Listen { address, source })
+}
--- /dev/null
+++ b/cli/src/commands/show.rs
@@ -0,0 +1,44 @@
+//! `bramleyshelf show`.
+
+use bpaf::Parser;
+use bramleyshelf_lib::{id, operator};
+
+use crate::commands;
+use crate::failure;
+
+/// Arguments of `show`.
+#[derive(Clone, Debug)]
+pub struct ShowArgs {
+    store: String,
+    json: bool,
+}
+
+/// Parses the arguments.
+pub fn parser() -> impl Parser<ShowArgs> {
+    let store = commands::store_arg();
+    let json = commands::json_arg();
+    bpaf::construct!(ShowArgs { store, json })
+}
+
+/// Prints the text in force.
+pub async fn run(args: ShowArgs) -> Result<(), failure::Failure> {
+    let current = operator::read(&commands::open_store(&args.store)).await?;
+    if current.revision == id::Revision(0) {
+        return Err(operator::OperatorError::NoConfig.into());
+    }
+    if args.json {
+        let value = serde_json::json!({
+            "revision": current.revision,
+            "draining": current.accepted.draining,
+            "text": current.accepted.text,
+        });
+        println!("{value}");
+    } else {
+        eprintln!("revision {}", current.revision);
+        for instance in &current.accepted.draining {
+            eprintln!("draining {instance}");
+        }
+        print!("{}", current.accepted.text);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,20 @@
+//! The `bramleyshelf` program: the entry instance and the operators' command line.
+
+mod commands;
+mod failure;
+mod logging;
+mod process;
+
+use std::process as std_process;
+
+use bpaf::Parser as _;
+
+fn main() -> std_process::ExitCode {
+    let command = commands::parser()
+        .to_options()
+        .descr("Serves multi-stage model pipelines.")
+        .version(env!("CARGO_PKG_VERSION"))
+        .run();
+    logging::init(command.log_level());
+    process::block_on(command.run())
+}
--- /dev/null
+++ b/cli/src/process.rs
@@ -0,0 +1,44 @@
+//! What both programs need around their work: a runtime, a stop signal and an exit status.
+
+use std::process;
+
+use tokio::sync::watch;
+
+use crate::failure;
+
+/// Runs a command to its end on one thread and reports its failure.
+pub fn block_on(work: impl Future<Output = Result<(), failure::Failure>>) -> process::ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the operating system gives a process its basic resources");
+    match runtime.block_on(work) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(failure) => {
+            for line in failure.details() {
+                println!("{line}");
+            }
+            eprintln!("Error: {failure}");
+            if let Some(hint) = failure.hint() {
+                eprintln!("Hint: {hint}");
+            }
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns a flag that turns true on SIGTERM or an interrupt.
+pub fn stop_signal() -> watch::Receiver<bool> {
+    let (stop, stopping) = watch::channel(false);
+    tokio::spawn(async move {
+        let kind = tokio::signal::unix::SignalKind::terminate();
+        let mut terminate =
+            tokio::signal::unix::signal(kind).expect("the signal can be listened for");
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+        stop.send_replace(true);
+    });
+    stopping
+}
--- /dev/null
+++ b/cli/src/sidecar_main.rs
@@ -0,0 +1,35 @@
+//! The `bramleyshelf-sidecar` program: stands beside one upstream instance.
+
+mod failure;
+mod logging;
+mod process;
+mod settings_args;
+
+use std::process as std_process;
+
+use bpaf::Parser as _;
+use bramleyshelf_lib::{settings, sidecar_shell, store};
+
+/// Fields that an environment variable may override.
+const FIELDS: [&str; 8] =
+    ["instance", "listen", "domain", "service", "upstream", "store", "peers", "stop_ms"];
+
+fn main() -> std_process::ExitCode {
+    let args = settings_args::parser()
+        .to_options()
+        .descr("Runs beside an upstream and takes its work from the entries.")
+        .footer("Every setting can be overridden by an environment variable BRAMLEYSHELF_FIELD.")
+        .version(env!("CARGO_PKG_VERSION"))
+        .run();
+    logging::init(log::LevelFilter::Info);
+    process::block_on(run(args))
+}
+
+async fn run(args: settings_args::SettingsArgs) -> Result<(), failure::Failure> {
+    let settings: settings::SidecarSettings = args.read(&FIELDS)?;
+    let store = store::Etcd::new(&settings.store);
+    let address = settings.listen;
+    sidecar_shell::run(settings, store, process::stop_signal())
+        .await
+        .map_err(|source| failure::Failure::Listen { address, source })
+}
--- /dev/null
+++ b/lib/src/entry_http.rs
@@ -0,0 +1,343 @@
+//! The interface for callers: paths, credentials, bodies and answers of an entry.
+
+use std::sync;
+use std::time;
+
+use hyper::header;
+use tokio::sync::{mpsc, watch};
+
+use crate::auth;
+use crate::config;
+use crate::http;
+use crate::id;
+use crate::key;
+use crate::plan;
+use crate::refusal;
+use crate::registry;
+use crate::request;
+use crate::revision;
+use crate::telemetry;
+use crate::wire;
+
+/// Header with the time that the caller allows, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header with the number of the request.
+pub const REQUEST_HEADER: &str = "x-request-id";
+/// Header with the caller's idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Time that a caller has to send its body.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Pieces of an answer that wait for a slow caller before its request is given up.
+pub const REPLY_BUFFER: usize = 512;
+/// Pieces between the loop's channel and the socket.
+const BODY_BUFFER: usize = 16;
+
+/// What a caller gets, piece by piece.
+#[derive(Debug)]
+pub enum Reply {
+    /// A whole answer.
+    Whole(wire::Head, bytes::Bytes),
+    /// Beginning of a stream.
+    Begin(wire::Head),
+    /// Bytes of a stream.
+    Data(bytes::Bytes),
+    /// The stream is whole.
+    End,
+    /// There is no whole answer.
+    Refuse(refusal::Refusal),
+}
+
+/// A request on its way to the loop.
+#[derive(Debug)]
+pub struct Incoming {
+    /// What decisions depend on.
+    pub arrival: request::Arrival,
+    /// The body as it was sent.
+    pub body: bytes::Bytes,
+    /// The body as JSON.
+    pub value: serde_json::Value,
+    /// Where the answer goes.
+    pub replies: mpsc::Sender<Reply>,
+}
+
+/// What callers' connections tell the loop.
+#[derive(Debug)]
+pub enum Message {
+    /// A request arrived.
+    Arrive(Box<Incoming>),
+    /// The caller of a request went away.
+    Gone(id::RequestId),
+}
+
+/// State that the handlers of callers' connections share.
+#[derive(Clone, Debug)]
+pub struct Callers {
+    /// Way to the loop.
+    pub messages: mpsc::Sender<Message>,
+    /// Configuration in force.
+    pub in_force: watch::Receiver<revision::InForce>,
+    /// Decoded credentials of the configuration in force.
+    pub credentials: watch::Receiver<sync::Arc<auth::Credentials>>,
+    /// State of the process.
+    pub status: watch::Receiver<registry::Status>,
+}
+
+/// Tells the loop when a caller went away before its answer was whole.
+struct Presence {
+    request: id::RequestId,
+    messages: mpsc::Sender<Message>,
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        // If the loop is that busy, the deadline ends the request.
+        let _ = self.messages.try_send(Message::Gone(self.request));
+    }
+}
+
+/// What the head of a request says.
+struct Head {
+    team: id::TeamId,
+    target: plan::Target,
+    budget: Option<time::Duration>,
+    key: Option<String>,
+}
+
+fn not_run(kind: refusal::Kind, message: &str) -> refusal::Refusal {
+    refusal::Refusal::new(kind, refusal::Ran::No, message)
+}
+
+impl http::Handler for Callers {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        if let Some(response) = plain_path(request.uri().path(), &self.status.borrow()) {
+            return response;
+        }
+        let number = id::RequestId(uuid::Uuid::new_v4().as_u128());
+        let mut response = match self.serve(number, request).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                metrics::counter!("refusals", "kind" => refusal.kind.to_string()).increment(1);
+                refuse(&refusal)
+            }
+        };
+        let value = header::HeaderValue::from_str(&number.to_string())
+            .expect("hexadecimal digits are a header value");
+        response.headers_mut().insert(REQUEST_HEADER, value);
+        response
+    }
+}
+
+/// Answers the paths for operators and the platform.
+pub fn plain_path(path: &str, status: &registry::Status) -> Option<hyper::Response<http::Body>> {
+    match path {
+        "/livez" => Some(http::respond(200, "text/plain", "ok")),
+        "/readyz" => {
+            let ready = status.revision > id::Revision(0) && !status.draining;
+            let code = if ready { 200 } else { 503 };
+            Some(http::respond_json(code, &serde_json::json!(status)))
+        }
+        "/status" => Some(http::respond_json(200, &serde_json::json!(status))),
+        "/metrics" => Some(http::respond(200, "text/plain; version=0.0.4", telemetry::render())),
+        _ => None,
+    }
+}
+
+/// Makes the response that refuses a request.
+fn refuse(refusal: &refusal::Refusal) -> hyper::Response<http::Body> {
+    let mut response = http::respond_json(refusal.kind.status(), &refusal.to_json());
+    if let Some(pause) = refusal.kind.retry_after() {
+        let seconds = pause.0.div_ceil(1_000);
+        response.headers_mut().insert(header::RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+impl Callers {
+    async fn serve(
+        &self,
+        number: id::RequestId,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> Result<hyper::Response<http::Body>, refusal::Refusal> {
+        let config = self.in_force.borrow().config.clone();
+        let head = self.read_head(&config, &request)?;
+        let body = read_body(&config, request.into_body()).await?;
+        let value: serde_json::Value = serde_json::from_slice(&body).map_err(|e| {
+            not_run(refusal::Kind::BadRequest, &format!("the body is not JSON: {e}"))
+        })?;
+        let stream = value.get("stream").and_then(serde_json::Value::as_bool).unwrap_or(false);
+        let prefix = prefix_of(&config, &head.team, &body);
+        let arrival = request::Arrival {
+            request: number,
+            team: head.team,
+            target: head.target,
+            budget: head.budget,
+            key: head.key,
+            prefix,
+            stream,
+        };
+        let (replies, inbox) = mpsc::channel(REPLY_BUFFER);
+        let presence = Presence { request: number, messages: self.messages.clone() };
+        let incoming = Box::new(Incoming { arrival, body, value, replies });
+        self.messages
+            .try_send(Message::Arrive(incoming))
+            .map_err(|_| not_run(refusal::Kind::Overloaded, "this entry is overloaded"))?;
+        answer(inbox, presence).await
+    }
+
+    fn read_head<B>(
+        &self,
+        config: &config::Config,
+        request: &hyper::Request<B>,
+    ) -> Result<Head, refusal::Refusal> {
+        if self.in_force.borrow().revision == id::Revision(0) {
+            return Err(not_run(refusal::Kind::NotReady, "no configuration is known yet"));
+        }
+        let team = self.read_team(request.headers())?;
+        let target = read_target(config, request.uri().path())
+            .ok_or_else(|| not_run(refusal::Kind::NotFound, "nothing is served under this path"))?;
+        if request.method() != hyper::Method::POST {
+            let message = format!("{} is not allowed here", request.method());
+            return Err(not_run(refusal::Kind::MethodNotAllowed, &message));
+        }
+        let budget = read_budget(request.headers())?;
+        let key = read_key(request.headers(), &team)?;
+        Ok(Head { team, target, budget, key })
+    }
+
+    fn read_team(&self, headers: &header::HeaderMap) -> Result<id::TeamId, refusal::Refusal> {
+        let value = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let credential = value.and_then(|text| text.strip_prefix("Bearer ")).unwrap_or_default();
+        let credentials = self.credentials.borrow().clone();
+        credentials
+            .team(credential)
+            .cloned()
+            .ok_or_else(|| not_run(refusal::Kind::Unauthorized, "the credential is unknown"))
+    }
+}
+
+fn read_target(config: &config::Config, path: &str) -> Option<plan::Target> {
+    let service = |name: &Option<id::ServiceId>| name.clone().map(plan::Target::Service);
+    match path {
+        "/v1/chat/completions" => return service(&config.openai.chat),
+        "/v1/embeddings" => return service(&config.openai.embeddings),
+        "/v1/rerank" => return service(&config.openai.rerank),
+        _ => {}
+    }
+    if let Some(name) = path.strip_prefix("/pipelines/") {
+        let (name, _) = config.pipelines.get_key_value(name)?;
+        return Some(plan::Target::Pipeline(name.clone()));
+    }
+    let (name, rules) = config.services.get_key_value(path.strip_prefix("/services/")?)?;
+    rules.public.then(|| plan::Target::Service(name.clone()))
+}
+
+fn read_budget(headers: &header::HeaderMap) -> Result<Option<time::Duration>, refusal::Refusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(None);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok()).filter(|ms| *ms > 0);
+    let message = "x-deadline-ms is not a positive number of milliseconds";
+    millis
+        .map(|ms| Some(time::Duration::from_millis(ms)))
+        .ok_or_else(|| not_run(refusal::Kind::BadRequest, message))
+}
+
+fn read_key(
+    headers: &header::HeaderMap,
+    team: &id::TeamId,
+) -> Result<Option<String>, refusal::Refusal> {
+    let Some(value) = headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .ok()
+        .filter(|text| !text.is_empty() && text.len() <= key::MAX_KEY_BYTES && !text.contains(' '));
+    // Teams cannot see or block each other's keys.
+    let message = "the idempotency key is empty, longer than 255 bytes or has spaces";
+    text.map(|text| Some(format!("{team}/{text}")))
+        .ok_or_else(|| not_run(refusal::Kind::BadRequest, message))
+}
+
+async fn read_body(
+    config: &config::Config,
+    body: hyper::body::Incoming,
+) -> Result<bytes::Bytes, refusal::Refusal> {
+    http::read_body(body, config.limits.body_bytes.0, BODY_TIMEOUT).await.map_err(|e| {
+        let kind = match e {
+            http::ReadError::TooLarge => refusal::Kind::BodyTooLarge,
+            http::ReadError::Timeout | http::ReadError::Incomplete => refusal::Kind::BodyIncomplete,
+        };
+        not_run(kind, &e.to_string())
+    })
+}
+
+fn prefix_of(config: &config::Config, team: &id::TeamId, body: &[u8]) -> Option<u64> {
+    let bytes = config.policy.prefix_bytes.0 as usize;
+    if bytes == 0 {
+        return None;
+    }
+    let seed = xxhash_rust::xxh3::xxh3_64(team.as_str().as_bytes());
+    let prefix = &body[..body.len().min(bytes)];
+    Some(xxhash_rust::xxh3::xxh3_64_with_seed(prefix, seed))
+}
+
+/// Waits for the first piece and makes the response out of it and what follows.
+async fn answer(
+    mut inbox: mpsc::Receiver<Reply>,
+    presence: Presence,
+) -> Result<hyper::Response<http::Body>, refusal::Refusal> {
+    match inbox.recv().await {
+        Some(Reply::Whole(head, body)) => Ok(http::respond(head.status, &head.media, body)),
+        Some(Reply::Begin(head)) => {
+            let (sender, body) = http::Body::stream(BODY_BUFFER);
+            tokio::spawn(forward(inbox, sender, presence));
+            let mut response = http::respond(head.status, &head.media, "");
+            *response.body_mut() = body;
+            Ok(response)
+        }
+        Some(Reply::Refuse(refusal)) => Err(refusal),
+        Some(Reply::Data(_) | Reply::End) | None => {
+            let message = "the entry stopped";
+            let kind = refusal::Kind::SidecarLost;
+            Err(refusal::Refusal::new(kind, refusal::Ran::Unknown, message))
+        }
+    }
+}
+
+/// Passes a stream on. A stream that is not whole ends with an event that says so and a connection
+/// that breaks off, so that no caller can take it for a whole one.
+async fn forward(
+    mut inbox: mpsc::Receiver<Reply>,
+    mut sender: http::BodySender,
+    presence: Presence,
+) {
+    loop {
+        let reply = tokio::select! {
+            reply = inbox.recv() => reply,
+            () = sender.closed() => break,
+        };
+        match reply {
+            Some(Reply::Data(data)) => {
+                if !sender.send(data).await {
+                    break;
+                }
+            }
+            Some(Reply::End) => break,
+            Some(Reply::Refuse(refusal)) => {
+                let event = format!("event: error\ndata: {}\n\n", refusal.to_json());
+                sender.send(event.into()).await;
+                sender.abort();
+                break;
+            }
+            Some(Reply::Whole(..) | Reply::Begin(_)) | None => {
+                sender.abort();
+                break;
+            }
+        }
+    }
+    drop(presence);
+}
--- /dev/null
+++ b/lib/src/http.rs
@@ -0,0 +1,324 @@
+//! HTTP plumbing on `hyper` that entries, sidecars and stand-ins of the platform share: bodies,
+//! bounded reads, clients and a server with a graceful stop.
+
+use std::future;
+use std::io;
+use std::net;
+use std::pin;
+use std::task;
+use std::time;
+
+use http_body_util::BodyExt as _;
+use hyper_util::client::legacy;
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use tokio::sync::{oneshot, watch};
+
+/// Time a client has to send the head of a request.
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Time for a TCP connection to come about.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Most header fields of a request.
+const MAX_HEADERS: usize = 64;
+/// Streams that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 4_096;
+/// Connections that one listener holds.
+pub const MAX_CONNECTIONS: usize = 8_192;
+/// Pause after which a silent HTTP/2 peer is probed.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(2);
+/// Time that a probed peer has to answer.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Why the body that is being sent ends before its end; the peer sees a broken stream.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+#[display("the answer broke off; ask again")]
+pub struct Cut;
+
+/// Body of a message that this process sends.
+#[derive(Debug)]
+pub enum Body {
+    /// All bytes are there.
+    Full(http_body_util::Full<bytes::Bytes>),
+    /// Bytes follow through a channel; the guard tells the sender when the body is dropped.
+    Stream(http_body_util::channel::Channel<bytes::Bytes, Cut>, oneshot::Sender<()>),
+}
+
+/// Sending side of a body whose bytes follow.
+#[derive(Debug)]
+pub struct BodySender {
+    channel: http_body_util::channel::Sender<bytes::Bytes, Cut>,
+    guard: oneshot::Receiver<()>,
+}
+
+impl BodySender {
+    /// Sends bytes; returns whether the peer still reads.
+    pub async fn send(&mut self, data: bytes::Bytes) -> bool {
+        self.channel.send_data(data).await.is_ok()
+    }
+
+    /// Waits until the peer goes away.
+    pub async fn closed(&mut self) {
+        // The other half is never used, only dropped.
+        let _ = (&mut self.guard).await;
+    }
+
+    /// Breaks the body off, so that the peer sees that it is not whole.
+    pub fn abort(self) {
+        self.channel.abort(Cut);
+    }
+}
+
+impl Body {
+    /// Makes a body of bytes that are there.
+    pub fn full(data: impl Into<bytes::Bytes>) -> Self {
+        Self::Full(http_body_util::Full::new(data.into()))
+    }
+
+    /// Makes a body whose bytes follow; at most `buffer` pieces wait in between.
+    pub fn stream(buffer: usize) -> (BodySender, Self) {
+        let (channel, body) = http_body_util::channel::Channel::new(buffer);
+        let (keep, guard) = oneshot::channel();
+        (BodySender { channel, guard }, Self::Stream(body, keep))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = bytes::Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, Cut>>> {
+        match self.get_mut() {
+            Self::Full(body) => pin::Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Stream(body, _) => pin::Pin::new(body).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Full(body) => body.is_end_stream(),
+            Self::Stream(body, _) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match self {
+            Self::Full(body) => body.size_hint(),
+            Self::Stream(body, _) => body.size_hint(),
+        }
+    }
+}
+
+/// A body that could not be read whole.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq)]
+pub enum ReadError {
+    /// It is larger than allowed.
+    #[display("the body is too large; send less")]
+    TooLarge,
+    /// It did not arrive in time.
+    #[display("the body did not arrive in time; send it without pauses")]
+    Timeout,
+    /// The connection broke inside the body.
+    #[display("the body ended early; send all of it")]
+    Incomplete,
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+/// Fails if the body has more than `limit` bytes, takes longer than `timeout` or breaks off.
+pub async fn read_body(
+    body: hyper::body::Incoming,
+    limit: u64,
+    timeout: time::Duration,
+) -> Result<bytes::Bytes, ReadError> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let collect = http_body_util::Limited::new(body, limit).collect();
+    match tokio::time::timeout(timeout, collect).await {
+        Err(_) => Err(ReadError::Timeout),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
+        Ok(Err(_)) => Err(ReadError::Incomplete),
+    }
+}
+
+/// Client that this process makes requests with.
+pub type Client = legacy::Client<legacy::connect::HttpConnector, Body>;
+
+fn connector() -> legacy::connect::HttpConnector {
+    let mut connector = legacy::connect::HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector
+}
+
+/// Makes an HTTP/1.1 client. Without `reuse`, every request opens a connection of its own, so that
+/// a request can never meet a connection that the server is just closing.
+pub fn client(reuse: bool) -> Client {
+    let idle = if reuse { usize::MAX } else { 0 };
+    legacy::Client::builder(rt::TokioExecutor::new())
+        .pool_timer(rt::TokioTimer::new())
+        .pool_max_idle_per_host(idle)
+        .retry_canceled_requests(false)
+        .build(connector())
+}
+
+/// Makes an HTTP/2 client for other processes of the system.
+pub fn peer_client() -> Client {
+    legacy::Client::builder(rt::TokioExecutor::new())
+        .pool_timer(rt::TokioTimer::new())
+        .timer(rt::TokioTimer::new())
+        .http2_only(true)
+        .http2_adaptive_window(true)
+        .http2_keep_alive_interval(PROBE_INTERVAL)
+        .http2_keep_alive_timeout(PROBE_TIMEOUT)
+        .retry_canceled_requests(false)
+        .build(connector())
+}
+
+/// Makes a request with a body that is there.
+///
+/// # Panics
+/// Panics if the address and path do not form a URI, which callers check first.
+pub fn post(
+    address: net::SocketAddr,
+    path: &str,
+    body: impl Into<bytes::Bytes>,
+) -> hyper::Request<Body> {
+    hyper::Request::post(format!("http://{address}{path}"))
+        .body(Body::full(body))
+        .expect("addresses and paths are checked when settings are read")
+}
+
+/// Makes a response.
+///
+/// # Panics
+/// Never: the media types are constants of this crate or were parsed as header values.
+pub fn respond(status: u16, media: &str, body: impl Into<bytes::Bytes>) -> hyper::Response<Body> {
+    hyper::Response::builder()
+        .status(status)
+        .header(hyper::header::CONTENT_TYPE, media)
+        .body(Body::full(body))
+        .expect("statuses and media types are valid")
+}
+
+/// Makes a JSON response.
+pub fn respond_json(status: u16, value: &serde_json::Value) -> hyper::Response<Body> {
+    respond(status, "application/json", value.to_string())
+}
+
+/// Answers requests.
+pub trait Handler: Clone + Send + 'static {
+    /// Answers one request.
+    fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> impl Future<Output = hyper::Response<Body>> + Send;
+}
+
+/// Serves a listener until `stop` turns true, then lets open requests finish.
+///
+/// Returns when the last connection has ended.
+///
+/// # Panics
+/// Never: the bound on connections fits the semaphore.
+pub async fn serve<H: Handler>(
+    listener: tokio::net::TcpListener,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) {
+    let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("event=accept_failed error={e:?}");
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            log::warn!("event=connection_refused reason=too_many_connections");
+            continue;
+        };
+        let (handler, stop) = (handler.clone(), stop.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, handler, stop).await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    let all = u32::try_from(MAX_CONNECTIONS).expect("the bound fits");
+    // Fails only when the semaphore is closed, which never happens.
+    let _ = slots.acquire_many(all).await;
+}
+
+async fn serve_connection<H: Handler>(
+    stream: tokio::net::TcpStream,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) {
+    // A connection on which nothing arrives holds a slot no longer than a slow head would.
+    let first = tokio::select! {
+        first = tokio::time::timeout(HEAD_TIMEOUT, stream.readable()) => first,
+        _ = stop.wait_for(|stop| *stop) => return,
+    };
+    if !matches!(first, Ok(Ok(()))) || stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS);
+    builder
+        .http2()
+        .timer(rt::TokioTimer::new())
+        .adaptive_window(true)
+        .max_header_list_size(MAX_HEAD_BYTES as u32)
+        .max_concurrent_streams(MAX_STREAMS);
+    let service = hyper::service::service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
+    });
+    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(e) = ended {
+                    log::debug!("event=connection_ended error={:?}", e.to_string());
+                }
+                return;
+            }
+            _ = stop.wait_for(|stop| *stop), if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// Listens on an address.
+///
+/// # Errors
+/// Fails if the address is taken or not this instance's.
+pub async fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    tokio::net::TcpListener::bind(address).await
+}
+
+/// Waits for a future no longer than `limit`.
+pub async fn within<T>(limit: time::Duration, work: impl future::Future<Output = T>) -> Option<T> {
+    tokio::time::timeout(limit, work).await.ok()
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,45 @@
+//! Decision logic and shells of bramleyshelf, a serving system for multi-stage model pipelines.
+//!
+//! The modules fall into two groups. The reducers ([`entry`], [`sidecar`]) and what they are made
+//! of hold every decision; they do no input or output, read no clock and draw random numbers only
+//! from a seed that is passed in. The shells ([`entry_shell`], [`sidecar_shell`]) own the sockets
+//! and timers, feed events to a reducer and carry out the effects that it returns.
+
+pub mod answer;
+pub mod attempt;
+pub mod auth;
+pub mod check;
+pub mod clock;
+pub mod config;
+pub mod config_sync;
+pub mod entry;
+pub mod entry_http;
+pub mod entry_shell;
+pub mod http;
+pub mod id;
+pub mod key;
+pub mod limit;
+pub mod membership;
+pub mod operator;
+pub mod outlier;
+pub mod owner_calls;
+pub mod ownership;
+pub mod peer;
+pub mod plan;
+pub mod queue;
+pub mod refusal;
+pub mod registry;
+pub mod request;
+pub mod retry;
+pub mod revision;
+pub mod routing;
+pub mod settings;
+pub mod sidecar;
+pub mod sidecar_shell;
+pub mod store;
+pub mod team;
+pub mod telemetry;
+pub mod template;
+pub mod unit;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/lib/src/outlier.rs
@@ -0,0 +1,68 @@
+//! Outlier ejection: an upstream that fails in a row is left out for a while.
+
+use std::time;
+
+/// Ejections after which the ejection time stops doubling.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Settings of the ejection.
+#[derive(Clone, Copy, Debug)]
+pub struct Rule {
+    /// Failures in a row that lead to an ejection.
+    pub failures: u32,
+    /// Length of the first ejection.
+    pub base: time::Duration,
+    /// Time over which a returning upstream is trusted again.
+    pub warmup: time::Duration,
+}
+
+/// Record of one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    failed: u32,
+    ejections: u32,
+    until: Option<time::Duration>,
+}
+
+impl Health {
+    /// Takes account of an answer.
+    pub fn succeed(&mut self) {
+        self.failed = 0;
+        self.ejections = 0;
+    }
+
+    /// Takes account of a failure; returns whether it led to an ejection.
+    pub fn fail(&mut self, now: time::Duration, rule: Rule) -> bool {
+        self.failed += 1;
+        if self.failed < rule.failures || self.is_ejected(now) {
+            return false;
+        }
+        let doublings = self.ejections.min(MAX_DOUBLINGS);
+        self.until = Some(now + rule.base * 2_u32.pow(doublings));
+        self.ejections += 1;
+        // One more failure after the return ejects again.
+        self.failed = rule.failures.saturating_sub(1);
+        true
+    }
+
+    /// Whether the upstream is left out.
+    pub fn is_ejected(&self, now: time::Duration) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the share of its normal work that the upstream should get, above 0 and up to 1.
+    pub fn share(&self, now: time::Duration, rule: Rule) -> f64 {
+        const LEAST: f64 = 0.1;
+        let Some(until) = self.until else { return 1.0 };
+        if rule.warmup.is_zero() {
+            return 1.0;
+        }
+        let back = now.saturating_sub(until).as_secs_f64() / rule.warmup.as_secs_f64();
+        back.clamp(LEAST, 1.0)
+    }
+}
+
+/// Returns how many of `total` upstreams may be ejected at once.
+pub fn allowance(total: usize, share: f64) -> usize {
+    (total as f64 * share).floor() as usize
+}
--- /dev/null
+++ b/lib/src/owner_calls.rs
@@ -0,0 +1,166 @@
+//! Carries the calls of the ownership out against the store.
+
+use crate::clock;
+use crate::clock::Clock as _;
+use crate::id;
+use crate::ownership;
+use crate::sidecar;
+use crate::store;
+use crate::wire;
+
+/// Makes the ownership's calls for one sidecar.
+#[derive(Clone, Debug)]
+pub struct Caller<S> {
+    store: S,
+    clock: clock::SystemClock,
+    identity: sidecar::Identity,
+}
+
+impl<S: store::Store> Caller<S> {
+    /// Makes a caller.
+    pub fn new(store: S, clock: clock::SystemClock, identity: sidecar::Identity) -> Self {
+        Self { store, clock, identity }
+    }
+
+    /// Makes a call and returns how it ended.
+    pub async fn call(&self, call: ownership::Call) -> ownership::Reply {
+        let is_lease_call = call.is_lease_call();
+        let is_offered = matches!(call, ownership::Call::Take { offered: true, .. });
+        match self.attempt(call).await {
+            Ok(reply) => reply,
+            Err(e) => {
+                log::warn!("event=ownership_call_failed error={:?}", e.to_string());
+                if is_lease_call {
+                    ownership::Reply::LeaseFailed
+                } else if is_offered {
+                    ownership::Reply::TakeFailed
+                } else {
+                    ownership::Reply::Failed
+                }
+            }
+        }
+    }
+
+    async fn attempt(&self, call: ownership::Call) -> Result<ownership::Reply, store::StoreError> {
+        match call {
+            ownership::Call::Grant { ttl } => self.grant(ttl).await,
+            ownership::Call::KeepAlive { lease } => self.keep_alive(lease).await,
+            ownership::Call::Revoke { lease } => {
+                self.store.revoke(lease).await?;
+                Ok(ownership::Reply::LeaseGone)
+            }
+            ownership::Call::Leave => {
+                self.store.commit(&[], &[store::Write::Delete(self.member_key())]).await?;
+                Ok(ownership::Reply::Failed)
+            }
+            ownership::Call::Read => {
+                let prefix = store::service_prefix(&self.identity.service);
+                let snapshot = self.store.range(&prefix, true).await?;
+                let (owners, members) = store::read_service(&self.identity.service, &snapshot);
+                Ok(ownership::Reply::View { owners, members })
+            }
+            ownership::Call::Claim { lease, ranges, first } => {
+                self.claim(lease, ranges, first).await
+            }
+            ownership::Call::Take { lease, range, fence, offered } => {
+                self.take(lease, range, fence, offered).await
+            }
+            ownership::Call::Offer { range, .. } => {
+                Ok(ownership::Reply::Offered { range, accepted: false })
+            }
+        }
+    }
+
+    async fn grant(&self, ttl: std::time::Duration) -> Result<ownership::Reply, store::StoreError> {
+        let sent = self.clock.now();
+        let (id, ttl) = self.store.grant(ttl).await?;
+        let member = ownership::Member {
+            address: self.identity.address,
+            incarnation: self.identity.incarnation,
+        };
+        let value = serde_json::json!(member).to_string().into();
+        let write = store::Write::Put(self.member_key(), value, Some(id));
+        self.store.commit(&[], &[write]).await?;
+        Ok(ownership::Reply::Lease { id, sent, ttl })
+    }
+
+    async fn keep_alive(
+        &self,
+        lease: ownership::LeaseId,
+    ) -> Result<ownership::Reply, store::StoreError> {
+        let sent = self.clock.now();
+        let ttl = self.store.keep_alive(lease).await?;
+        Ok(ttl.map_or(ownership::Reply::LeaseGone, |ttl| ownership::Reply::Lease {
+            id: lease,
+            sent,
+            ttl,
+        }))
+    }
+
+    async fn claim(
+        &self,
+        lease: ownership::LeaseId,
+        ranges: Vec<u32>,
+        first: bool,
+    ) -> Result<ownership::Reply, store::StoreError> {
+        let mut compares = Vec::new();
+        let mut writes = Vec::new();
+        for range in &ranges {
+            compares.push(store::Compare::Absent(self.owner_key(*range)));
+            writes.push(store::Write::Put(self.owner_key(*range), self.owner_value(), Some(lease)));
+            if first {
+                // The mark outlives every owner and tells later ones that there was one.
+                let mark = self.mark_key(*range);
+                compares.push(store::Compare::Absent(mark.clone()));
+                writes.push(store::Write::Put(mark, bytes::Bytes::new(), None));
+            }
+        }
+        let outcome = self.store.commit(&compares, &writes).await?;
+        if !outcome.applied {
+            return Ok(ownership::Reply::Refused { first });
+        }
+        let fence = id::FencingToken(outcome.revision);
+        Ok(ownership::Reply::Claimed { lease, ranges, fence, first })
+    }
+
+    async fn take(
+        &self,
+        lease: ownership::LeaseId,
+        range: u32,
+        fence: id::FencingToken,
+        offered: bool,
+    ) -> Result<ownership::Reply, store::StoreError> {
+        let key = self.owner_key(range);
+        let compare = store::Compare::Modified(key.clone(), fence.0);
+        let write = store::Write::Put(key, self.owner_value(), Some(lease));
+        let outcome = self.store.commit(&[compare], &[write]).await?;
+        if outcome.applied {
+            let fence = id::FencingToken(outcome.revision);
+            return Ok(ownership::Reply::Taken { lease, range, fence, offered });
+        }
+        Ok(if offered { ownership::Reply::TakeFailed } else { ownership::Reply::Failed })
+    }
+
+    fn member_key(&self) -> String {
+        let prefix = store::service_prefix(&self.identity.service);
+        format!("{prefix}members/{}", self.identity.instance)
+    }
+
+    fn owner_key(&self, range: u32) -> String {
+        format!("{}owners/{range}", store::service_prefix(&self.identity.service))
+    }
+
+    fn mark_key(&self, range: u32) -> String {
+        format!("{}marks/{range}", store::service_prefix(&self.identity.service))
+    }
+
+    fn owner_value(&self) -> bytes::Bytes {
+        let owner = wire::Owner {
+            instance: self.identity.instance.clone(),
+            address: self.identity.address,
+            incarnation: self.identity.incarnation,
+            fence: id::FencingToken(0),
+        };
+        serde_json::json!(owner).to_string().into()
+    }
+}
--- /dev/null
+++ b/lib/src/peer.rs
@@ -0,0 +1,186 @@
+//! Client side of the protocol between the system's own processes.
+
+use std::net;
+use std::time;
+
+use http_body_util::BodyExt as _;
+
+use crate::http;
+use crate::id;
+use crate::revision;
+use crate::sidecar;
+use crate::wire;
+
+/// Time that a peer has for a short answer.
+const SHORT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Largest configuration with its frame, in bytes.
+const MAX_CONFIG_BYTES: u64 = 2 << 20;
+/// Largest frame of an answer, in bytes.
+pub const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// A call to another process that failed.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum PeerError {
+    /// The connection did not come about; nothing was sent.
+    #[display("no connection to {address}; the process may be gone")]
+    NotSent {
+        /// Address of the process.
+        address: net::SocketAddr,
+    },
+    /// The connection broke or the answer did not come in time.
+    #[display("the connection to {address} broke; resolve what was sent")]
+    Broken {
+        /// Address of the process.
+        address: net::SocketAddr,
+    },
+    /// The answer could not be read.
+    #[display("{source}")]
+    Wire {
+        /// What was wrong.
+        source: wire::WireError,
+    },
+}
+
+/// Answer of a sidecar, frame by frame.
+#[derive(Debug)]
+pub struct Frames {
+    address: net::SocketAddr,
+    body: hyper::body::Incoming,
+    decoder: wire::Decoder,
+}
+
+impl Frames {
+    /// Waits for the next frame.
+    ///
+    /// # Errors
+    /// Fails if the stream ends before a frame that ends the answer.
+    pub async fn next(&mut self) -> Result<wire::Frame, PeerError> {
+        loop {
+            let frame = self.decoder.read().map_err(|source| PeerError::Wire { source })?;
+            if let Some(frame) = frame {
+                return Ok(frame);
+            }
+            match self.body.frame().await {
+                Some(Ok(part)) => {
+                    if let Ok(data) = part.into_data() {
+                        self.decoder.push(&data);
+                    }
+                }
+                Some(Err(_)) | None => {
+                    return Err(PeerError::Broken { address: self.address });
+                }
+            }
+        }
+    }
+}
+
+/// Sends a message and returns the frames of the answer.
+///
+/// # Errors
+/// Fails if the connection does not come about or breaks.
+pub async fn request(
+    client: &http::Client,
+    address: net::SocketAddr,
+    path: &str,
+    body: bytes::Bytes,
+) -> Result<Frames, PeerError> {
+    let sent = client.request(http::post(address, path, body)).await;
+    let response = sent.map_err(|e| {
+        if e.is_connect() { PeerError::NotSent { address } } else { PeerError::Broken { address } }
+    })?;
+    let decoder = wire::Decoder::new(MAX_FRAME_BYTES);
+    Ok(Frames { address, body: response.into_body(), decoder })
+}
+
+/// Puts a frame and raw bytes behind each other.
+pub fn with_body<T: serde::Serialize>(message: &T, body: &[u8]) -> bytes::Bytes {
+    let head = wire::encode(message);
+    let mut all = Vec::with_capacity(head.len() + body.len());
+    all.extend_from_slice(&head);
+    all.extend_from_slice(body);
+    all.into()
+}
+
+async fn short(
+    client: &http::Client,
+    address: net::SocketAddr,
+    path: &str,
+    body: bytes::Bytes,
+    limit: u64,
+) -> Result<(u16, bytes::Bytes), PeerError> {
+    let broken = || PeerError::Broken { address };
+    let response = http::within(SHORT_TIMEOUT, client.request(http::post(address, path, body)))
+        .await
+        .and_then(Result::ok)
+        .ok_or_else(broken)?;
+    let status = response.status().as_u16();
+    let body = http::read_body(response.into_body(), limit, SHORT_TIMEOUT).await;
+    Ok((status, body.map_err(|_| broken())?))
+}
+
+/// Asks a process for its configuration if it has a higher revision than `known`.
+///
+/// # Errors
+/// Fails if the process does not answer as agreed.
+pub async fn fetch_config(
+    client: &http::Client,
+    address: net::SocketAddr,
+    known: id::Revision,
+) -> Result<Option<revision::Passed>, PeerError> {
+    let body = wire::encode(&known);
+    let (status, body) = short(client, address, wire::CONFIG_PATH, body, MAX_CONFIG_BYTES).await?;
+    metrics::counter!("peer_config_bytes").increment(body.len() as u64);
+    if status == 204 {
+        return Ok(None);
+    }
+    let mut decoder = wire::Decoder::new(MAX_CONFIG_BYTES as usize);
+    decoder.push(&body);
+    decoder.read().map_err(|source| PeerError::Wire { source })
+}
+
+/// Cancels an attempt.
+///
+/// # Errors
+/// Fails if the sidecar does not answer.
+pub async fn cancel(
+    client: &http::Client,
+    address: net::SocketAddr,
+    attempt: id::AttemptId,
+) -> Result<(), PeerError> {
+    let body = wire::encode(&wire::Cancel { attempt });
+    short(client, address, wire::CANCEL_PATH, body, 1024).await.map(|_| ())
+}
+
+/// An answer that travels with a handover.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub struct KeptAnswer {
+    /// The attempt.
+    pub attempt: id::AttemptId,
+    /// Beginning of the answer.
+    pub head: wire::Head,
+    /// The answer as one piece at offset zero.
+    pub body: wire::Chunk,
+}
+
+/// A range with its ledger and answers.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub struct HandoverMessage {
+    /// The range and its ledger.
+    pub handover: sidecar::Handover,
+    /// Answers that are kept.
+    pub answers: Vec<KeptAnswer>,
+}
+
+/// Offers a range to another sidecar; returns whether it took the range.
+///
+/// # Errors
+/// Fails if there is no clear answer.
+pub async fn hand_over(
+    client: &http::Client,
+    address: net::SocketAddr,
+    message: &HandoverMessage,
+) -> Result<bool, PeerError> {
+    let (status, _) =
+        short(client, address, wire::HANDOVER_PATH, wire::encode(message), 1024).await?;
+    Ok(status == 200)
+}
--- /dev/null
+++ b/lib/src/refusal.rs
@@ -0,0 +1,222 @@
+//! Why a request or attempt was refused, and whether it ran.
+
+use crate::unit;
+
+/// Whether a refused request ran.
+#[derive(
+    Clone, Copy, Debug, derive_more::Display, Eq, PartialEq, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// It did not run and never will.
+    #[display("no")]
+    No,
+    /// It ran; its answer is not available any more.
+    #[display("yes")]
+    Yes,
+    /// It may have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Kinds of refusals, as told to callers and between processes.
+#[derive(
+    Clone, Copy, Debug, derive_more::Display, Eq, PartialEq, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The body, a header or the path is not acceptable.
+    #[display("bad_request")]
+    BadRequest,
+    /// The body is larger than allowed.
+    #[display("body_too_large")]
+    BodyTooLarge,
+    /// The body did not arrive in time or ended early.
+    #[display("body_incomplete")]
+    BodyIncomplete,
+    /// The credential is missing or belongs to no team.
+    #[display("unauthorized")]
+    Unauthorized,
+    /// Nothing is served under the path.
+    #[display("not_found")]
+    NotFound,
+    /// The path does not take the method.
+    #[display("method_not_allowed")]
+    MethodNotAllowed,
+    /// The process has no configuration yet.
+    #[display("not_ready")]
+    NotReady,
+    /// The process is shutting down.
+    #[display("draining")]
+    Draining,
+    /// The team is over its rate or concurrency.
+    #[display("team_limit")]
+    TeamLimit,
+    /// The process has as many requests as it may hold.
+    #[display("overloaded")]
+    Overloaded,
+    /// No upstream of the service may take the work.
+    #[display("no_upstream")]
+    NoUpstream,
+    /// The work could not have finished within the deadline.
+    #[display("deadline_unreachable")]
+    DeadlineUnreachable,
+    /// The deadline passed.
+    #[display("deadline_exceeded")]
+    DeadlineExceeded,
+    /// The sidecar's queue is full.
+    #[display("queue_full")]
+    QueueFull,
+    /// The attempt was refused, cancelled or resolved as not run before.
+    #[display("tombstoned")]
+    Tombstoned,
+    /// The ledger of attempts or keys is full.
+    #[display("ledger_full")]
+    LedgerFull,
+    /// The attempt was meant for an earlier or unknown life of the sidecar.
+    #[display("wrong_incarnation")]
+    WrongIncarnation,
+    /// Another sidecar owns the idempotency key.
+    #[display("not_owner")]
+    NotOwner,
+    /// Nobody is known to own the idempotency key right now.
+    #[display("lease_lapsed")]
+    LeaseLapsed,
+    /// The idempotency key is older than the owner's ledger.
+    #[display("key_before_takeover")]
+    KeyBeforeTakeover,
+    /// The idempotency key is older than the time for which keys are remembered.
+    #[display("key_expired")]
+    KeyExpired,
+    /// The idempotency key was minted in the future.
+    #[display("key_from_future")]
+    KeyFromFuture,
+    /// The idempotency key was used with another body.
+    #[display("key_mismatch")]
+    KeyMismatch,
+    /// The call ran, but its answer is not kept any more.
+    #[display("answer_dropped")]
+    AnswerDropped,
+    /// The processes speak different major versions of the protocol.
+    #[display("version_mismatch")]
+    VersionMismatch,
+    /// The upstream could not be reached; no byte was sent.
+    #[display("upstream_unreachable")]
+    UpstreamUnreachable,
+    /// The upstream's answer broke off.
+    #[display("upstream_broken")]
+    UpstreamBroken,
+    /// The sidecar could not be reached or its connection broke off.
+    #[display("sidecar_lost")]
+    SidecarLost,
+    /// A stage answered with an error.
+    #[display("stage_failed")]
+    StageFailed,
+    /// A stage's answer is larger than allowed.
+    #[display("answer_too_large")]
+    AnswerTooLarge,
+    /// The caller went away.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+/// What a caller has to know about a kind: HTTP status, remedy, and when to try again.
+struct Advice {
+    status: u16,
+    remedy: &'static str,
+    retry: Option<unit::Millis>,
+}
+
+const SOON: Option<unit::Millis> = Some(unit::Millis(1_000));
+const LATER: Option<unit::Millis> = Some(unit::Millis(5_000));
+
+impl Kind {
+    fn advice(self) -> Advice {
+        let (status, remedy, retry) = match self {
+            Self::BadRequest => (400, "correct the request as the message says", None),
+            Self::BodyTooLarge => (413, "send a body within limits.body_bytes", None),
+            Self::BodyIncomplete => (408, "send the whole body without pauses", SOON),
+            Self::Unauthorized => (401, "send `Authorization: Bearer CREDENTIAL` of a team", None),
+            Self::NotFound => (404, "use a path of a configured pipeline or public service", None),
+            Self::MethodNotAllowed => (405, "use POST", None),
+            Self::NotReady => (503, "wait until /readyz answers 200", SOON),
+            Self::Draining => (503, "send the request again; another instance takes it", SOON),
+            Self::TeamLimit => (429, "slow down or ask for a higher team limit", SOON),
+            Self::Overloaded | Self::QueueFull => (503, "try again later", SOON),
+            Self::NoUpstream => (503, "try again; operators: see `bramleyshelf status`", SOON),
+            Self::DeadlineUnreachable => (503, "try again later or allow a longer deadline", SOON),
+            Self::DeadlineExceeded => (504, "allow a longer deadline or try again later", LATER),
+            Self::Tombstoned => (409, "send a new request", None),
+            Self::LedgerFull => {
+                (503, "try again later; operators: raise limits.ledger_entries", LATER)
+            }
+            Self::WrongIncarnation => (503, "try again", SOON),
+            Self::NotOwner | Self::LeaseLapsed => {
+                (503, "send the request again with the same key", LATER)
+            }
+            Self::KeyBeforeTakeover => {
+                (409, "find out whether the action happened before sending it with a new key", None)
+            }
+            Self::KeyExpired => {
+                (409, "mint a UUIDv7 key for each action and retry within limits.key_ms", None)
+            }
+            Self::KeyFromFuture => (400, "correct the clock that mints the keys", None),
+            Self::KeyMismatch => (422, "use a new key for another body", None),
+            Self::AnswerDropped => (409, "look the action up; it ran once", None),
+            Self::VersionMismatch => (503, "finish the upgrade of entries and sidecars", LATER),
+            Self::UpstreamUnreachable | Self::UpstreamBroken | Self::SidecarLost => {
+                (502, "try again if the action may repeat or `ran` is `no`", SOON)
+            }
+            Self::StageFailed => (502, "see the stage and its status in the message", None),
+            Self::AnswerTooLarge => (502, "ask for less or raise limits.answer_bytes", None),
+            Self::Cancelled => (499, "send the request again", None),
+        };
+        Advice { status, remedy, retry }
+    }
+
+    /// Returns the HTTP status that callers get.
+    pub fn status(self) -> u16 {
+        self.advice().status
+    }
+
+    /// Returns what the caller can do about it.
+    pub fn remedy(self) -> &'static str {
+        self.advice().remedy
+    }
+
+    /// Returns when to try again, where that makes sense.
+    pub fn retry_after(self) -> Option<unit::Millis> {
+        self.advice().retry
+    }
+}
+
+/// A refusal as the caller gets it.
+#[derive(Clone, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq)]
+#[display("{kind}: {message}; {}", kind.remedy())]
+pub struct Refusal {
+    /// Kind of the refusal.
+    pub kind: Kind,
+    /// Whether the request, or an earlier one under the same key, ran.
+    pub ran: Ran,
+    /// What happened, for people.
+    pub message: String,
+}
+
+impl Refusal {
+    /// Makes a refusal.
+    pub fn new(kind: Kind, ran: Ran, message: impl Into<String>) -> Self {
+        Self { kind, ran, message: message.into() }
+    }
+
+    /// Returns the JSON body that callers get.
+    pub fn to_json(&self) -> serde_json::Value {
+        serde_json::json!({
+            "error": {
+                "kind": self.kind,
+                "ran": self.ran,
+                "message": self.message,
+                "remedy": self.kind.remedy(),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/routing.rs
@@ -0,0 +1,480 @@
+//! Picks the upstream for an attempt.
+//!
+//! The default policy stays in the nearest tier of locality while the expected wait there is short,
+//! prefers the upstream that last saw the same prompt prefix unless it is busier than the others,
+//! and else takes the better of two drawn at random by expected finish. The baselines are kept for
+//! comparison.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use crate::config;
+use crate::id;
+use crate::limit;
+use crate::membership;
+use crate::outlier;
+use crate::wire;
+
+/// Weight of a new sample in the smoothed time of an attempt.
+const SMOOTHING: f64 = 0.2;
+/// Load relative to the average up to which prefix affinity is followed.
+const AFFINITY_BOUND: f64 = 1.25;
+/// Half-life of what a load report says, beyond which own observations count alone.
+const REPORT_AGE: time::Duration = time::Duration::from_secs(2);
+/// Time that an attempt to an unknown upstream is expected to take.
+const UNKNOWN_LATENCY: f64 = 0.02;
+
+/// How far an upstream is from an entry.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Tier {
+    /// In the same failure domain.
+    #[display("domain")]
+    Domain,
+    /// In another failure domain of the region.
+    #[display("region")]
+    Region,
+    /// In another region.
+    #[display("remote")]
+    Remote,
+}
+
+/// What an entry knows of one upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Service of the upstream.
+    pub service: id::ServiceId,
+    /// Address of its sidecar.
+    pub address: net::SocketAddr,
+    /// How far it is.
+    pub tier: Tier,
+    /// Attempts of this entry in flight.
+    pub flying: u32,
+    /// Life of the sidecar, once it has shown it.
+    pub incarnation: Option<id::Incarnation>,
+    /// Its failures and ejections.
+    pub health: outlier::Health,
+    listed_leaving: bool,
+    config_draining: bool,
+    said_draining: bool,
+    load: Option<wire::Load>,
+    reported: time::Duration,
+    latency: f64,
+}
+
+impl Upstream {
+    fn new(listed: &membership::Listed, tier: Tier) -> Self {
+        Self {
+            service: listed.service.clone(),
+            address: listed.address,
+            tier,
+            flying: 0,
+            incarnation: None,
+            health: outlier::Health::default(),
+            listed_leaving: listed.leaving,
+            config_draining: false,
+            said_draining: false,
+            load: None,
+            reported: time::Duration::ZERO,
+            latency: 0.0,
+        }
+    }
+
+    /// Whether the upstream takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.listed_leaving || self.config_draining || self.said_draining
+    }
+
+    /// Whether the instance list shows the upstream as leaving.
+    pub fn is_listed_leaving(&self) -> bool {
+        self.listed_leaving
+    }
+
+    /// Returns the work that waits or runs there, in calls.
+    fn backlog(&self, now: time::Duration) -> f64 {
+        let own = f64::from(self.flying);
+        match &self.load {
+            Some(load) if now.saturating_sub(self.reported) < REPORT_AGE => {
+                own.max(f64::from(load.running + load.queued))
+            }
+            _ => own,
+        }
+    }
+
+    /// Returns the seconds that a new attempt is expected to take.
+    fn expected(&self, now: time::Duration, rule: outlier::Rule) -> f64 {
+        let limit = self.load.as_ref().map_or(1.0, |load| f64::from(load.limit.max(1)));
+        let call = if self.latency > 0.0 { self.latency } else { UNKNOWN_LATENCY };
+        let turns = (self.backlog(now) + 1.0) / limit;
+        call * turns.max(1.0) / self.health.share(now, rule)
+    }
+
+    /// Returns the seconds that a new attempt is expected to wait for its turn.
+    fn wait(&self, now: time::Duration) -> f64 {
+        let limit = self.load.as_ref().map_or(1.0, |load| f64::from(load.limit.max(1)));
+        let call = if self.latency > 0.0 { self.latency } else { UNKNOWN_LATENCY };
+        call * ((self.backlog(now) + 1.0) / limit - 1.0).max(0.0)
+    }
+}
+
+/// An upstream that was picked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pick {
+    /// The instance.
+    pub instance: id::InstanceId,
+    /// Address of its sidecar.
+    pub address: net::SocketAddr,
+    /// Life of the sidecar, if known.
+    pub incarnation: Option<id::Incarnation>,
+    /// How far it is.
+    pub tier: Tier,
+    /// Why it was picked, for the log.
+    pub reason: &'static str,
+}
+
+/// What an attempt asks for.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a id::ServiceId,
+    /// Upstreams that were tried already.
+    pub tried: &'a collections::BTreeSet<id::InstanceId>,
+    /// Hash of the prompt prefix, where upstreams cache it.
+    pub prefix: Option<u64>,
+}
+
+/// All upstreams that an entry may use.
+#[derive(Debug)]
+pub struct Router {
+    me: id::InstanceId,
+    domain: id::DomainId,
+    upstreams: collections::BTreeMap<id::InstanceId, Upstream>,
+    services: collections::BTreeMap<id::ServiceId, collections::BTreeSet<id::InstanceId>>,
+    turns: collections::BTreeMap<id::ServiceId, usize>,
+    cross: limit::Bucket,
+    rng: fastrand::Rng,
+}
+
+impl Router {
+    /// Makes a router of an entry in a failure domain.
+    pub fn new(me: id::InstanceId, domain: id::DomainId, seed: u64) -> Self {
+        Self {
+            me,
+            domain,
+            upstreams: collections::BTreeMap::new(),
+            services: collections::BTreeMap::new(),
+            turns: collections::BTreeMap::new(),
+            cross: limit::Bucket::new(time::Duration::ZERO, 0.0),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes in which instances exist and which of them are drained by the configuration.
+    pub fn update(
+        &mut self,
+        config: &config::Config,
+        instances: &membership::Instances,
+        draining: &collections::BTreeSet<id::InstanceId>,
+    ) {
+        self.upstreams.retain(|instance, up| {
+            instances.get(instance).is_some_and(|l| l.service == up.service)
+        });
+        for (instance, listed) in instances {
+            let tier = self.tier(config, &listed.domain);
+            let up = self
+                .upstreams
+                .entry(instance.clone())
+                .or_insert_with(|| Upstream::new(listed, tier));
+            if up.address != listed.address {
+                *up = Upstream::new(listed, tier);
+            }
+            up.tier = tier;
+            up.listed_leaving = listed.leaving;
+            up.config_draining = draining.contains(instance);
+        }
+        self.services = self.subsets(config.policy.subset as usize);
+    }
+
+    fn tier(&self, config: &config::Config, domain: &id::DomainId) -> Tier {
+        if *domain == self.domain {
+            Tier::Domain
+        } else if config.region_of(domain).is_some()
+            && config.region_of(domain) == config.region_of(&self.domain)
+        {
+            Tier::Region
+        } else {
+            Tier::Remote
+        }
+    }
+
+    /// Returns for each service the upstreams that this entry talks to: the nearest ones, and among
+    /// equally near ones those with the highest rendezvous hash, so that entries differ.
+    fn subsets(
+        &self,
+        size: usize,
+    ) -> collections::BTreeMap<id::ServiceId, collections::BTreeSet<id::InstanceId>> {
+        let mut ranked: collections::BTreeMap<id::ServiceId, Vec<_>> = collections::BTreeMap::new();
+        for (instance, up) in &self.upstreams {
+            let seed = xxhash_rust::xxh3::xxh3_64(self.me.as_str().as_bytes());
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(instance.as_str().as_bytes(), seed);
+            // Leaving upstreams come last, so that they do not use up the subset.
+            let rank = (up.is_leaving(), up.tier, hash);
+            ranked.entry(up.service.clone()).or_default().push((rank, instance.clone()));
+        }
+        ranked
+            .into_iter()
+            .map(|(service, mut all)| {
+                all.sort();
+                // A third of the subset lies elsewhere, so that the loss of the near ones leaves
+                // somewhere to go.
+                let near = size - size / 3;
+                let mut subset: collections::BTreeSet<_> =
+                    all.iter().take(near).map(|(_, instance)| instance.clone()).collect();
+                let far = all.iter().rev().filter(|((leaving, ..), _)| !leaving);
+                for (_, instance) in far.take(size.saturating_sub(near)) {
+                    subset.insert(instance.clone());
+                }
+                (service, subset)
+            })
+            .collect()
+    }
+
+    /// Returns an upstream.
+    pub fn get(&self, instance: &id::InstanceId) -> Option<&Upstream> {
+        self.upstreams.get(instance)
+    }
+
+    /// Returns all upstreams with their names.
+    pub fn iter(&self) -> impl Iterator<Item = (&id::InstanceId, &Upstream)> {
+        self.upstreams.iter()
+    }
+
+    /// Returns the addresses of the subset's upstreams that the instance list shows as leaving.
+    pub fn listed_leaving(&self) -> Vec<net::SocketAddr> {
+        let subset = self.services.values().flatten();
+        let leaving = subset.filter_map(|instance| self.upstreams.get(instance));
+        leaving.filter(|up| up.is_listed_leaving()).map(|up| up.address).collect()
+    }
+
+    /// Returns the rule of the ejection.
+    pub fn rule(config: &config::Config) -> outlier::Rule {
+        outlier::Rule {
+            failures: config.policy.eject_failures,
+            base: config.policy.eject_ms.duration(),
+            warmup: config.policy.warmup_ms.duration(),
+        }
+    }
+
+    /// Takes note that an attempt was sent.
+    pub fn sent(&mut self, instance: &id::InstanceId) {
+        if let Some(up) = self.upstreams.get_mut(instance) {
+            up.flying += 1;
+        }
+    }
+
+    /// Counts bytes against the budget of the link between regions, if they cross it.
+    pub fn charge(&mut self, now: time::Duration, config: &config::Config, tier: Tier, bytes: u64) {
+        if tier == Tier::Remote {
+            let rate = config.policy.cross_rate.0;
+            self.cross.charge(now, rate, rate, bytes as f64);
+        }
+    }
+
+    /// Takes note that an attempt ended; `took` is given if the upstream did its work.
+    pub fn ended(&mut self, instance: &id::InstanceId, took: Option<time::Duration>) {
+        let Some(up) = self.upstreams.get_mut(instance) else {
+            return;
+        };
+        up.flying = up.flying.saturating_sub(1);
+        let Some(took) = took else { return };
+        up.health.succeed();
+        let sample = took.as_secs_f64();
+        up.latency =
+            if up.latency == 0.0 { sample } else { up.latency + (sample - up.latency) * SMOOTHING };
+    }
+
+    /// Takes note that an upstream failed; returns whether it was ejected.
+    pub fn failed(
+        &mut self,
+        now: time::Duration,
+        config: &config::Config,
+        instance: &id::InstanceId,
+    ) -> bool {
+        let Some(up) = self.upstreams.get(instance) else {
+            return false;
+        };
+        let pool: Vec<_> =
+            self.upstreams.values().filter(|other| other.service == up.service).collect();
+        let ejected = pool.iter().filter(|other| other.health.is_ejected(now)).count();
+        let allowed = outlier::allowance(pool.len(), config.policy.eject_share.0);
+        if ejected >= allowed {
+            return false;
+        }
+        let rule = Self::rule(config);
+        self.upstreams.get_mut(instance).is_some_and(|up| up.health.fail(now, rule))
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, now: time::Duration, instance: &id::InstanceId, load: &wire::Load) {
+        let Some(up) = self.upstreams.get_mut(instance) else {
+            return;
+        };
+        up.incarnation = Some(load.incarnation);
+        up.said_draining = load.draining;
+        up.load = Some(load.clone());
+        up.reported = now;
+    }
+
+    /// Picks an upstream for an attempt.
+    pub fn pick(
+        &mut self,
+        now: time::Duration,
+        config: &config::Config,
+        want: &Want<'_>,
+    ) -> Option<Pick> {
+        let candidates = self.candidates(now, want);
+        if candidates.is_empty() {
+            return None;
+        }
+        let (instance, reason) = match config.policy.balance {
+            config::Balance::Adaptive => self.pick_adaptive(now, config, want, &candidates),
+            config::Balance::Random => (self.draw(&candidates), "random"),
+            config::Balance::RoundRobin => (self.next_in_turn(want.service, &candidates), "turn"),
+            config::Balance::LeastOutstanding => {
+                (self.least_outstanding(&candidates), "least_outstanding")
+            }
+        };
+        let up = &self.upstreams[&instance];
+        Some(Pick {
+            address: up.address,
+            incarnation: up.incarnation,
+            tier: up.tier,
+            instance,
+            reason,
+        })
+    }
+
+    /// Returns who may take the attempt: not tried, not leaving and not ejected. If nobody is left
+    /// that way, ejected ones are taken, and then tried ones.
+    fn candidates(&self, now: time::Duration, want: &Want<'_>) -> Vec<id::InstanceId> {
+        let Some(subset) = self.services.get(want.service) else {
+            return Vec::new();
+        };
+        let present: Vec<_> = subset
+            .iter()
+            .filter(|instance| self.upstreams.get(*instance).is_some_and(|up| !up.is_leaving()))
+            .collect();
+        let is_healthy =
+            |instance: &&&id::InstanceId| !self.upstreams[**instance].health.is_ejected(now);
+        let is_fresh = |instance: &&&id::InstanceId| !want.tried.contains(**instance);
+        let steps: [Vec<_>; 3] = [
+            present.iter().filter(is_fresh).filter(is_healthy).copied().collect(),
+            present.iter().filter(is_fresh).copied().collect(),
+            present.clone(),
+        ];
+        let first = steps.into_iter().find(|step| !step.is_empty());
+        first.unwrap_or_default().into_iter().cloned().collect()
+    }
+
+    fn draw(&mut self, candidates: &[id::InstanceId]) -> id::InstanceId {
+        candidates[self.rng.usize(..candidates.len())].clone()
+    }
+
+    fn next_in_turn(
+        &mut self,
+        service: &id::ServiceId,
+        candidates: &[id::InstanceId],
+    ) -> id::InstanceId {
+        let turn = self.turns.entry(service.clone()).or_default();
+        *turn = turn.wrapping_add(1);
+        candidates[*turn % candidates.len()].clone()
+    }
+
+    fn least_outstanding(&mut self, candidates: &[id::InstanceId]) -> id::InstanceId {
+        let flying = |instance: &id::InstanceId| self.upstreams[instance].flying;
+        let least = candidates.iter().map(flying).min().unwrap_or(0);
+        let best: Vec<_> = candidates.iter().filter(|i| flying(i) == least).cloned().collect();
+        self.draw(&best)
+    }
+
+    fn pick_adaptive(
+        &mut self,
+        now: time::Duration,
+        config: &config::Config,
+        want: &Want<'_>,
+        candidates: &[id::InstanceId],
+    ) -> (id::InstanceId, &'static str) {
+        let (pool, reason) = self.nearest_pool(now, config, candidates);
+        if let Some(prefix) = want.prefix
+            && let Some(instance) = self.prefix_match(now, prefix, &pool)
+        {
+            return (instance, "prefix");
+        }
+        (self.better_of_two(now, config, &pool), reason)
+    }
+
+    /// Returns the nearest tier whose best upstream has a short wait, or the whole region, or
+    /// everything if the link between the regions has room.
+    fn nearest_pool(
+        &mut self,
+        now: time::Duration,
+        config: &config::Config,
+        candidates: &[id::InstanceId],
+    ) -> (Vec<id::InstanceId>, &'static str) {
+        let patience = config.policy.cross_ms.duration().as_secs_f64();
+        let up_to = |tier: Tier| -> Vec<id::InstanceId> {
+            let near = candidates.iter().filter(|i| self.upstreams[*i].tier <= tier);
+            near.cloned().collect()
+        };
+        let shortest = |pool: &[id::InstanceId]| {
+            let waits = pool.iter().map(|instance| self.upstreams[instance].wait(now));
+            waits.fold(f64::INFINITY, f64::min)
+        };
+        let domain = up_to(Tier::Domain);
+        // Failure domains are about a millisecond apart: any wait at home costs more.
+        if !domain.is_empty() && shortest(&domain) <= 0.0 {
+            return (domain, "domain");
+        }
+        let region = up_to(Tier::Region);
+        let rate = config.policy.cross_rate.0;
+        let has_room = self.cross.has_credit(now, rate, rate);
+        if !region.is_empty() && (shortest(&region) <= patience || !has_room) {
+            return (region, "region");
+        }
+        (candidates.to_vec(), "remote")
+    }
+
+    /// Returns the upstream that owns the prefix, unless it is much busier than the average.
+    fn prefix_match(
+        &self,
+        now: time::Duration,
+        prefix: u64,
+        pool: &[id::InstanceId],
+    ) -> Option<id::InstanceId> {
+        let owner = pool.iter().max_by_key(|instance| {
+            xxhash_rust::xxh3::xxh3_64_with_seed(instance.as_str().as_bytes(), prefix)
+        })?;
+        let total: f64 = pool.iter().map(|instance| self.upstreams[instance].backlog(now)).sum();
+        let bound = (total / pool.len() as f64) * AFFINITY_BOUND + 1.0;
+        (self.upstreams[owner].backlog(now) <= bound).then(|| owner.clone())
+    }
+
+    fn better_of_two(
+        &mut self,
+        now: time::Duration,
+        config: &config::Config,
+        pool: &[id::InstanceId],
+    ) -> id::InstanceId {
+        let first = self.rng.usize(..pool.len());
+        let mut second = self.rng.usize(..pool.len().max(2) - 1);
+        if second >= first {
+            second += 1;
+        }
+        let rule = Self::rule(config);
+        let cost = |index: usize| {
+            pool.get(index).map_or(f64::INFINITY, |i| self.upstreams[i].expected(now, rule))
+        };
+        let best = if cost(second) < cost(first) { second } else { first };
+        pool[best].clone()
+    }
+}
--- /dev/null
+++ b/lib/src/upstream.rs
@@ -0,0 +1,161 @@
+//! A sidecar's calls to its upstream.
+
+use std::net;
+use std::time;
+
+use http_body_util::BodyExt as _;
+use tokio::sync::mpsc;
+
+use crate::http;
+use crate::id;
+use crate::sidecar;
+use crate::wire;
+
+/// Header with the position at which a resumed stream continues; the upstream repeats it.
+pub const OFFSET_HEADER: &str = "stream-offset";
+/// Header that identifies the request to the upstream.
+pub const REQUEST_HEADER: &str = "x-request-id";
+/// Header with the time left in milliseconds.
+pub const BUDGET_HEADER: &str = "x-budget-ms";
+/// Header with the caller's idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Header with the team that pays.
+pub const TEAM_HEADER: &str = "x-team";
+/// Last event of a stream of an `OpenAI` style engine.
+const STREAM_END: &[u8] = b"data: [DONE]";
+/// Bytes at the end of a stream in which its last event is looked for.
+const TAIL_BYTES: usize = 32;
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The attempt.
+    pub attempt: id::AttemptId,
+    /// Address of the upstream.
+    pub address: net::SocketAddr,
+    /// Path of the service.
+    pub path: String,
+    /// Body.
+    pub body: bytes::Bytes,
+    /// Request that the attempt belongs to.
+    pub request: id::RequestId,
+    /// Team that pays.
+    pub team: id::TeamId,
+    /// The caller's idempotency key without its team.
+    pub key: Option<String>,
+    /// Position at which the stream continues.
+    pub offset: u64,
+    /// Time left; past it a repeatable call is broken off.
+    pub budget: time::Duration,
+    /// Whether the call may run more than once.
+    pub repeatable: bool,
+}
+
+/// What a call brings.
+#[derive(Debug)]
+pub enum Part {
+    /// Beginning of the answer.
+    Head(wire::Head),
+    /// Bytes of the answer.
+    Data(bytes::Bytes),
+    /// The answer is whole.
+    End(u16),
+    /// The call failed.
+    Failed(sidecar::CallError),
+}
+
+/// Makes a call and sends what it brings; ends with [`Part::End`] or [`Part::Failed`].
+pub async fn run(client: http::Client, call: Call, parts: mpsc::Sender<(id::AttemptId, Part)>) {
+    let attempt = call.attempt;
+    let last = match converse(&client, &call, &parts).await {
+        Ok(status) => Part::End(status),
+        Err(error) => {
+            log::warn!("event=upstream_failed attempt={attempt} error={error:?}");
+            Part::Failed(error)
+        }
+    };
+    // Fails only when the process ends.
+    let _ = parts.send((attempt, last)).await;
+}
+
+fn build(call: &Call) -> Result<hyper::Request<http::Body>, sidecar::CallError> {
+    let mut request = hyper::Request::post(format!("http://{}{}", call.address, call.path))
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .header(REQUEST_HEADER, call.request.to_string())
+        .header(BUDGET_HEADER, call.budget.as_millis().to_string())
+        .header(TEAM_HEADER, call.team.as_str());
+    if let Some(key) = &call.key {
+        request = request.header(KEY_HEADER, key);
+    }
+    if call.offset > 0 {
+        request = request.header(OFFSET_HEADER, call.offset.to_string());
+    }
+    request.body(http::Body::full(call.body.clone())).map_err(|_| sidecar::CallError::NotSent)
+}
+
+async fn converse(
+    client: &http::Client,
+    call: &Call,
+    parts: &mpsc::Sender<(id::AttemptId, Part)>,
+) -> Result<u16, sidecar::CallError> {
+    let response = client.request(build(call)?).await.map_err(|e| {
+        if e.is_connect() { sidecar::CallError::NotSent } else { sidecar::CallError::Broken }
+    })?;
+    let status = response.status().as_u16();
+    check_offset(call, &response)?;
+    let media = response.headers().get(hyper::header::CONTENT_TYPE);
+    let media = media.and_then(|value| value.to_str().ok()).unwrap_or("application/octet-stream");
+    let is_stream = media.starts_with("text/event-stream");
+    let head = wire::Head { status, media: media.to_owned() };
+    send(parts, call.attempt, Part::Head(head)).await?;
+    let tail = copy(response.into_body(), call.attempt, parts).await?;
+    // A stream that just stops is cut, however its connection ended.
+    let ended = tail.windows(STREAM_END.len()).any(|window| window == STREAM_END);
+    if is_stream && !ended {
+        return Err(sidecar::CallError::Broken);
+    }
+    Ok(status)
+}
+
+/// A resumed stream is good only if the upstream says that it continues where it was asked to.
+fn check_offset(
+    call: &Call,
+    response: &hyper::Response<hyper::body::Incoming>,
+) -> Result<(), sidecar::CallError> {
+    if call.offset == 0 {
+        return Ok(());
+    }
+    let told = response.headers().get(OFFSET_HEADER).and_then(|value| value.to_str().ok());
+    if told.and_then(|text| text.parse().ok()) == Some(call.offset) {
+        Ok(())
+    } else {
+        Err(sidecar::CallError::NotResumable)
+    }
+}
+
+/// Passes the body on and returns its last bytes.
+async fn copy(
+    mut body: hyper::body::Incoming,
+    attempt: id::AttemptId,
+    parts: &mpsc::Sender<(id::AttemptId, Part)>,
+) -> Result<Vec<u8>, sidecar::CallError> {
+    let mut tail = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| sidecar::CallError::Broken)?.into_data() else {
+            continue;
+        };
+        let recent = &data[data.len().saturating_sub(TAIL_BYTES)..];
+        tail.extend_from_slice(recent);
+        tail.drain(..tail.len().saturating_sub(TAIL_BYTES));
+        send(parts, attempt, Part::Data(data)).await?;
+    }
+    Ok(tail)
+}
+
+async fn send(
+    parts: &mpsc::Sender<(id::AttemptId, Part)>,
+    attempt: id::AttemptId,
+    part: Part,
+) -> Result<(), sidecar::CallError> {
+    parts.send((attempt, part)).await.map_err(|_| sidecar::CallError::Broken)
+}
--- /dev/null
+++ b/lib/testutils/src/kv.rs
@@ -0,0 +1,318 @@
+//! Key-value service with the etcd v3 JSON gateway: ranges, transactions, leases and watches.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use base64::Engine as _;
+use bramleyshelf_lib::http;
+use tokio::sync::watch;
+
+use crate::server;
+
+#[derive(Clone, Debug)]
+struct Value {
+    data: Vec<u8>,
+    created: u64,
+    modified: u64,
+    lease: i64,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    key: Vec<u8>,
+    value: Option<Value>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: time::Duration,
+    ends: time::Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    values: collections::BTreeMap<Vec<u8>, Value>,
+    history: Vec<Change>,
+    leases: collections::BTreeMap<i64, Lease>,
+    next_lease: i64,
+    calls: collections::BTreeMap<String, u64>,
+}
+
+/// Stand-in for the platform's key-value service.
+#[derive(Clone, Debug)]
+pub struct Kv {
+    state: sync::Arc<sync::Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Kv {
+    fn default() -> Self {
+        let state = State { next_lease: 1_000, revision: 1, ..State::default() };
+        let (changed, _) = watch::channel(1);
+        Self { state: sync::Arc::new(sync::Mutex::new(state)), changed }
+    }
+}
+
+fn decode(value: &serde_json::Value) -> Vec<u8> {
+    let text = value.as_str().unwrap_or_default();
+    base64::engine::general_purpose::STANDARD.decode(text).unwrap_or_default()
+}
+
+fn encode(data: &[u8]) -> String {
+    base64::engine::general_purpose::STANDARD.encode(data)
+}
+
+fn number(value: &serde_json::Value) -> i64 {
+    value.as_str().and_then(|text| text.parse().ok()).or(value.as_i64()).unwrap_or(0)
+}
+
+fn entry(key: &[u8], value: &Value) -> serde_json::Value {
+    serde_json::json!({
+        "key": encode(key),
+        "value": encode(&value.data),
+        "create_revision": value.created.to_string(),
+        "mod_revision": value.modified.to_string(),
+        "lease": value.lease.to_string(),
+    })
+}
+
+impl State {
+    fn header(&self) -> serde_json::Value {
+        serde_json::json!({ "revision": self.revision.to_string() })
+    }
+
+    fn range(&self, request: &serde_json::Value) -> serde_json::Value {
+        let key = decode(&request["key"]);
+        let end = decode(&request["range_end"]);
+        let found: Vec<_> = if end.is_empty() {
+            self.values.get_key_value(&key).into_iter().collect()
+        } else {
+            self.values.range(key..end).collect()
+        };
+        let count = found.len().to_string();
+        if request["count_only"] == true {
+            return serde_json::json!({ "header": self.header(), "count": count });
+        }
+        let entries: Vec<_> = found.into_iter().map(|(key, value)| entry(key, value)).collect();
+        serde_json::json!({ "header": self.header(), "kvs": entries, "count": count })
+    }
+
+    fn holds(&self, compare: &serde_json::Value) -> bool {
+        let value = self.values.get(&decode(&compare["key"]));
+        match compare["target"].as_str() {
+            Some("CREATE") => {
+                let created = value.map_or(0, |value| value.created);
+                created == number(&compare["create_revision"]).cast_unsigned()
+            }
+            Some("MOD") => {
+                let modified = value.map_or(0, |value| value.modified);
+                modified == number(&compare["mod_revision"]).cast_unsigned()
+            }
+            _ => false,
+        }
+    }
+
+    fn transact(&mut self, request: &serde_json::Value) -> serde_json::Value {
+        let empty = Vec::new();
+        let compares = request["compare"].as_array().unwrap_or(&empty);
+        let applied = compares.iter().all(|compare| self.holds(compare));
+        if applied {
+            let writes = request["success"].as_array().unwrap_or(&empty);
+            if !writes.is_empty() {
+                self.revision += 1;
+            }
+            for write in writes {
+                self.write(write);
+            }
+        }
+        serde_json::json!({ "header": self.header(), "succeeded": applied })
+    }
+
+    fn write(&mut self, write: &serde_json::Value) {
+        let put = &write["request_put"];
+        if put.is_object() {
+            let key = decode(&put["key"]);
+            let lease = number(&put["lease"]);
+            if lease != 0 && !self.leases.contains_key(&lease) {
+                return;
+            }
+            let created = self.values.get(&key).map_or(self.revision, |value| value.created);
+            let data = decode(&put["value"]);
+            let value = Value { data, created, modified: self.revision, lease };
+            self.record(key.clone(), Some(value.clone()));
+            self.values.insert(key, value);
+        }
+        let delete = &write["request_delete_range"];
+        if delete.is_object() {
+            self.remove(&decode(&delete["key"]));
+        }
+    }
+
+    fn remove(&mut self, key: &[u8]) {
+        if self.values.remove(key).is_some() {
+            self.record(key.to_vec(), None);
+        }
+    }
+
+    fn record(&mut self, key: Vec<u8>, value: Option<Value>) {
+        self.history.push(Change { revision: self.revision, key, value });
+    }
+
+    fn expire(&mut self) {
+        let now = time::Instant::now();
+        let over: Vec<_> =
+            self.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            self.revoke(id);
+        }
+    }
+
+    fn revoke(&mut self, lease: i64) {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        let keys: Vec<_> = self
+            .values
+            .iter()
+            .filter(|(_, value)| value.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn grant(&mut self, request: &serde_json::Value) -> serde_json::Value {
+        self.next_lease += 1;
+        let ttl = time::Duration::from_secs(number(&request["TTL"]).cast_unsigned());
+        self.leases.insert(self.next_lease, Lease { ttl, ends: time::Instant::now() + ttl });
+        serde_json::json!({
+            "header": self.header(),
+            "ID": self.next_lease.to_string(),
+            "TTL": ttl.as_secs().to_string(),
+        })
+    }
+
+    fn keep_alive(&mut self, request: &serde_json::Value) -> serde_json::Value {
+        let id = number(&request["ID"]);
+        let ttl = self.leases.get_mut(&id).map_or(0, |lease| {
+            lease.ends = time::Instant::now() + lease.ttl;
+            lease.ttl.as_secs()
+        });
+        // A zero is left out, as the gateway does.
+        let mut result = serde_json::json!({ "header": self.header(), "ID": id.to_string() });
+        if ttl > 0 {
+            result["TTL"] = ttl.to_string().into();
+        }
+        serde_json::json!({ "result": result })
+    }
+
+    fn changes(&self, key: &[u8], from: u64) -> Vec<serde_json::Value> {
+        let hits = self.history.iter().filter(|c| c.revision >= from && c.key == key);
+        hits.map(|change| match &change.value {
+            Some(value) => serde_json::json!({ "kv": entry(key, value) }),
+            None => serde_json::json!({
+                "type": "DELETE",
+                "kv": { "key": encode(key), "mod_revision": change.revision.to_string() },
+            }),
+        })
+        .collect()
+    }
+}
+
+impl Kv {
+    /// Returns the number of calls so far by path.
+    ///
+    /// # Panics
+    /// Panics if another holder of the lock panicked.
+    pub fn calls(&self) -> collections::BTreeMap<String, u64> {
+        self.state.lock().expect("no holder panics").calls.clone()
+    }
+
+    /// Sets the store's content back, as a restored backup would.
+    ///
+    /// # Panics
+    /// Panics if another holder of the lock panicked.
+    pub fn overwrite(&self, key: &str, data: &[u8], modified: u64) {
+        let mut state = self.state.lock().expect("no holder panics");
+        let value = Value { data: data.to_vec(), created: modified, modified, lease: 0 };
+        state.values.insert(key.as_bytes().to_vec(), value);
+    }
+
+    fn call(&self, path: &str, request: &serde_json::Value) -> serde_json::Value {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.expire();
+        *state.calls.entry(path.to_owned()).or_default() += 1;
+        let answer = match path {
+            "/v3/kv/range" => state.range(request),
+            "/v3/kv/txn" => state.transact(request),
+            "/v3/lease/grant" => state.grant(request),
+            "/v3/lease/keepalive" => state.keep_alive(request),
+            "/v3/lease/revoke" => {
+                state.revoke(number(&request["ID"]));
+                serde_json::json!({ "header": state.header() })
+            }
+            _ => serde_json::json!({ "error": "no such call" }),
+        };
+        self.changed.send_replace(state.revision);
+        answer
+    }
+
+    fn watch(&self, request: &serde_json::Value) -> http::Body {
+        let create = &request["create_request"];
+        let key = decode(&create["key"]);
+        let from = number(&create["start_revision"]).cast_unsigned();
+        {
+            let mut state = self.state.lock().expect("no holder panics");
+            *state.calls.entry("/v3/watch".to_owned()).or_default() += 1;
+        }
+        let (sender, body) = http::Body::stream(16);
+        tokio::spawn(self.clone().send_changes(sender, key, from));
+        body
+    }
+
+    async fn send_changes(self, mut sender: http::BodySender, key: Vec<u8>, mut from: u64) {
+        let mut changed = self.changed.subscribe();
+        let created = serde_json::json!({ "result": { "created": true } });
+        if !sender.send(format!("{created}\n").into()).await {
+            return;
+        }
+        loop {
+            let (events, revision) = {
+                let state = self.state.lock().expect("no holder panics");
+                (state.changes(&key, from), state.revision)
+            };
+            from = revision + 1;
+            if !events.is_empty() {
+                let line = serde_json::json!({ "result": { "events": events } });
+                if !sender.send(format!("{line}\n").into()).await {
+                    return;
+                }
+            }
+            tokio::select! {
+                change = changed.changed() => if change.is_err() { return },
+                () = sender.closed() => return,
+            }
+        }
+    }
+}
+
+impl server::Work for Kv {
+    async fn answer(&self, request: server::Request) -> server::Answer {
+        let body = request.json();
+        if request.path == "/v3/watch" {
+            return server::Answer::Body(self.watch(&body));
+        }
+        server::Answer::Json(200, self.call(&request.path, &body))
+    }
+
+    fn log(&self) -> serde_json::Value {
+        serde_json::json!(self.calls())
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for the platform and the upstreams, each a small HTTP server.
+//!
+//! All of them take faults at run time (`POST /_fault`) and tell what they received (`GET /_log`),
+//! so that a test can compare what ran with what callers were told.
+
+pub mod engine;
+pub mod fault;
+pub mod instances;
+pub mod kv;
+pub mod model;
+pub mod plain;
+pub mod server;
--- /dev/null
+++ b/lib/testutils/src/model.rs
@@ -0,0 +1,66 @@
+//! Encoder, retriever and reranker.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use crate::server;
+
+/// Numbers of an embedding.
+const DIMENSIONS: u64 = 8;
+
+/// Stand-in for a pool of encoders, retrievers or rerankers; the path tells which.
+#[derive(Clone, Debug)]
+pub struct Model {
+    work: time::Duration,
+    slots: sync::Arc<tokio::sync::Semaphore>,
+    count: sync::Arc<atomic::AtomicU64>,
+}
+
+impl Model {
+    /// Makes a model that takes `work` for a request and runs `slots` requests at a time.
+    pub fn new(work: time::Duration, slots: usize) -> Self {
+        let slots = sync::Arc::new(tokio::sync::Semaphore::new(slots));
+        Self { work, slots, count: sync::Arc::default() }
+    }
+}
+
+fn embed(text: &str) -> Vec<u64> {
+    let hash = |index| xxhash_rust::xxh3::xxh3_64_with_seed(text.as_bytes(), index) % 1_000;
+    (0..DIMENSIONS).map(hash).collect()
+}
+
+/// Returns what the model answers to a body on a path.
+pub fn answer_of(path: &str, body: &serde_json::Value) -> serde_json::Value {
+    match path {
+        "/v1/embeddings" => {
+            let vector = embed(&body["input"].to_string());
+            serde_json::json!({ "object": "list", "data": [{ "index": 0, "embedding": vector }] })
+        }
+        "/v1/rerank" => {
+            let documents = body["documents"].as_array().cloned().unwrap_or_default();
+            let mut ranked: Vec<_> = documents.iter().map(ToString::to_string).collect();
+            ranked.sort_by_key(|text| xxhash_rust::xxh3::xxh3_64(text.as_bytes()));
+            serde_json::json!({ "query": body["query"], "results": ranked })
+        }
+        _ => {
+            let seed = embed(&body.to_string());
+            let documents: Vec<_> =
+                seed.iter().map(|number| format!("document {number}")).collect();
+            serde_json::json!({ "documents": documents })
+        }
+    }
+}
+
+impl server::Work for Model {
+    async fn answer(&self, request: server::Request) -> server::Answer {
+        self.count.fetch_add(1, atomic::Ordering::Relaxed);
+        let _slot = self.slots.acquire().await;
+        tokio::time::sleep(self.work).await;
+        server::Answer::Json(200, answer_of(&request.path, &request.json()))
+    }
+
+    fn log(&self) -> serde_json::Value {
+        serde_json::json!({ "count": self.count.load(atomic::Ordering::Relaxed) })
+    }
+}
