--- /dev/null
+++ b/cli/tests/test_path.rs
@@ -0,0 +1,94 @@
+//! The whole path over real processes, with both deployments of the brief.
+
+use std::collections;
+
+use bramleyshelf_lib::http;
+use bramleyshelf_testutils::{cluster, engine, model};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_bramleyshelf");
+const TAKBAERER: &str = include_str!("../../examples/takbaerer.json");
+const PADDOCK_LANE: &str = include_str!("../../examples/paddock-lane.json");
+
+fn question(number: u32) -> serde_json::Value {
+    serde_json::json!({ "question": format!("question {number}") })
+}
+
+/// Computes what the four stages of the examples answer to a question.
+fn expected_chat_body(question: &str) -> serde_json::Value {
+    let input = serde_json::json!({ "input": question });
+    let embedding = model::answer_of("/v1/embeddings", &input)["data"][0]["embedding"].clone();
+    let search = serde_json::json!({ "vector": embedding, "top": 8 });
+    let documents = model::answer_of("/retrieve", &search)["documents"].clone();
+    let rank = serde_json::json!({ "query": question, "documents": documents });
+    let results = model::answer_of("/v1/rerank", &rank)["results"].clone();
+    let content = format!("Question: {question}\nSources: {results}");
+    serde_json::json!({
+        "model": "assistant",
+        "max_tokens": 24,
+        "messages": [{ "role": "user", "content": content }],
+    })
+}
+
+async fn serve_whole_path(name: &str, text: &str, pipeline: &str, team: &str) {
+    let shape = cluster::Shape::default();
+    let system = cluster::Cluster::start(PROGRAM, name, text, shape).await;
+    let client = http::client(true);
+    for number in 0..6 {
+        let entry = system.entries[number as usize % 2].address;
+        let call = cluster::Call::new(pipeline, team, question(number));
+        let answer = call.send(&client, entry).await.expect("a response");
+        let expected = engine::text_of(&expected_chat_body(&format!("question {number}")));
+        assert_eq!(answer.status, 200, "{:?}", answer.json());
+        assert_eq!(answer.json()["choices"][0]["message"]["content"], expected);
+    }
+    let mut body = question(7);
+    body["stream"] = true.into();
+    let call = cluster::Call::new(pipeline, team, body);
+    let answer = call.send(&client, system.entries[0].address).await.expect("a response");
+    let expected: Vec<u8> =
+        engine::events_of(&expected_chat_body("question 7")).concat().to_vec();
+    assert!(answer.whole && answer.body == expected);
+
+    let key = cluster::new_key();
+    let body = serde_json::json!({ "action": "b1" });
+    let booking = cluster::Call::new("/services/bookings", team, body).with_key(&key);
+    let mut answers = collections::BTreeSet::new();
+    for entry in &system.entries {
+        let answer = booking.send(&client, entry.address).await.expect("a response");
+        assert_eq!(answer.status, 200, "{:?}", answer.json());
+        answers.insert(answer.body);
+    }
+    assert_eq!(answers.len(), 1, "both entries give the first answer");
+    assert_eq!(system.runs("bookings").len(), 1);
+}
+
+#[tokio::test]
+async fn path_serves_takbaerer() {
+    serve_whole_path("takbaerer", TAKBAERER, "/pipelines/fitting-guide", "counter").await;
+}
+
+#[tokio::test]
+async fn path_serves_paddock_lane() {
+    serve_whole_path("paddock", PADDOCK_LANE, "/pipelines/rule-answer", "marshals").await;
+}
+
+#[tokio::test]
+async fn openai_paths_reach_their_services() {
+    let shape = cluster::Shape { entries: 1, upstreams: 1, ..cluster::Shape::default() };
+    let system = cluster::Cluster::start(PROGRAM, "openai", TAKBAERER, shape).await;
+    let client = http::client(true);
+    let entry = system.entries[0].address;
+    let bodies = [
+        ("/v1/embeddings", serde_json::json!({ "input": "a" })),
+        ("/v1/rerank", serde_json::json!({ "query": "a", "documents": ["x", "y"] })),
+    ];
+    for (path, body) in bodies {
+        let call = cluster::Call::new(path, "counter", body.clone());
+        let answer = call.send(&client, entry).await.expect("a response");
+        assert_eq!(answer.json(), model::answer_of(path, &body), "{path}");
+    }
+    let body = serde_json::json!({ "messages": [{ "role": "user", "content": "hi" }] });
+    let call = cluster::Call::new("/v1/chat/completions", "counter", body.clone());
+    let answer = call.send(&client, entry).await.expect("a response");
+    assert_eq!(answer.json()["choices"][0]["message"]["content"], engine::text_of(&body));
+}
--- /dev/null
+++ b/lib/testutils/src/cluster.rs
@@ -0,0 +1,586 @@
+//! A whole system for tests: entries and sidecars as real processes, stand-ins in this process.
+
+use std::collections;
+use std::env;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use bramleyshelf_lib::{check, config, http, operator, store};
+
+use crate::engine;
+use crate::instances;
+use crate::kv;
+use crate::model;
+use crate::plain;
+use crate::server;
+
+/// Time that a process may take to become ready.
+const START_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// Pause between two looks at a process.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(25);
+
+/// A signal to a child process.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    /// Ask it to stop.
+    Terminate,
+    /// End it at once.
+    Kill,
+    /// Freeze it.
+    Stop,
+    /// Let it go on.
+    Continue,
+}
+
+/// A child process, ended when it is dropped.
+#[derive(Debug)]
+pub struct Child {
+    child: process::Child,
+}
+
+impl Child {
+    fn start(program: &path::Path, arguments: &[&str], log: &path::Path) -> Self {
+        let log = fs::OpenOptions::new().create(true).append(true).open(log).expect("log file");
+        let child = process::Command::new(program)
+            .args(arguments)
+            .env("RUST_LOG", env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned()))
+            .stdin(process::Stdio::null())
+            .stdout(process::Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the program is built");
+        Self { child }
+    }
+
+    /// Sends a signal to the process.
+    ///
+    /// # Panics
+    /// Panics if the signal cannot be sent.
+    pub fn signal(&self, signal: Signal) {
+        let name = match signal {
+            Signal::Terminate => "-TERM",
+            Signal::Kill => "-KILL",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        };
+        let id = self.child.id().to_string();
+        let status = process::Command::new("kill").args([name, &id]).status();
+        assert!(status.is_ok_and(|status| status.success()), "signal {name} to {id}");
+    }
+
+    /// Whether the process has ended.
+    ///
+    /// # Panics
+    /// Panics if the operating system does not tell.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("own child").is_some()
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // Fails only if the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What the upstreams of a service are in a test.
+#[derive(Clone, Debug)]
+pub enum Work {
+    /// Model engines.
+    Engine(engine::Engine),
+    /// Encoders, retrievers or rerankers.
+    Model(model::Model),
+    /// Business services.
+    Plain(plain::Plain),
+}
+
+/// An upstream with its sidecar.
+#[derive(Debug)]
+pub struct Node {
+    /// Name of the instance.
+    pub name: String,
+    /// Service of the upstream.
+    pub service: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Address of the sidecar.
+    pub address: net::SocketAddr,
+    /// The upstream.
+    pub upstream: server::Running,
+    /// Its work, with the log of what it received.
+    pub work: Work,
+    /// The sidecar's process; missing while it is down.
+    pub sidecar: Option<Child>,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct EntryNode {
+    /// Name of the instance.
+    pub name: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Address for callers.
+    pub address: net::SocketAddr,
+    /// Address for other processes.
+    pub peer_address: net::SocketAddr,
+    /// The process; missing while it is down.
+    pub process: Option<Child>,
+}
+
+/// How large a cluster is.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Entries.
+    pub entries: usize,
+    /// Upstreams of each service.
+    pub upstreams: usize,
+    /// Time of a call or token, in milliseconds.
+    pub work_ms: u64,
+    /// Calls that an upstream runs at a time.
+    pub slots: usize,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self { entries: 2, upstreams: 3, work_ms: 5, slots: 16 }
+    }
+}
+
+/// A whole system.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Directory with settings and logs.
+    pub directory: path::PathBuf,
+    /// The key-value service.
+    pub store: server::Running,
+    /// Content of the key-value service.
+    pub kv: kv::Kv,
+    /// The instance list.
+    pub list: server::Running,
+    /// Content of the instance list.
+    pub instances: instances::Instances,
+    /// Upstreams with their sidecars.
+    pub nodes: Vec<Node>,
+    /// Entries.
+    pub entries: Vec<EntryNode>,
+    programs: path::PathBuf,
+    shape: Shape,
+    domains: Vec<String>,
+}
+
+fn loopback(port: u16) -> net::SocketAddr {
+    (net::Ipv4Addr::LOCALHOST, port).into()
+}
+
+/// Returns an address that nobody listens on.
+///
+/// # Panics
+/// Panics if the machine has no free port.
+pub fn free_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind(loopback(0)).expect("a free port");
+    listener.local_addr().expect("a listener has an address")
+}
+
+fn work_of(kind: config::Kind, shape: Shape) -> Work {
+    let pause = time::Duration::from_millis(shape.work_ms);
+    match kind {
+        config::Kind::Engine => Work::Engine(engine::Engine::new(pause, shape.slots)),
+        config::Kind::Model => Work::Model(model::Model::new(pause, shape.slots)),
+        config::Kind::Plain => Work::Plain(plain::Plain::new(pause)),
+    }
+}
+
+async fn start_work(work: &Work) -> server::Running {
+    match work {
+        Work::Engine(work) => server::start(loopback(0), work.clone()).await,
+        Work::Model(work) => server::start(loopback(0), work.clone()).await,
+        Work::Plain(work) => server::start(loopback(0), work.clone()).await,
+    }
+}
+
+impl Cluster {
+    /// Starts a system with a text and waits until it serves.
+    ///
+    /// `program` is the path of the `bramleyshelf` program; the sidecar's stands beside it.
+    ///
+    /// # Panics
+    /// Panics if the text is invalid or a process does not become ready.
+    pub async fn start(program: &str, name: &str, text: &str, shape: Shape) -> Self {
+        let config = check::parse(text).expect("the text is valid");
+        let programs = path::Path::new(program).parent().expect("a directory").to_owned();
+        let directory = env::temp_dir().join(format!("bramleyshelf-{name}-{}", process::id()));
+        fs::create_dir_all(&directory).expect("a temporary directory");
+        let kv = kv::Kv::default();
+        let instances = instances::Instances::default();
+        let domains = config.regions.values().flat_map(|region| region.domains.iter());
+        let mut cluster = Self {
+            directory,
+            store: server::start(loopback(0), kv.clone()).await,
+            kv,
+            list: server::start(loopback(0), instances.clone()).await,
+            instances,
+            nodes: Vec::new(),
+            entries: Vec::new(),
+            programs,
+            shape,
+            domains: domains.map(ToString::to_string).collect(),
+        };
+        cluster.apply(text).await;
+        for (service, rules) in &config.services {
+            for number in 0..shape.upstreams {
+                cluster.add_node(service.as_str(), rules.kind, number).await;
+            }
+        }
+        cluster.publish();
+        for number in 0..shape.entries {
+            cluster.add_entry(number);
+        }
+        cluster.start_all();
+        cluster.wait_ready().await;
+        cluster
+    }
+
+    /// Returns a client of the key-value service.
+    pub fn store_client(&self) -> store::Etcd {
+        store::Etcd::new(&self.store_url())
+    }
+
+    /// Returns the address of the key-value service.
+    pub fn store_url(&self) -> String {
+        format!("http://{}", self.store.address)
+    }
+
+    /// Puts a text in force.
+    ///
+    /// # Panics
+    /// Panics if it is not accepted.
+    pub async fn apply(&self, text: &str) {
+        let nonce = format!("{:?}", time::Instant::now());
+        operator::apply(&self.store_client(), text, None, &nonce).await.expect("an accepted text");
+    }
+
+    async fn add_node(&mut self, service: &str, kind: config::Kind, number: usize) {
+        let work = work_of(kind, self.shape);
+        let node = Node {
+            name: format!("{service}-{number}"),
+            service: service.to_owned(),
+            domain: self.domains[number % self.domains.len()].clone(),
+            address: free_address(),
+            upstream: start_work(&work).await,
+            work,
+            sidecar: None,
+        };
+        self.nodes.push(node);
+    }
+
+    fn add_entry(&mut self, number: usize) {
+        self.entries.push(EntryNode {
+            name: format!("entry-{number}"),
+            domain: self.domains[number % self.domains.len()].clone(),
+            address: free_address(),
+            peer_address: free_address(),
+            process: None,
+        });
+    }
+
+    /// Writes the instance list from the nodes; those in `leaving` are shown as such.
+    pub fn publish_leaving(&self, leaving: &[&str]) {
+        let listed = self.nodes.iter().map(|node| instances::Instance {
+            name: node.name.clone(),
+            service: node.service.clone(),
+            address: node.address,
+            domain: node.domain.clone(),
+            leaving: leaving.contains(&node.name.as_str()),
+        });
+        self.instances.set(listed.collect());
+    }
+
+    /// Writes the instance list from the nodes.
+    pub fn publish(&self) {
+        self.publish_leaving(&[]);
+    }
+
+    fn peers(&self) -> Vec<net::SocketAddr> {
+        self.entries.iter().map(|entry| entry.peer_address).collect()
+    }
+
+    /// Starts every process that is down.
+    pub fn start_all(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].sidecar.is_none() {
+                self.start_sidecar(index);
+            }
+        }
+        for index in 0..self.entries.len() {
+            if self.entries[index].process.is_none() {
+                self.start_entry(index);
+            }
+        }
+    }
+
+    /// Starts the sidecar of a node.
+    ///
+    /// # Panics
+    /// Panics if the program is not built.
+    pub fn start_sidecar(&mut self, index: usize) {
+        let peers = self.peers();
+        let store = self.store_url();
+        let node = &self.nodes[index];
+        let settings = serde_json::json!({
+            "instance": node.name,
+            "listen": node.address,
+            "domain": node.domain,
+            "service": node.service,
+            "upstream": node.upstream.address,
+            "store": store,
+            "peers": peers,
+        });
+        let child = self.spawn("bramleyshelf-sidecar", &[], &node.name, &settings);
+        self.nodes[index].sidecar = Some(child);
+    }
+
+    /// Starts an entry.
+    ///
+    /// # Panics
+    /// Panics if the program is not built.
+    pub fn start_entry(&mut self, index: usize) {
+        let entry = &self.entries[index];
+        let others: Vec<_> =
+            self.peers().into_iter().filter(|peer| *peer != entry.peer_address).collect();
+        let settings = serde_json::json!({
+            "instance": entry.name,
+            "listen": entry.address,
+            "peer_listen": entry.peer_address,
+            "domain": entry.domain,
+            "store": self.store_url(),
+            "instances": format!("http://{}/", self.list.address),
+            "peers": others,
+        });
+        let child = self.spawn("bramleyshelf", &["entry"], &entry.name, &settings);
+        self.entries[index].process = Some(child);
+    }
+
+    fn spawn(
+        &self,
+        program: &str,
+        arguments: &[&str],
+        name: &str,
+        settings: &serde_json::Value,
+    ) -> Child {
+        let file = self.directory.join(format!("{name}.json"));
+        fs::write(&file, settings.to_string()).expect("a writable directory");
+        let log = self.directory.join(format!("{name}.log"));
+        let file = file.to_string_lossy();
+        let mut all = arguments.to_vec();
+        all.extend(["--settings", &*file]);
+        Child::start(&self.programs.join(program), &all, &log)
+    }
+
+    /// Waits until every running process is ready and all key ranges have owners.
+    ///
+    /// # Panics
+    /// Panics if that takes too long.
+    pub async fn wait_ready(&self) {
+        let nodes = self.nodes.iter().filter(|node| node.sidecar.is_some());
+        let mut addresses: Vec<_> = nodes.map(|node| node.address).collect();
+        let entries = self.entries.iter().filter(|entry| entry.process.is_some());
+        addresses.extend(entries.map(|entry| entry.peer_address));
+        for address in addresses {
+            let ready = until(START_TIMEOUT, async || self.is_ready(address).await).await;
+            assert!(ready, "{address} is not ready; see the logs in {}", self.directory.display());
+        }
+        let owned = until(START_TIMEOUT, async || self.all_owned()).await;
+        assert!(owned, "some key range has no owner");
+        // Entries look at the instance list on their own.
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+    }
+
+    async fn is_ready(&self, address: net::SocketAddr) -> bool {
+        get(address, "/readyz").await.is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Whether each key range of each service that needs it has an owner in the store.
+    pub fn all_owned(&self) -> bool {
+        let owners = self.kv.count_keys("/owners/");
+        let plain: collections::BTreeSet<_> = self
+            .nodes
+            .iter()
+            .filter(|node| self.kv.count_keys(&format!("/{}/members/", node.service)) > 0)
+            .map(|node| &node.service)
+            .collect();
+        owners == plain.len() * bramleyshelf_lib::key::RANGES as usize
+    }
+
+    /// Returns the index of a node.
+    ///
+    /// # Panics
+    /// Panics if there is no such node.
+    pub fn node(&self, name: &str) -> usize {
+        self.nodes.iter().position(|node| node.name == name).expect("a node of that name")
+    }
+
+    /// Returns the runs of all upstreams of a plain service.
+    pub fn runs(&self, service: &str) -> Vec<plain::Run> {
+        let nodes = self.nodes.iter().filter(|node| node.service == service);
+        nodes
+            .flat_map(|node| match &node.work {
+                Work::Plain(work) => work.runs(),
+                _ => Vec::new(),
+            })
+            .collect()
+    }
+
+    /// Returns the log of a process.
+    ///
+    /// # Panics
+    /// Panics if it has none.
+    pub fn log_of(&self, name: &str) -> String {
+        fs::read_to_string(self.directory.join(format!("{name}.log"))).expect("a log")
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+/// Repeats a look until it succeeds; returns whether it did in time.
+pub async fn until(limit: time::Duration, look: impl AsyncFn() -> bool) -> bool {
+    let start = time::Instant::now();
+    while start.elapsed() < limit {
+        if look().await {
+            return true;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    false
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header fields.
+    pub headers: hyper::HeaderMap,
+    /// Bytes that arrived.
+    pub body: bytes::Bytes,
+    /// Whether the body ended as it must.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// Returns the body as JSON, or null.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns what a refusal says about whether the request ran.
+    pub fn ran(&self) -> String {
+        self.json()["error"]["ran"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns the kind of a refusal.
+    pub fn kind(&self) -> String {
+        self.json()["error"]["kind"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// A call of a test's caller.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// Path.
+    pub path: String,
+    /// Credential.
+    pub credential: String,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Deadline in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Body.
+    pub body: serde_json::Value,
+}
+
+impl Call {
+    /// Makes a call of a team of the examples.
+    pub fn new(path: &str, team: &str, body: serde_json::Value) -> Self {
+        let (path, credential) = (path.to_owned(), format!("{team}-demo"));
+        Self { path, credential, body, ..Self::default() }
+    }
+
+    /// Adds an idempotency key.
+    #[must_use]
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.key = Some(key.to_owned());
+        self
+    }
+
+    /// Adds a deadline.
+    #[must_use]
+    pub fn with_deadline(mut self, millis: u64) -> Self {
+        self.deadline_ms = Some(millis);
+        self
+    }
+
+    /// Makes the call at an entry; returns nothing if the connection did not bring a response.
+    ///
+    /// # Panics
+    /// Panics if the path or a header is invalid.
+    pub async fn send(&self, client: &http::Client, entry: net::SocketAddr) -> Option<Answer> {
+        let mut request = hyper::Request::post(format!("http://{entry}{}", self.path))
+            .header("authorization", format!("Bearer {}", self.credential));
+        if let Some(key) = &self.key {
+            request = request.header("idempotency-key", key);
+        }
+        if let Some(millis) = self.deadline_ms {
+            request = request.header("x-deadline-ms", millis);
+        }
+        let request = request.body(http::Body::full(self.body.to_string())).expect("valid");
+        read_answer(client.request(request).await.ok()?).await
+    }
+}
+
+async fn read_answer(response: hyper::Response<hyper::body::Incoming>) -> Option<Answer> {
+    use http_body_util::BodyExt as _;
+    let (parts, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let mut whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    let (status, headers) = (parts.status.as_u16(), parts.headers);
+    Some(Answer { status, headers, body: bytes.into(), whole })
+}
+
+/// Asks a process for a path.
+pub async fn get(address: net::SocketAddr, path: &str) -> Option<Answer> {
+    let request = hyper::Request::get(format!("http://{address}{path}"));
+    let request = request.body(http::Body::full("")).ok()?;
+    let limit = time::Duration::from_secs(2);
+    let response = http::within(limit, http::client(false).request(request)).await?.ok()?;
+    read_answer(response).await
+}
+
+/// Returns a new idempotency key that carries its mint time.
+pub fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
--- a/lib/testutils/src/kv.rs
+++ b/lib/testutils/src/kv.rs
@@ -235,6 +235,17 @@
         self.state.lock().expect("no holder panics").calls.clone()
     }
 
+    /// Returns the number of keys that contain a text.
+    ///
+    /// # Panics
+    /// Panics if another holder of the lock panicked.
+    pub fn count_keys(&self, part: &str) -> usize {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.expire();
+        let keys = state.values.keys();
+        keys.filter(|key| String::from_utf8_lossy(key).contains(part)).count()
+    }
+
     /// Sets the store's content back, as a restored backup would.
     ///
     /// # Panics
