--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -401,6 +401,12 @@
         tokio::time::sleep(time::Duration::from_millis(200)).await;
     }
 
+    /// Waits until an entry is ready.
+    pub async fn wait_entry(&self, index: usize) {
+        let address = self.entries[index].peer_address;
+        until(START_TIMEOUT, async || self.is_ready(address).await).await;
+    }
+
     async fn is_ready(&self, address: net::SocketAddr) -> bool {
         get(address, "/readyz").await.is_some_and(|answer| answer.status == 200)
     }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod model;
 pub mod plain;
 pub mod server;
+pub mod soak;
