--- a/cli/tests/test_path.rs
+++ b/cli/tests/test_path.rs
@@ -45,7 +45,7 @@
     body["stream"] = true.into();
     let call = cluster::Call::new(pipeline, team, body);
     let answer = call.send(&client, system.entries[0].address).await.expect("a response");
-    let expected: Vec<u8> = engine::events_of(&expected_chat_body("question 7")).concat().to_vec();
+    let expected: Vec<u8> = engine::events_of(&expected_chat_body("question 7")).concat();
     assert!(answer.whole && answer.body == expected);
 
     let key = cluster::new_key();
--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -150,9 +150,7 @@
 
     /// Keeps an attempt at least until `forget`.
     pub fn keep_until(&mut self, attempt: id::AttemptId, forget: time::Duration) {
-        let Some(record) = self.records.get_mut(&attempt) else {
-            return;
-        };
+        let Some(record) = self.records.get_mut(&attempt) else { return };
         if record.forget < forget {
             self.expiry.remove(&(record.forget, attempt));
             record.forget = forget;
@@ -162,9 +160,7 @@
 
     /// Adds bytes to an attempt's answer; returns the new length.
     pub fn grow(&mut self, attempt: id::AttemptId, bytes: u64) -> u64 {
-        let Some(record) = self.records.get_mut(&attempt) else {
-            return 0;
-        };
+        let Some(record) = self.records.get_mut(&attempt) else { return 0 };
         record.length += bytes;
         self.kept += bytes;
         record.length
@@ -172,9 +168,7 @@
 
     /// Changes where an attempt stands; anything but waiting, running and done drops its answer.
     pub fn set_state(&mut self, attempt: id::AttemptId, state: State) {
-        let Some(record) = self.records.get_mut(&attempt) else {
-            return;
-        };
+        let Some(record) = self.records.get_mut(&attempt) else { return };
         record.state = state;
         if !record.is_open() {
             self.open.remove(&attempt);
@@ -191,9 +185,7 @@
 
     /// Lets a connection wait for an attempt.
     pub fn connect(&mut self, attempt: id::AttemptId, conn: ConnId) {
-        let Some(record) = self.records.get_mut(&attempt) else {
-            return;
-        };
+        let Some(record) = self.records.get_mut(&attempt) else { return };
         record.conns.insert(conn);
         record.orphaned = None;
         self.conns.insert(conn, attempt);
@@ -201,12 +193,8 @@
 
     /// Takes note that a connection broke or got its whole answer.
     pub fn disconnect(&mut self, conn: ConnId, now: time::Duration) {
-        let Some(attempt) = self.conns.remove(&conn) else {
-            return;
-        };
-        let Some(record) = self.records.get_mut(&attempt) else {
-            return;
-        };
+        let Some(attempt) = self.conns.remove(&conn) else { return };
+        let Some(record) = self.records.get_mut(&attempt) else { return };
         record.conns.remove(&conn);
         if record.conns.is_empty() && record.is_open() {
             record.orphaned = Some(now);
--- a/lib/src/entry_shell.rs
+++ b/lib/src/entry_shell.rs
@@ -482,9 +482,7 @@
     }
 
     fn end(&mut self, request: id::RequestId, outcome: &str, reply: entry_http::Reply) {
-        let Some(held) = self.requests.remove(&request) else {
-            return;
-        };
+        let Some(held) = self.requests.remove(&request) else { return };
         let labels = [("target", held.target), ("outcome", outcome.to_owned())];
         metrics::counter!("requests", &labels).increment(1);
         metrics::histogram!("request_seconds", &labels)
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -520,9 +520,7 @@
     /// Claims a range anew that was closed for a handover which did not come about; returns whether
     /// there is one.
     fn reopen(&mut self, now: clock::Now, calls: &mut Vec<Call>) -> bool {
-        let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else {
-            return false;
-        };
+        let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else { return false };
         if self.leaving {
             return false;
         }
@@ -536,9 +534,7 @@
     }
 
     fn claim(&mut self, now: clock::Now, first: bool, calls: &mut Vec<Call>) {
-        let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else {
-            return;
-        };
+        let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else { return };
         if self.leaving {
             return;
         }
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -282,9 +282,7 @@
 
     /// Takes note that an attempt ended; `took` is given if the upstream did its work.
     pub fn ended(&mut self, instance: &id::InstanceId, took: Option<time::Duration>) {
-        let Some(up) = self.upstreams.get_mut(instance) else {
-            return;
-        };
+        let Some(up) = self.upstreams.get_mut(instance) else { return };
         up.flying = up.flying.saturating_sub(1);
         let Some(took) = took else { return };
         up.health.succeed();
@@ -300,9 +298,7 @@
         config: &config::Config,
         instance: &id::InstanceId,
     ) -> bool {
-        let Some(up) = self.upstreams.get(instance) else {
-            return false;
-        };
+        let Some(up) = self.upstreams.get(instance) else { return false };
         let pool: Vec<_> =
             self.upstreams.values().filter(|other| other.service == up.service).collect();
         let ejected = pool.iter().filter(|other| other.health.is_ejected(now)).count();
@@ -316,9 +312,7 @@
 
     /// Takes in a load report.
     pub fn report(&mut self, now: time::Duration, instance: &id::InstanceId, load: &wire::Load) {
-        let Some(up) = self.upstreams.get_mut(instance) else {
-            return;
-        };
+        let Some(up) = self.upstreams.get_mut(instance) else { return };
         up.incarnation = Some(load.incarnation);
         up.said_draining = load.draining;
         up.load = Some(load.clone());
--- /dev/null
+++ b/lib/src/sidecar/running.rs
@@ -0,0 +1,217 @@
+//! Runs attempts at the upstream and ends those that are late, orphaned or cancelled.
+
+use std::time;
+
+use crate::attempt;
+use crate::clock;
+use crate::id;
+use crate::key;
+use crate::refusal;
+use crate::telemetry;
+use crate::unit;
+
+use super::{CallError, Effect, Sidecar};
+
+/// How long an attempt may be without a waiting connection before a repeatable call is given up.
+const ORPHAN_GRACE: time::Duration = time::Duration::from_secs(3);
+
+impl Sidecar {
+    pub(super) fn dispatch(&mut self, now: clock::Now, effects: &mut Vec<Effect>) {
+        while self.running < self.limit.limit() {
+            let Some(attempt) = self.queue.pop() else {
+                break;
+            };
+            let Some(record) = self.ledger.get(attempt) else { continue };
+            let budget = record.deadline.saturating_sub(now.mono);
+            if budget.is_zero() {
+                self.give_up(attempt, refusal::Kind::DeadlineExceeded, effects);
+                continue;
+            }
+            self.ledger.set_state(attempt, attempt::State::Running(now.mono));
+            self.running += 1;
+            effects.push(Effect::Start { attempt, budget });
+        }
+    }
+
+    /// Ends an attempt that still waits; it will not run.
+    pub(super) fn give_up(
+        &mut self,
+        attempt: id::AttemptId,
+        kind: refusal::Kind,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.queue.remove(attempt);
+        self.ledger.set_state(attempt, attempt::State::Tombstoned);
+        self.release_key(attempt);
+        let refused = self.refused(kind, refusal::Ran::No);
+        effects.push(Effect::Fail(attempt, refused));
+        effects.push(Effect::Drop(attempt));
+    }
+
+    pub(super) fn release_key(&mut self, attempt: id::AttemptId) {
+        let Some(key) = self.ledger.get(attempt).and_then(|record| record.key.as_ref()) else {
+            return;
+        };
+        if let Some(book) = self.books.get_mut(&key::range_of(key)) {
+            book.release(key);
+        }
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        now: clock::Now,
+        attempt: id::AttemptId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.ledger.get(attempt) else {
+            // The cancellation overtook the attempt.
+            if !self.is_full() {
+                self.tombstone(now, attempt);
+            }
+            return;
+        };
+        match record.state() {
+            attempt::State::Queued => self.give_up(attempt, refusal::Kind::Cancelled, effects),
+            attempt::State::Running(_) if record.repeatable => {
+                self.break_off(attempt, refusal::Kind::Cancelled, effects);
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends a running call that may run more than once.
+    pub(super) fn break_off(
+        &mut self,
+        attempt: id::AttemptId,
+        kind: refusal::Kind,
+        effects: &mut Vec<Effect>,
+    ) {
+        effects.push(Effect::Abort(attempt));
+        self.settle_broken(attempt, kind, refusal::Ran::Unknown, effects);
+    }
+
+    pub(super) fn settle_broken(
+        &mut self,
+        attempt: id::AttemptId,
+        kind: refusal::Kind,
+        ran: refusal::Ran,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.running -= 1;
+        self.ledger.set_state(attempt, attempt::State::Broken(kind, ran));
+        if ran == refusal::Ran::No {
+            self.release_key(attempt);
+        }
+        let line = telemetry::Line::new("fail_attempt").with("attempt", attempt).with("kind", kind);
+        effects.push(Effect::Log(line.with("ran", ran)));
+        effects.push(Effect::Fail(attempt, self.refused(kind, ran)));
+        effects.push(Effect::Drop(attempt));
+    }
+
+    pub(super) fn running_since(&self, attempt: id::AttemptId) -> Option<time::Duration> {
+        match self.ledger.get(attempt)?.state() {
+            attempt::State::Running(since) => Some(since),
+            _ => None,
+        }
+    }
+
+    pub(super) fn progress(
+        &mut self,
+        now: clock::Now,
+        attempt: id::AttemptId,
+        bytes: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.running_since(attempt).is_none() {
+            return;
+        }
+        let length = self.ledger.grow(attempt, bytes);
+        if length > self.config.limits.answer_bytes.0 {
+            effects.push(Effect::Abort(attempt));
+            self.limit.record_failure(now.mono);
+            let kind = refusal::Kind::AnswerTooLarge;
+            self.settle_broken(attempt, kind, refusal::Ran::Yes, effects);
+            return;
+        }
+        self.evict(effects);
+    }
+
+    /// Drops the oldest kept answers while they take more memory than allowed.
+    pub(super) fn evict(&mut self, effects: &mut Vec<Effect>) {
+        while self.ledger.kept() > self.config.limits.kept_bytes.0 {
+            let Some(attempt) = self.ledger.drop_oldest() else {
+                break;
+            };
+            effects.push(Effect::Drop(attempt));
+        }
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        now: clock::Now,
+        attempt: id::AttemptId,
+        status: u16,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(since) = self.running_since(attempt) else { return };
+        let latency = now.mono.saturating_sub(since);
+        if matches!(status, 429 | 503) {
+            self.limit.record_failure(now.mono);
+        } else {
+            self.limit.record(now.mono, latency, self.running);
+        }
+        self.running -= 1;
+        self.ledger.set_state(attempt, attempt::State::Done);
+        effects.push(Effect::Finish(attempt, self.load()));
+        let line = telemetry::Line::new("finish_attempt")
+            .with("attempt", attempt)
+            .with("status", status)
+            .with("latency", unit::Millis::from(latency));
+        effects.push(Effect::Log(line));
+    }
+
+    pub(super) fn fail_call(
+        &mut self,
+        now: clock::Now,
+        attempt: id::AttemptId,
+        error: CallError,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.running_since(attempt).is_none() {
+            return;
+        }
+        self.limit.record_failure(now.mono);
+        let (kind, ran) = match error {
+            CallError::NotSent => (refusal::Kind::UpstreamUnreachable, refusal::Ran::No),
+            CallError::Broken => (refusal::Kind::UpstreamBroken, refusal::Ran::Unknown),
+            CallError::NotResumable => (refusal::Kind::UpstreamBroken, refusal::Ran::Yes),
+        };
+        self.settle_broken(attempt, kind, ran, effects);
+    }
+
+    /// Ends what waits past its deadline, and repeatable calls that nobody waits for any more.
+    pub(super) fn end_overdue(&mut self, now: clock::Now, effects: &mut Vec<Effect>) {
+        let overdue: Vec<_> = self
+            .ledger
+            .open()
+            .filter_map(|(attempt, record)| {
+                let late = record.deadline <= now.mono;
+                let orphan = record.orphaned.is_some_and(|since| since + ORPHAN_GRACE <= now.mono);
+                let kind = match (late, orphan) {
+                    (true, _) => refusal::Kind::DeadlineExceeded,
+                    (_, true) => refusal::Kind::Cancelled,
+                    _ => return None,
+                };
+                Some((attempt, record.state(), record.repeatable, kind))
+            })
+            .collect();
+        for (attempt, state, repeatable, kind) in overdue {
+            match state {
+                attempt::State::Queued => self.give_up(attempt, kind, effects),
+                attempt::State::Running(_) if repeatable => self.break_off(attempt, kind, effects),
+                // A call that may run only once goes on; its answer is kept for whoever asks.
+                _ => {}
+            }
+        }
+    }
+}
--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -382,9 +382,7 @@
                 }
             }
             sidecar::Effect::Subscribe { conn, attempt, offset, load } => {
-                let Some(frames) = self.conns.remove(&conn) else {
-                    return;
-                };
+                let Some(frames) = self.conns.remove(&conn) else { return };
                 // A receiver that is gone reports itself as closed.
                 let _ = frames.send(wire::Frame::Accepted(load));
                 if let Some(answer) = self.answers.get_mut(&attempt) {
@@ -425,13 +423,9 @@
     }
 
     fn start(&mut self, attempt: id::AttemptId, budget: time::Duration) {
-        let Some(Pending { open, body }) = self.pending.remove(&attempt) else {
-            return;
-        };
+        let Some(Pending { open, body }) = self.pending.remove(&attempt) else { return };
         let in_force = self.in_force.borrow();
-        let Some(service) = in_force.config.services.get(&self.settings.service) else {
-            return;
-        };
+        let Some(service) = in_force.config.services.get(&self.settings.service) else { return };
         let repeatable = service.idempotent;
         let path = service.path.clone();
         drop(in_force);
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -391,9 +391,7 @@
     let mut owners = crate::wire::Owners::new();
     let mut members = ownership::Members::new();
     for entry in &snapshot.entries {
-        let Some(rest) = entry.key.strip_prefix(&prefix) else {
-            continue;
-        };
+        let Some(rest) = entry.key.strip_prefix(&prefix) else { continue };
         if let Some(range) = rest.strip_prefix("owners/") {
             let owner = serde_json::from_slice::<crate::wire::Owner>(&entry.value);
             if let (Ok(range), Ok(mut owner)) = (range.parse(), owner) {
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -141,9 +141,7 @@
 ) -> Result<Vec<u8>, sidecar::CallError> {
     let mut tail = Vec::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| sidecar::CallError::Broken)?.into_data() else {
-            continue;
-        };
+        let Ok(data) = frame.map_err(|_| sidecar::CallError::Broken)?.into_data() else { continue };
         let recent = &data[data.len().saturating_sub(TAIL_BYTES)..];
         tail.extend_from_slice(recent);
         tail.drain(..tail.len().saturating_sub(TAIL_BYTES));
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -561,16 +561,12 @@
     let mut bytes = Vec::new();
     let mut whole = true;
     while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    bytes.extend_from_slice(&data);
-                }
-            }
-            Err(_) => {
-                whole = false;
-                break;
-            }
+        let Ok(frame) = frame else {
+            whole = false;
+            break;
+        };
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
         }
     }
     let (status, headers) = (parts.status.as_u16(), parts.headers);
