sidecar: refuse a copy that is older than what the ledger remembers

A sidecar that freezes after it answered a resolve with not_run, and wakes later than that, forgets the tombstone in its first tick and can then read a copy of the attempt from its socket and run it. random_events_never_lie found the sequence: open, not sent, 22 s, open again, and the attempt started a second time.

Ruled out: keeping tombstones for ever (unbounded), refusing by the order of connections (the copy may come on another one).

Change: an attempt carries when it was sent, and is refused as stale, not run, when its age is more than its budget plus 10 s, which is less than the ledger's memory of 20 s beyond the deadline. Deadlines still go by budgets.

Conclusion: what the ledger forgets is now always too old to run.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -165,6 +165,7 @@
     acks: collections::BTreeMap<net::SocketAddr, Vec<id::AttemptId>>,
     teams: team::Teams,
     draining: bool,
+    wall: time::Duration,
     rng: fastrand::Rng,
 }
 
@@ -190,12 +191,14 @@
             acks: collections::BTreeMap::new(),
             teams: team::Teams::default(),
             draining: false,
+            wall: time::Duration::ZERO,
             rng,
         }
     }
 
     /// Takes in one event and appends what has to be done.
     pub fn step(&mut self, now: clock::Now, event: Event, effects: &mut Vec<Effect>) {
+        self.wall = now.wall;
         let now = now.mono;
         match event {
             Event::Configured(in_force) => self.configure(in_force),
--- a/lib/src/entry/attempts.rs
+++ b/lib/src/entry/attempts.rs
@@ -137,6 +137,7 @@
             sender: self.address,
             incarnation: pick.incarnation,
             budget: budget.into(),
+            sent: self.wall.into(),
             team: state.team.clone(),
             revision: self.in_force.revision,
             offset: run.relayed,
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -70,6 +70,9 @@
     /// The attempt was refused, cancelled or resolved as not run before.
     #[display("tombstoned")]
     Tombstoned,
+    /// The attempt was sent longer ago than the sidecar remembers, or the clocks differ too much.
+    #[display("stale")]
+    Stale,
     /// The ledger of attempts or keys is full.
     #[display("ledger_full")]
     LedgerFull,
@@ -147,6 +150,7 @@
             Self::DeadlineUnreachable => (503, "try again later or allow a longer deadline", SOON),
             Self::DeadlineExceeded => (504, "allow a longer deadline or try again later", LATER),
             Self::Tombstoned => (409, "send a new request", None),
+            Self::Stale => (503, "try again; operators: compare the clocks of the instances", SOON),
             Self::LedgerFull => {
                 (503, "try again later; operators: raise limits.ledger_entries", LATER)
             }
--- a/lib/src/sidecar.rs
+++ b/lib/src/sidecar.rs
@@ -29,6 +29,9 @@
 
 /// How long the last word of an entry about the instance list counts.
 const LIST_HOLD: time::Duration = time::Duration::from_secs(30);
+/// Age beyond its budget up to which an attempt is taken in. It is shorter than [`MEMORY`], so that
+/// a late copy is refused either by what is remembered of the first one or by its age.
+const MAX_AGE: time::Duration = time::Duration::from_secs(10);
 /// How long a settled attempt is remembered after its deadline.
 const MEMORY: time::Duration = time::Duration::from_secs(20);
 
--- a/lib/src/sidecar/admission.rs
+++ b/lib/src/sidecar/admission.rs
@@ -11,7 +11,7 @@
 use crate::telemetry;
 use crate::wire;
 
-use super::{Effect, MEMORY, Sidecar};
+use super::{Effect, MAX_AGE, MEMORY, Sidecar};
 
 impl Sidecar {
     pub(super) fn open(
@@ -69,6 +69,10 @@
         if open.version != wire::MAJOR {
             return Err(self.refused(Kind::VersionMismatch, no));
         }
+        let age = now.wall.abs_diff(open.sent.duration());
+        if age > open.budget.duration() + MAX_AGE {
+            return Err(self.refused(Kind::Stale, no));
+        }
         let Some(service) = self.service() else {
             return Err(self.refused(Kind::NotReady, no));
         };
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -43,6 +43,9 @@
     pub incarnation: Option<id::Incarnation>,
     /// Time left for the attempt.
     pub budget: unit::Millis,
+    /// When the attempt was sent, in milliseconds since the Unix epoch. It only serves to refuse
+    /// copies that are older than what the sidecar remembers; deadlines go by `budget`.
+    pub sent: unit::Millis,
     /// Team that pays.
     pub team: id::TeamId,
     /// Configuration that the sender has in force.
--- a/lib/tests/test_key.rs
+++ b/lib/tests/test_key.rs
@@ -6,8 +6,7 @@
 
 const SKEW_MS: u64 = 500;
 const WINDOW_MS: u64 = 60_000;
-const RULE: key::Rule =
-    key::Rule { skew: unit::Millis(SKEW_MS), window: unit::Millis(WINDOW_MS) };
+const RULE: key::Rule = key::Rule { skew: unit::Millis(SKEW_MS), window: unit::Millis(WINDOW_MS) };
 const DIGEST: [u8; 32] = [1; 32];
 const OTHER_DIGEST: [u8; 32] = [2; 32];
 const ATTEMPT: id::AttemptId = id::AttemptId(7);
@@ -36,7 +35,12 @@
         ("fresh", minted(since + 1_001), since + 2_000, Run),
         ("at the margin", minted(since + 1_000), since + 2_000, before_takeover()),
         ("before the takeover", minted(since - 1), since + 2_000, before_takeover()),
-        ("in the future", minted(since + 5_000), since + 4_000, Refuse(Kind::KeyFromFuture, Ran::No)),
+        (
+            "in the future",
+            minted(since + 5_000),
+            since + 4_000,
+            Refuse(Kind::KeyFromFuture, Ran::No),
+        ),
         ("slightly ahead", minted(since + 4_400), since + 4_000, Run),
         (
             "expired",
@@ -46,7 +50,12 @@
         ),
         ("no time, too early", "team/order".to_owned(), since + WINDOW_MS, before_takeover()),
         ("no time, window over", "team/order".to_owned(), since + WINDOW_MS + 1_001, Run),
-        ("version 4 has no time", format!("team/{}", uuid::Uuid::new_v4()), since + 9, before_takeover()),
+        (
+            "version 4 has no time",
+            format!("team/{}", uuid::Uuid::new_v4()),
+            since + 9,
+            before_takeover(),
+        ),
     ];
     let book = key::Book::new(millis(since));
     for (name, key, now, expected) in cases {
--- a/lib/tests/test_sidecar.rs
+++ b/lib/tests/test_sidecar.rs
@@ -4,12 +4,11 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{
-    attempt, check, clock, config, id, key, ownership, refusal, sidecar, wire,
-};
+use bramleyshelf_lib::{attempt, check, clock, config, id, key, ownership, refusal, sidecar, wire};
 
 const TEXT: &str = include_str!("../../examples/takbaerer.json");
 const DIGEST: [u8; 32] = [1; 32];
+const START_WALL: time::Duration = time::Duration::from_secs(1_700_000_000);
 const ME: id::Incarnation = id::Incarnation(77);
 
 /// A sidecar with a clock, and what it asked the shell to do.
@@ -36,9 +35,8 @@
             incarnation: ME,
         };
         let start = time::Duration::from_secs(1_000);
-        let now = clock::Now { mono: start, wall: time::Duration::from_secs(1_700_000_000) };
-        let mut bench =
-            Self { sidecar: sidecar::Sidecar::new(identity), now, effects: Vec::new() };
+        let now = clock::Now { mono: start, wall: START_WALL };
+        let mut bench = Self { sidecar: sidecar::Sidecar::new(identity), now, effects: Vec::new() };
         let config = sync::Arc::new(config);
         bench.step(sidecar::Event::Configured(config, id::Revision(5)));
         bench
@@ -47,19 +45,12 @@
     /// Makes the sidecar the first owner of all ranges.
     fn own_all(mut self) -> Self {
         self.step(sidecar::Event::Tick);
-        let lease = ownership::Reply::Lease {
-            id: 1,
-            sent: self.now,
-            ttl: time::Duration::from_secs(15),
-        };
+        let lease =
+            ownership::Reply::Lease { id: 1, sent: self.now, ttl: time::Duration::from_secs(15) };
         self.step(sidecar::Event::Ownership(lease));
         let ranges: Vec<_> = (0..key::RANGES).collect();
-        let claimed = ownership::Reply::Claimed {
-            lease: 1,
-            ranges,
-            fence: id::FencingToken(9),
-            first: true,
-        };
+        let claimed =
+            ownership::Reply::Claimed { lease: 1, ranges, fence: id::FencingToken(9), first: true };
         self.step(sidecar::Event::Ownership(claimed));
         self
     }
@@ -85,7 +76,8 @@
     fn open_key(&mut self, conn: u64, attempt: u128, text: &str, digest: [u8; 32]) {
         let range = key::range_of(text);
         let key = wire::Key { text: text.to_owned(), range, fence: id::FencingToken(0) };
-        let open = wire::Open { key: Some(key), ..message(attempt) };
+        let sent = self.now.wall.into();
+        let open = wire::Open { key: Some(key), sent, ..message(attempt) };
         self.open_as(conn, open, digest);
     }
 
@@ -121,7 +113,9 @@
     /// Returns how an attempt failed for those who wait for it.
     fn failure(&self, attempt: u128) -> Option<(refusal::Kind, refusal::Ran)> {
         self.effects.iter().find_map(|effect| match effect {
-            sidecar::Effect::Fail(a, refused) if a.0 == attempt => Some((refused.kind, refused.ran)),
+            sidecar::Effect::Fail(a, refused) if a.0 == attempt => {
+                Some((refused.kind, refused.ran))
+            }
             _ => None,
         })
     }
@@ -143,6 +137,7 @@
         sender: ([127, 0, 0, 1], 8_000).into(),
         incarnation: Some(ME),
         budget: time::Duration::from_secs(5).into(),
+        sent: START_WALL.into(),
         team: "counter".parse().expect("valid"),
         revision: id::Revision(5),
         offset: 0,
@@ -199,6 +194,20 @@
     }
 }
 
+#[test]
+fn late_copy_is_refused_after_everything_is_forgotten() {
+    // A frozen sidecar can find a copy in its socket that is older than all that it remembers.
+    let mut bench = Bench::new("deposits");
+    bench.attach(1, 10, Some(ME));
+    for _ in 0..60 {
+        bench.pass(1_000);
+    }
+    bench.open(2, 10);
+    assert_eq!(bench.refusal(1), Some((Kind::Tombstoned, Ran::No)));
+    assert_eq!(bench.refusal(2), Some((Kind::Stale, Ran::No)));
+    assert_eq!(bench.starts(10), 0);
+}
+
 #[test]
 fn open_with_other_version_is_refused() {
     let mut bench = Bench::new("encoder");
@@ -414,7 +423,8 @@
 
 #[test]
 fn key_after_lapsed_lease_is_refused_on_either_clock() {
-    let cases = [("both", 20_000, 20_000), ("frozen machine", 0, 20_000), ("wall set back", 20_000, 0)];
+    let cases =
+        [("both", 20_000, 20_000), ("frozen machine", 0, 20_000), ("wall set back", 20_000, 0)];
     for (name, mono, wall) in cases {
         let mut bench = Bench::new("bookings").own_all();
         bench.open_key(1, 10, "counter/a", DIGEST);
@@ -432,8 +442,11 @@
 fn key_with_higher_fence_ends_ownership() {
     let mut bench = Bench::new("bookings").own_all();
     let text = "counter/a";
-    let key =
-        wire::Key { text: text.to_owned(), range: key::range_of(text), fence: id::FencingToken(10) };
+    let key = wire::Key {
+        text: text.to_owned(),
+        range: key::range_of(text),
+        fence: id::FencingToken(10),
+    };
     bench.open_as(1, wire::Open { key: Some(key), ..message(10) }, DIGEST);
     assert_eq!(bench.starts(10), 0);
 }
--- /dev/null
+++ b/lib/tests/test_units.rs
@@ -0,0 +1,463 @@
+//! Small parts: queue, limits, templates, wire frames, membership, routing and revisions.
+
+use std::collections;
+use std::time;
+
+use bramleyshelf_lib::{
+    check, clock, config, id, limit, membership, outlier, ownership, queue, retry, revision,
+    routing, template, unit, wire,
+};
+
+const TEXT: &str = include_str!("../../examples/takbaerer.json");
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a valid name")
+}
+
+fn seconds(value: u64) -> time::Duration {
+    time::Duration::from_secs(value)
+}
+
+#[test]
+fn id_table() {
+    for good in ["a", "east-1", "A.b_c", "9"] {
+        assert!(good.parse::<id::ServiceId>().is_ok(), "{good}");
+    }
+    for bad in ["", "-a", "a b", "a/b", "é", &"x".repeat(129)] {
+        assert!(bad.parse::<id::ServiceId>().is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn queue_shares_by_weight_and_priority() {
+    let mut queue = queue::FairQueue::default();
+    let (big, small, urgent) = (name("big"), name("small"), name("urgent"));
+    for number in 0..30 {
+        queue.push(id::AttemptId(number), &big, 1, 0);
+    }
+    for number in 100..130 {
+        queue.push(id::AttemptId(number), &small, 2, 0);
+    }
+    queue.push(id::AttemptId(200), &urgent, 1, 9);
+    assert_eq!(queue.pop(), Some(id::AttemptId(200)), "priority first");
+    let first: Vec<_> = (0..15).filter_map(|_| queue.pop()).collect();
+    let of_small = first.iter().filter(|attempt| attempt.0 >= 100).count();
+    assert_eq!(of_small, 10, "weight 2 gets two of three turns");
+}
+
+quickcheck::quickcheck! {
+    fn queue_loses_and_doubles_nothing(teams: Vec<u8>, removed: Vec<u8>) -> bool {
+        let mut queue = queue::FairQueue::default();
+        let mut expected = collections::BTreeSet::new();
+        for (number, team) in teams.iter().enumerate() {
+            let attempt = id::AttemptId(number as u128);
+            let weight = u32::from(team % 3);
+            queue.push(attempt, &name(&format!("t{}", team % 5)), weight, team % 2);
+            expected.insert(attempt);
+        }
+        for index in removed {
+            let attempt = id::AttemptId(u128::from(index));
+            if queue.remove(attempt) != expected.remove(&attempt) {
+                return false;
+            }
+        }
+        let mut popped = collections::BTreeSet::new();
+        while let Some(attempt) = queue.pop() {
+            if !popped.insert(attempt) {
+                return false;
+            }
+        }
+        popped == expected && queue.is_empty()
+    }
+
+    fn wire_frames_survive_any_cut(data: Vec<u8>, offset: u64, cuts: Vec<u8>) -> bool {
+        let chunk = wire::Chunk { offset, data: data.into() };
+        let bytes = wire::encode(&wire::Frame::Chunk(chunk.clone()));
+        let mut decoder = wire::Decoder::new(1 << 20);
+        let mut rest = &bytes[..];
+        for cut in cuts {
+            let (now, later) = rest.split_at(usize::from(cut).min(rest.len()));
+            decoder.push(now);
+            rest = later;
+        }
+        decoder.push(rest);
+        let read = decoder.read::<wire::Frame>().ok().flatten();
+        matches!(read, Some(wire::Frame::Chunk(read)) if read == chunk) && decoder.is_empty()
+    }
+
+    fn wire_garbage_is_an_error_not_a_panic(data: Vec<u8>) -> bool {
+        let mut decoder = wire::Decoder::new(1 << 16);
+        decoder.push(&data);
+        let _ = decoder.read::<wire::Open>();
+        true
+    }
+
+    fn revision_never_goes_back(offered: Vec<(u8, bool)>) -> bool {
+        let mut current = revision::InForce::default();
+        for (number, valid) in offered {
+            let before = current.revision;
+            let text = if valid { TEXT } else { "{}" }.to_owned();
+            let accepted = revision::Accepted { text, ..revision::Accepted::default() };
+            let offered = id::Revision(u64::from(number));
+            let verdict =
+                revision::consider(&current, offered, accepted, revision::Source::Peer);
+            if let revision::Verdict::Adopted(next) = verdict {
+                current = next;
+            }
+            if current.revision < before || (!valid && current.revision != before) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn retry_budget_is_a_share(outcomes: Vec<bool>) -> bool {
+        let mut budget = retry::Budget::default();
+        let (mut earned, mut spent) = (0_u32, 0_u32);
+        for retry in outcomes {
+            if retry {
+                spent += u32::from(budget.spend());
+            } else {
+                budget.earn(0.25);
+                earned += 1;
+            }
+        }
+        f64::from(spent) <= 10.0 + f64::from(earned) * 0.25
+    }
+}
+
+#[test]
+fn wire_ignores_unknown_fields() {
+    #[derive(serde::Serialize)]
+    struct Newer {
+        attempt: id::AttemptId,
+        added: u32,
+    }
+    let bytes = wire::encode(&Newer { attempt: id::AttemptId(3), added: 1 });
+    let mut decoder = wire::Decoder::new(1 << 16);
+    decoder.push(&bytes);
+    let read: wire::Cancel = decoder.read().expect("readable").expect("whole");
+    assert_eq!(read.attempt, id::AttemptId(3));
+}
+
+#[test]
+fn wire_refuses_long_frame() {
+    let mut decoder = wire::Decoder::new(10);
+    decoder.push(&[0, 0, 1, 0]);
+    assert!(matches!(decoder.read::<wire::Cancel>(), Err(wire::WireError::TooLong { .. })));
+}
+
+#[test]
+fn template_table() {
+    let context = serde_json::json!({
+        "request": { "q": "hi" }, "stages": { "a": { "n": [1, 2] } },
+    });
+    let cases = [
+        (
+            serde_json::json!({ "x": { "from": "/request/q" } }),
+            Some(serde_json::json!({ "x": "hi" })),
+        ),
+        (serde_json::json!([{ "from": "/stages/a/n/1" }]), Some(serde_json::json!([2]))),
+        (
+            serde_json::json!({ "text": ["q=", { "from": "/request/q" }, " n=", { "from": "/stages/a/n" }] }),
+            Some(serde_json::json!("q=hi n=[1,2]")),
+        ),
+        (serde_json::json!({ "from": "/request/missing" }), None),
+        (
+            serde_json::json!({ "from": "/x", "other": 1 }),
+            Some(serde_json::json!({ "from": "/x", "other": 1 })),
+        ),
+    ];
+    for (template, expected) in cases {
+        assert_eq!(template::fill(&template, &context).ok(), expected, "{template}");
+    }
+}
+
+#[test]
+fn concurrency_falls_with_latency_and_recovers() {
+    let mut limit = limit::Concurrency::new(32);
+    let mut now = seconds(1);
+    let mut run = |limit: &mut limit::Concurrency, latency_ms: u64, calls: u32| {
+        for _ in 0..calls {
+            now += time::Duration::from_millis(latency_ms);
+            let running = limit.limit();
+            limit.record(now, time::Duration::from_millis(latency_ms), running);
+        }
+        limit.limit()
+    };
+    let grown = run(&mut limit, 10, 400);
+    assert!(grown > 8, "{grown}");
+    let shrunk = run(&mut limit, 100, 60);
+    assert!(shrunk < grown / 2, "{shrunk}");
+    assert!(run(&mut limit, 10, 600) > shrunk);
+}
+
+#[test]
+fn bucket_holds_the_rate() {
+    let mut bucket = limit::Bucket::new(seconds(0), 10.0);
+    let mut taken = 0;
+    for tick in 0..1_000 {
+        let now = time::Duration::from_millis(tick * 10);
+        taken += u32::from(bucket.take(now, 20.0, 10.0, 1.0));
+    }
+    assert!((200..=210).contains(&taken), "{taken} in 10 s at 20/s with a burst of 10");
+}
+
+#[test]
+fn outlier_returns_slowly_and_is_ejected_longer() {
+    let rule = outlier::Rule { failures: 3, base: seconds(2), warmup: seconds(5) };
+    let mut health = outlier::Health::default();
+    let ejected: Vec<_> = (0..3).map(|_| health.fail(seconds(10), rule)).collect();
+    assert_eq!(ejected, [false, false, true]);
+    assert!(health.is_ejected(seconds(11)) && !health.is_ejected(seconds(12)));
+    assert!(health.share(seconds(12), rule) < 0.2);
+    assert!(health.share(seconds(17), rule) >= 1.0);
+    assert!(health.fail(seconds(12), rule), "one failure after the return is enough");
+    assert!(health.is_ejected(seconds(15)), "the second ejection is longer");
+}
+
+fn lease_reply(sent: clock::Now) -> ownership::Reply {
+    ownership::Reply::Lease { id: 1, sent, ttl: seconds(15) }
+}
+
+#[test]
+fn ownership_gives_up_on_lapse_and_claims_anew() {
+    let me: id::InstanceId = name("s-0");
+    let address = ([127, 0, 0, 1], 9_000).into();
+    let mut own = ownership::Ownership::new(me, address, id::Incarnation(1));
+    let (mut calls, mut changes) = (Vec::new(), Vec::new());
+    let start = clock::Now { mono: seconds(100), wall: seconds(1_000) };
+    own.reply(start, lease_reply(start), &mut calls, &mut changes);
+    let fence = id::FencingToken(4);
+    let claimed = ownership::Reply::Claimed { lease: 1, ranges: vec![3], fence, first: true };
+    own.reply(start, claimed, &mut calls, &mut changes);
+    assert!(own.owns(start, 3));
+    let late = start.after(seconds(15));
+    assert!(!own.owns(late, 3), "the lease is over although nothing told so");
+    own.tick(late, |_| true, &mut calls);
+    assert_eq!(own.count(), 0);
+    own.reply(late, lease_reply(late), &mut calls, &mut changes);
+    assert!(!own.owns(late, 3), "a renewed lease alone does not bring the range back");
+}
+
+#[test]
+fn ownership_closes_a_range_whose_handover_is_in_doubt() {
+    let me: id::InstanceId = name("s-0");
+    let address = ([127, 0, 0, 1], 9_000).into();
+    let mut own = ownership::Ownership::new(me.clone(), address, id::Incarnation(1));
+    let (mut calls, mut changes) = (Vec::new(), Vec::new());
+    let now = clock::Now { mono: seconds(100), wall: seconds(1_000) };
+    own.reply(now, lease_reply(now), &mut calls, &mut changes);
+    let all: Vec<_> = (0..bramleyshelf_lib::key::RANGES).collect();
+    let fence = id::FencingToken(4);
+    let claimed = ownership::Reply::Claimed { lease: 1, ranges: all.clone(), fence, first: true };
+    own.reply(now, claimed, &mut calls, &mut changes);
+    let member = |port: u16, life| ownership::Member {
+        address: ([127, 0, 0, 1], port).into(),
+        incarnation: id::Incarnation(life),
+    };
+    let members = collections::BTreeMap::from([
+        (me.clone(), member(9_000, 1)),
+        (name("s-1"), member(9_001, 2)),
+    ]);
+    let owner = |fence: u64| wire::Owner {
+        instance: me.clone(),
+        address,
+        incarnation: id::Incarnation(1),
+        fence: id::FencingToken(fence),
+    };
+    let owners: wire::Owners = all.iter().map(|range| (*range, owner(4))).collect();
+    let view = ownership::Reply::View { owners: owners.clone(), members: members.clone() };
+    own.reply(now, view, &mut calls, &mut changes);
+    calls.clear();
+    own.tick(now, |_| true, &mut calls);
+    let Some(ownership::Call::Offer { range, .. }) = calls.pop() else {
+        panic!("an owner of everything hands a range to the other member")
+    };
+    let in_doubt = ownership::Reply::Offered { range, accepted: false };
+    own.reply(now, in_doubt, &mut calls, &mut changes);
+    assert!(!own.owns(now, range), "the other one may still take it with an older ledger");
+    own.reply(now, ownership::Reply::View { owners, members }, &mut calls, &mut changes);
+    let retake = calls.pop();
+    let fence = id::FencingToken(4);
+    let expected = ownership::Call::Take { lease: 1, range, fence, offered: false };
+    assert_eq!(retake, Some(expected), "a claim with a new token rules that out");
+    let fence = id::FencingToken(5);
+    let taken = ownership::Reply::Taken { lease: 1, range, fence, offered: false };
+    own.reply(now, taken, &mut calls, &mut changes);
+    assert!(own.owns(now, range));
+}
+
+fn listed(service: &str, number: u16, domain: &str) -> (id::InstanceId, membership::Listed) {
+    let listed = membership::Listed {
+        service: name(service),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        domain: name(domain),
+        leaving: false,
+    };
+    (name(&format!("{service}-{number}")), listed)
+}
+
+#[test]
+fn membership_table() {
+    let three: membership::Instances =
+        (0..3).map(|number| listed("encoder", number, "east-1")).collect();
+    let two: membership::Instances =
+        (0..2).map(|number| listed("encoder", number, "east-1")).collect();
+    // What the list shows at which second, and how many are believed to exist then.
+    let cases: [(&str, Vec<(u64, &membership::Instances)>, usize); 5] = [
+        ("steady", vec![(0, &three), (60, &three)], 3),
+        ("one missing for a moment", vec![(0, &three), (1, &two), (10, &two)], 3),
+        ("one gone", vec![(0, &three), (1, &two), (17, &two)], 2),
+        ("flapping", vec![(0, &three), (1, &two), (10, &three), (11, &two), (20, &two)], 3),
+        ("empty by mistake", vec![(0, &three), (1, &EMPTY), (300, &EMPTY)], 3),
+    ];
+    for (name, looks, expected) in cases {
+        let mut believed = membership::Membership::default();
+        for (at, list) in looks {
+            believed.update(seconds(at), list.clone());
+        }
+        assert_eq!(believed.instances().len(), expected, "{name}");
+    }
+}
+
+static EMPTY: membership::Instances = membership::Instances::new();
+
+#[test]
+fn membership_reads_endpoint_slices() {
+    let text = br#"{"kind":"EndpointSliceList","items":[{"metadata":{"labels":
+        {"kubernetes.io/service-name":"encoder"}},"ports":[{"name":"sidecar","port":7000}],
+        "endpoints":[
+          {"addresses":["10.0.0.1"],"conditions":{"ready":true},"zone":"east-1","targetRef":{"name":"e-0"}},
+          {"addresses":["10.0.0.2"],"conditions":{"ready":false,"serving":true,"terminating":true},"zone":"east-1","targetRef":{"name":"e-1"}},
+          {"addresses":["10.0.0.3"],"conditions":{"ready":false},"zone":"east-1","targetRef":{"name":"e-2"}},
+          {"addresses":["10.0.0.4"],"conditions":{"ready":true}}]}]}"#;
+    let list = membership::parse(text).expect("a list");
+    let leaving: Vec<_> = list.iter().map(|(n, l)| (n.to_string(), l.leaving)).collect();
+    assert_eq!(leaving, [("e-0".to_owned(), false), ("e-1".to_owned(), true)]);
+    assert!(membership::parse(b"[]").is_err());
+}
+
+fn router(upstreams: u16, config: &config::Config) -> routing::Router {
+    let domains = ["east-1", "east-2", "west-1"];
+    let list = (0..upstreams)
+        .map(|number| listed("encoder", number, domains[usize::from(number) % 3]))
+        .collect();
+    let mut router = routing::Router::new(name("entry-0"), name("east-1"), 7);
+    router.update(config, &list, &collections::BTreeSet::new());
+    router
+}
+
+fn pick(router: &mut routing::Router, config: &config::Config, now: u64) -> routing::Pick {
+    let service = name("encoder");
+    let tried = collections::BTreeSet::new();
+    let want = routing::Want { service: &service, tried: &tried, prefix: None };
+    router.pick(seconds(now), config, &want).expect("an upstream")
+}
+
+fn parsed() -> config::Config {
+    check::parse(TEXT).expect("valid")
+}
+
+#[test]
+fn router_stays_near_until_the_wait_is_long() {
+    let config = parsed();
+    let mut router = router(9, &config);
+    for _ in 0..50 {
+        assert_eq!(pick(&mut router, &config, 1).tier, routing::Tier::Domain);
+    }
+    // Every upstream at home is busy for long.
+    for (number, domain) in (0..9).zip(["east-1", "east-2", "west-1"].into_iter().cycle()) {
+        if domain == "west-1" {
+            continue;
+        }
+        let load = wire::Load {
+            incarnation: id::Incarnation(1),
+            revision: id::Revision(1),
+            running: 4,
+            limit: 4,
+            queued: 400,
+            latency: unit::Millis(20),
+            draining: false,
+        };
+        router.report(seconds(2), &name(&format!("encoder-{number}")), &load);
+    }
+    assert_eq!(pick(&mut router, &config, 2).tier, routing::Tier::Remote);
+    router.charge(seconds(2), &config, routing::Tier::Remote, 10_000_000);
+    assert_ne!(pick(&mut router, &config, 2).tier, routing::Tier::Remote, "the link is used up");
+}
+
+#[test]
+fn router_keeps_subsets_and_some_far_ones() {
+    let mut config = parsed();
+    config.policy.subset = 12;
+    config.policy.balance = config::Balance::Random;
+    let mut router = router(300, &config);
+    let mut seen = collections::BTreeSet::new();
+    let mut tiers = collections::BTreeSet::new();
+    for _ in 0..2_000 {
+        let pick = pick(&mut router, &config, 1);
+        seen.insert(pick.instance);
+        tiers.insert(pick.tier);
+    }
+    assert_eq!(seen.len(), 12);
+    assert!(tiers.contains(&routing::Tier::Remote));
+}
+
+#[test]
+fn router_ejects_no_more_than_its_share() {
+    let config = parsed();
+    let mut router = router(6, &config);
+    let ejected = (0..6)
+        .filter(|number| {
+            let instance = name(&format!("encoder-{number}"));
+            (0..10).any(|_| router.failed(seconds(1), &config, &instance))
+        })
+        .count();
+    assert_eq!(ejected, 3, "half may be ejected; the rest stays in use");
+}
+
+#[test]
+fn router_follows_prefix_until_the_upstream_is_busy() {
+    let config = parsed();
+    let mut router = router(9, &config);
+    let service = name("encoder");
+    let tried = collections::BTreeSet::new();
+    let want = routing::Want { service: &service, tried: &tried, prefix: Some(99) };
+    let mut pick = |router: &mut routing::Router| {
+        router.pick(seconds(1), &config, &want).expect("an upstream").instance
+    };
+    let first = pick(&mut router);
+    for _ in 0..20 {
+        assert_eq!(pick(&mut router), first);
+    }
+    for _ in 0..30 {
+        router.sent(&first);
+    }
+    let others = (0..20).filter(|_| pick(&mut router) != first).count();
+    assert_eq!(others, 20);
+}
+
+#[test]
+fn lease_counts_by_the_faster_clock() {
+    let sent = clock::Now { mono: seconds(10), wall: seconds(1_000) };
+    let lease = ownership::Lease { id: 1, sent, ttl: seconds(15) };
+    let cases = [(0, 0, true), (14, 14, true), (15, 0, false), (0, 15, false), (3, 0, true)];
+    for (mono, wall, valid) in cases {
+        let now = clock::Now { mono: sent.mono + seconds(mono), wall: sent.wall + seconds(wall) };
+        assert_eq!(lease.is_valid(now), valid, "{mono} {wall}");
+    }
+}
+
+#[test]
+fn reducers_give_same_effects_for_same_inputs() {
+    let config = parsed();
+    let run = || {
+        let mut router = router(30, &config);
+        (0..100).map(|_| pick(&mut router, &config, 1).instance).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
