ownership: hand ranges over in batches and look again after a declined offer

The log showed three reasons. (1) One range per tick: 22 ranges took 1.1 s while callers wait 2.5 s at most. (2) A member that was leaving declined every offer; the giver repeated the offer before its next look at the store, so the ranges stayed closed. (3) At a first start a claim that met another one was repeated as a takeover, which refuses keys minted before it.

Ruled out: longer waits at the entry (they only move the refusal), keeping ranges open during the handover (their ledger would change on the way).

Change: up to 32 idle ranges move in one handover and one transaction; after a declined offer the store is read first; marks tell which ranges never had an owner. A view that a taken range overtook is read again.

The reducer test ownership_looks_again_before_a_declined_offer_is_repeated fails without the change and passes with it.

--- /dev/null
+++ b/cli/tests/test_drain.rs
@@ -0,0 +1,219 @@
+//! Drains under load: no request is cut, and a leaving upstream gets no new work.
+
+use std::process;
+use std::sync;
+use std::time;
+
+use bramleyshelf_lib::http;
+use bramleyshelf_testutils::{cluster, soak};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_bramleyshelf");
+const TEXT: &str = include_str!("../../examples/takbaerer.json");
+/// Time after an accepted drain from which an upstream gets no new work.
+const NO_NEW_WORK: time::Duration = time::Duration::from_secs(3);
+
+/// Runs a command of operators and returns whether it succeeded, and what it printed.
+async fn operate(system: &cluster::Cluster, words: &[&str]) -> (bool, String) {
+    let store = system.store_url();
+    let mut all: Vec<String> = words.iter().map(ToString::to_string).collect();
+    all.extend(["--store".to_owned(), store]);
+    let run = move || process::Command::new(PROGRAM).args(all).output().expect("it runs");
+    let output = tokio::task::spawn_blocking(run).await.expect("no panic");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    sent: u32,
+    failed: Vec<String>,
+}
+
+/// Sends streams and bookings until the flag is set.
+async fn steady_load(
+    entries: Vec<std::net::SocketAddr>,
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+) -> Tally {
+    let tally = sync::Arc::new(sync::Mutex::new(Tally::default()));
+    let client = http::client(true);
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0_u32.. {
+        if stop.load(sync::atomic::Ordering::Relaxed) {
+            break;
+        }
+        let call = match number % 3 {
+            0 => {
+                let body = serde_json::json!({
+                    "stream": true, "max_tokens": 60,
+                    "messages": [{ "role": "user", "content": number.to_string() }],
+                });
+                cluster::Call::new("/v1/chat/completions", "counter", body)
+            }
+            1 => {
+                let body = serde_json::json!({ "action": format!("k-{number}") });
+                cluster::Call::new("/services/bookings", "counter", body)
+                    .with_key(&cluster::new_key())
+            }
+            _ => {
+                let body = serde_json::json!({ "question": number.to_string() });
+                cluster::Call::new("/pipelines/fitting-guide", "counter", body)
+            }
+        };
+        let (client, tally) = (client.clone(), tally.clone());
+        let entry = entries[number as usize % entries.len()];
+        tasks.spawn(async move {
+            let answer = call.send(&client, entry).await;
+            let mut tally = tally.lock().expect("no holder panics");
+            tally.sent += 1;
+            match answer {
+                Some(answer) if answer.status == 200 && answer.whole => {}
+                Some(answer) => {
+                    let (status, kind) = (answer.status, answer.kind());
+                    tally.failed.push(format!("{number} {} {status} {kind}", call.path));
+                }
+                None => tally.failed.push(format!("{number} {} no response", call.path)),
+            }
+        });
+        tokio::time::sleep(time::Duration::from_millis(12)).await;
+    }
+    while tasks.join_next().await.is_some() {}
+    let mut tally = tally.lock().expect("no holder panics");
+    std::mem::take(&mut *tally)
+}
+
+async fn start(name: &str) -> cluster::Cluster {
+    let text = soak::short_lease(TEXT);
+    cluster::Cluster::start(PROGRAM, name, &text, cluster::Shape::default()).await
+}
+
+struct Load {
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+    task: tokio::task::JoinHandle<Tally>,
+}
+
+impl Load {
+    fn start(system: &cluster::Cluster) -> Self {
+        let stop = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+        let entries = system.entries.iter().map(|entry| entry.address).collect();
+        let task = tokio::spawn(steady_load(entries, stop.clone()));
+        Self { stop, task }
+    }
+
+    async fn end(self) -> Tally {
+        self.stop.store(true, sync::atomic::Ordering::Relaxed);
+        self.task.await.expect("the load does not panic")
+    }
+}
+
+#[tokio::test]
+async fn drain_by_configuration_cuts_nothing() {
+    let system = start("drain").await;
+    let load = Load::start(&system);
+    for name in ["generator-0", "bookings-0", "bookings-1", "encoder-0"] {
+        let (done, text) = operate(&system, &["drain", name, "--wait"]).await;
+        assert!(done, "{text}");
+        let node = &system.nodes[system.node(name)];
+        let before = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
+        tokio::time::sleep(time::Duration::from_millis(800)).await;
+        let after = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
+        assert_eq!(before, after, "{name} got work after its drain");
+        let (done, text) = operate(&system, &["undrain", name, "--wait"]).await;
+        assert!(done, "{text}");
+    }
+    let tally = load.end().await;
+    assert!(
+        tally.failed.is_empty(),
+        "{} of {}: {:#?}",
+        tally.failed.len(),
+        tally.sent,
+        tally.failed
+    );
+}
+
+#[tokio::test]
+async fn drain_by_instance_list_reaches_the_sidecar() {
+    let system = start("list-drain").await;
+    let load = Load::start(&system);
+    system.publish_leaving(&["generator-1", "bookings-1"]);
+    tokio::time::sleep(NO_NEW_WORK + time::Duration::from_secs(1)).await;
+    for name in ["generator-1", "bookings-1"] {
+        let node = &system.nodes[system.node(name)];
+        let before = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
+        tokio::time::sleep(time::Duration::from_millis(800)).await;
+        let after = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
+        assert_eq!(before, after, "{name} got work although the list shows it as leaving");
+    }
+    let tally = load.end().await;
+    assert!(
+        tally.failed.is_empty(),
+        "{} of {}: {:#?}",
+        tally.failed.len(),
+        tally.sent,
+        tally.failed
+    );
+}
+
+#[tokio::test]
+async fn planned_stop_of_sidecar_cuts_nothing() {
+    let mut system = start("stop-sidecar").await;
+    let load = Load::start(&system);
+    for name in ["generator-0", "bookings-2", "reranker-1"] {
+        let index = system.node(name);
+        let child = system.nodes[index].sidecar.as_mut().expect("it runs");
+        child.signal(cluster::Signal::Terminate);
+        while !child.has_ended() {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        system.start_sidecar(index);
+        tokio::time::sleep(time::Duration::from_millis(700)).await;
+    }
+    let tally = load.end().await;
+    assert!(
+        tally.failed.is_empty(),
+        "{} of {}: {:#?}",
+        tally.failed.len(),
+        tally.sent,
+        tally.failed
+    );
+}
+
+#[tokio::test]
+async fn planned_stop_of_entry_fails_readiness_first_and_cuts_nothing() {
+    let mut system = start("stop-entry").await;
+    let client = http::client(false);
+    let address = system.entries[0].address;
+    let body = serde_json::json!({
+        "stream": true, "max_tokens": 300,
+        "messages": [{ "role": "user", "content": "long" }],
+    });
+    let call = cluster::Call::new("/v1/chat/completions", "counter", body);
+    let stream = tokio::spawn(async move { call.send(&client, address).await });
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    let child = system.entries[0].process.as_mut().expect("it runs");
+    child.signal(cluster::Signal::Terminate);
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    let ready = cluster::get(address, "/readyz").await.expect("it still listens");
+    assert_eq!(ready.status, 503, "the balancer sees it before the listener closes");
+    let answer = stream.await.expect("no panic").expect("a response");
+    assert!(answer.whole && answer.status == 200);
+    assert!(String::from_utf8_lossy(&answer.body).ends_with("data: [DONE]\n\n"));
+    let child = system.entries[0].process.as_mut().expect("it runs");
+    let start = time::Instant::now();
+    while !child.has_ended() {
+        assert!(start.elapsed() < time::Duration::from_secs(15), "it ends by itself");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn drain_that_leaves_too_few_is_refused() {
+    let system = start("too-few").await;
+    let (done, text) = operate(&system, &["drain", "bookings-0"]).await;
+    assert!(done, "{text}");
+    let (done, text) = operate(&system, &["drain", "bookings-1"]).await;
+    assert!(!done && text.contains("keeps 2"), "{text}");
+    let (done, text) = operate(&system, &["drain", "bookings-1", "--force"]).await;
+    assert!(done, "{text}");
+    let (done, text) = operate(&system, &["drain", "nobody"]).await;
+    assert!(!done && text.contains("no process of instance `nobody`"), "{text}");
+}
--- /dev/null
+++ b/cli/tests/test_keys.rs
@@ -0,0 +1,160 @@
+//! Idempotency keys over real processes: lost answers, frozen, killed and stopped owners.
+
+use std::time;
+
+use bramleyshelf_lib::http;
+use bramleyshelf_testutils::{cluster, fault, soak};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_bramleyshelf");
+const TEXT: &str = include_str!("../../examples/takbaerer.json");
+/// Longer than the leases of the tests, so that the store lets others take over.
+const BEYOND_LEASE: time::Duration = time::Duration::from_millis(6_500);
+const START_LIMIT: time::Duration = time::Duration::from_secs(15);
+
+async fn start(name: &str) -> cluster::Cluster {
+    let text = soak::short_lease(TEXT);
+    cluster::Cluster::start(PROGRAM, name, &text, cluster::Shape::default()).await
+}
+
+fn booking(action: &str, key: &str) -> cluster::Call {
+    let body = serde_json::json!({ "action": action });
+    cluster::Call::new("/services/bookings", "counter", body).with_key(key)
+}
+
+/// Books once and returns the answer and the index of the node that ran it.
+async fn book(
+    system: &cluster::Cluster,
+    client: &http::Client,
+    call: &cluster::Call,
+) -> (cluster::Answer, usize) {
+    let answer = call.send(client, system.entries[0].address).await.expect("a response");
+    assert_eq!(answer.status, 200, "{:?}", answer.json());
+    let request = answer.json()["request"].as_str().expect("a number").to_owned();
+    let node = system.nodes.iter().position(|node| match &node.work {
+        cluster::Work::Plain(work) => work.runs().iter().any(|run| run.request == request),
+        _ => false,
+    });
+    (answer, node.expect("some upstream ran it"))
+}
+
+#[tokio::test]
+async fn key_lost_answer_is_unknown_and_never_runs_again() {
+    let system = start("lost").await;
+    let client = http::client(true);
+    for node in &system.nodes {
+        let faults = fault::Faults { drop_answer: true, times: Some(1), ..Default::default() };
+        node.upstream.knobs.set(faults);
+    }
+    let call = booking("lost", &cluster::new_key());
+    for round in 0..4 {
+        let entry = system.entries[round % 2].address;
+        let answer = call.send(&client, entry).await.expect("a response");
+        assert_eq!((answer.status, answer.ran().as_str()), (502, "unknown"), "round {round}");
+    }
+    assert_eq!(system.runs("bookings").len(), 1);
+}
+
+#[tokio::test]
+async fn key_refused_upstream_runs_when_sent_again() {
+    let system = start("unreachable").await;
+    let client = http::client(true);
+    let key = cluster::new_key();
+    let (_, node) = book(&system, &client, &booking("first", &key)).await;
+    let other = booking("other body", &key);
+    let answer = other.send(&client, system.entries[1].address).await.expect("a response");
+    assert_eq!((answer.status, answer.ran().as_str()), (422, "no"));
+    let again = booking("first", &key);
+    let answer = again.send(&client, system.entries[1].address).await.expect("a response");
+    assert_eq!(answer.status, 200);
+    assert_eq!(system.runs("bookings").len(), 1, "node {node}");
+}
+
+#[tokio::test]
+async fn key_frozen_owner_wakes_unaware_and_runs_nothing_twice() {
+    let system = start("frozen").await;
+    let client = http::client(true);
+    let first = booking("before", &cluster::new_key());
+    let (answer, node) = book(&system, &client, &first).await;
+    let sidecar = system.nodes[node].sidecar.as_ref().expect("it runs");
+    sidecar.signal(cluster::Signal::Stop);
+    // Sent to the frozen owner: it may or may not read them when it wakes.
+    let during: Vec<_> =
+        (0..20).map(|n| booking(&format!("during-{n}"), &cluster::new_key())).collect();
+    let sends = during.iter().map(|call| {
+        let (call, client) = (call.clone().with_deadline(2_000), client.clone());
+        let entry = system.entries[0].address;
+        tokio::spawn(async move { call.send(&client, entry).await })
+    });
+    let sends: Vec<_> = sends.collect();
+    for send in sends {
+        let _ = send.await;
+    }
+    tokio::time::sleep(BEYOND_LEASE).await;
+    assert!(cluster::until(START_LIMIT, async || system.all_owned()).await, "others take over");
+    let again = first.send(&client, system.entries[1].address).await.expect("a response");
+    assert_ne!(again.status, 200, "the ledger is frozen with its owner");
+    assert_eq!(again.ran(), "unknown");
+    sidecar.signal(cluster::Signal::Continue);
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    for call in during.iter().chain([&first]) {
+        for entry in &system.entries {
+            let _ = call.send(&client, entry.address).await;
+        }
+    }
+    let mut actions: Vec<_> = system.runs("bookings").into_iter().map(|run| run.action).collect();
+    let total = actions.len();
+    actions.sort();
+    actions.dedup();
+    assert_eq!(actions.len(), total, "{answer:?}");
+}
+
+#[tokio::test]
+async fn key_killed_owner_is_replaced_and_old_keys_stay_unknown() {
+    let mut system = start("killed").await;
+    let client = http::client(true);
+    let first = booking("before", &cluster::new_key());
+    let (_, node) = book(&system, &client, &first).await;
+    system.nodes[node].sidecar = None;
+    assert!(
+        cluster::until(START_LIMIT, async || !system.all_owned()).await,
+        "the store drops the lease"
+    );
+    assert!(cluster::until(START_LIMIT, async || system.all_owned()).await, "others take over");
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let again = first.send(&client, system.entries[1].address).await.expect("a response");
+    assert_eq!((again.status, again.ran().as_str()), (409, "unknown"));
+    for number in 0..20 {
+        let call = booking(&format!("after-{number}"), &cluster::new_key());
+        let answer = call.send(&client, system.entries[1].address).await.expect("a response");
+        assert_eq!(answer.status, 200, "{:?}", answer.json());
+    }
+    assert_eq!(system.runs("bookings").len(), 21);
+}
+
+#[tokio::test]
+async fn key_stopped_owner_hands_ledger_over() {
+    let mut system = start("stopped").await;
+    let client = http::client(true);
+    let calls: Vec<_> = (0..12).map(|n| booking(&format!("b-{n}"), &cluster::new_key())).collect();
+    let mut answers = Vec::new();
+    for call in &calls {
+        answers.push(book(&system, &client, call).await.0);
+    }
+    for name in ["bookings-0", "bookings-1"] {
+        let index = system.node(name);
+        let child = system.nodes[index].sidecar.as_mut().expect("it runs");
+        child.signal(cluster::Signal::Terminate);
+        let start = time::Instant::now();
+        while !child.has_ended() {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+            assert!(start.elapsed() < START_LIMIT, "{name} ends by itself");
+        }
+        system.nodes[index].sidecar = None;
+    }
+    // Two of three owners are gone; the last one knows every key and has every answer.
+    for (call, answer) in calls.iter().zip(&answers) {
+        let again = call.send(&client, system.entries[1].address).await.expect("a response");
+        assert_eq!((again.status, &again.body), (200, &answer.body));
+    }
+    assert_eq!(system.runs("bookings").len(), calls.len());
+}
--- a/lib/src/owner_calls.rs
+++ b/lib/src/owner_calls.rs
@@ -56,17 +56,17 @@
             ownership::Call::Read => {
                 let prefix = store::service_prefix(&self.identity.service);
                 let snapshot = self.store.range(&prefix, true).await?;
-                let (owners, members) = store::read_service(&self.identity.service, &snapshot);
-                Ok(ownership::Reply::View { owners, members })
+                Ok(store::read_service(&self.identity.service, &snapshot))
             }
             ownership::Call::Claim { lease, ranges, first } => {
                 self.claim(lease, ranges, first).await
             }
-            ownership::Call::Take { lease, range, fence, offered } => {
-                self.take(lease, range, fence, offered).await
+            ownership::Call::Take { lease, ranges, offered } => {
+                self.take(lease, &ranges, offered).await
             }
-            ownership::Call::Offer { range, .. } => {
-                Ok(ownership::Reply::Offered { range, accepted: false })
+            ownership::Call::Offer { ranges, .. } => {
+                let ranges = ranges.into_keys().collect();
+                Ok(ownership::Reply::Offered { ranges, accepted: false })
             }
         }
     }
@@ -117,7 +117,7 @@
         }
         let outcome = self.store.commit(&compares, &writes).await?;
         if !outcome.applied {
-            return Ok(ownership::Reply::Refused { first });
+            return Ok(ownership::Reply::Refused);
         }
         let fence = id::FencingToken(outcome.revision);
         Ok(ownership::Reply::Claimed { lease, ranges, fence, first })
@@ -126,17 +126,20 @@
     async fn take(
         &self,
         lease: ownership::LeaseId,
-        range: u32,
-        fence: id::FencingToken,
+        tokens: &ownership::Tokens,
         offered: bool,
     ) -> Result<ownership::Reply, store::StoreError> {
-        let key = self.owner_key(range);
-        let compare = store::Compare::Modified(key.clone(), fence.0);
-        let write = store::Write::Put(key, self.owner_value(), Some(lease));
-        let outcome = self.store.commit(&[compare], &[write]).await?;
+        let mut compares = Vec::new();
+        let mut writes = Vec::new();
+        for (range, fence) in tokens {
+            compares.push(store::Compare::Modified(self.owner_key(*range), fence.0));
+            writes.push(store::Write::Put(self.owner_key(*range), self.owner_value(), Some(lease)));
+        }
+        let outcome = self.store.commit(&compares, &writes).await?;
         if outcome.applied {
             let fence = id::FencingToken(outcome.revision);
-            return Ok(ownership::Reply::Taken { lease, range, fence, offered });
+            let ranges = tokens.keys().copied().collect();
+            return Ok(ownership::Reply::Taken { lease, ranges, fence, offered });
         }
         Ok(if offered { ownership::Reply::TakeFailed } else { ownership::Reply::Failed })
     }
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -19,8 +19,8 @@
 const VIEW_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Time between two looks while ranges have to be handed over.
 const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(300);
-/// Most ranges claimed in one transaction.
-const CLAIM_BATCH: usize = 32;
+/// Most ranges in one transaction or handover.
+const BATCH: usize = 32;
 /// Part of the lease that is not used, for the delay between a check and its consequence.
 const LEASE_MARGIN: time::Duration = time::Duration::from_millis(500);
 
@@ -57,6 +57,9 @@
 /// Members of a service by instance.
 pub type Members = collections::BTreeMap<id::InstanceId, Member>;
 
+/// Ranges with the tokens under which they are owned.
+pub type Tokens = collections::BTreeMap<u32, id::FencingToken>;
+
 /// A call that the shell makes on behalf of the ownership.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Call {
@@ -88,24 +91,20 @@
         /// Whether the claim is only good if no range ever had an owner.
         first: bool,
     },
-    /// Take a range from the owner that holds `fence`.
+    /// Take ranges from the owner that holds them under the given tokens, all or none.
     Take {
         /// The lease.
         lease: LeaseId,
-        /// The range.
-        range: u32,
-        /// Token of the owner that hands the range over.
-        fence: id::FencingToken,
-        /// Whether another sidecar offers the range, or this one renews its own claim.
+        /// The ranges.
+        ranges: Tokens,
+        /// Whether another sidecar offers the ranges, or this one renews its own claims.
         offered: bool,
     },
-    /// Hand a range with its ledger over to another sidecar.
+    /// Hand ranges with their ledgers over to another sidecar.
     Offer {
-        /// The range.
-        range: u32,
-        /// Token under which it is owned.
-        fence: id::FencingToken,
-        /// Who is to take it.
+        /// The ranges.
+        ranges: Tokens,
+        /// Who is to take them.
         to: net::SocketAddr,
     },
 }
@@ -139,6 +138,8 @@
         owners: wire::Owners,
         /// Members.
         members: Members,
+        /// Ranges that ever had an owner.
+        marked: collections::BTreeSet<u32>,
     },
     /// A claim took effect.
     Claimed {
@@ -152,28 +153,25 @@
         first: bool,
     },
     /// A claim did not take effect, because a range has or had an owner.
-    Refused {
-        /// Whether the claim was for ranges that never had an owner.
-        first: bool,
-    },
-    /// A range was taken over by agreement.
+    Refused,
+    /// Ranges were taken over by agreement.
     Taken {
         /// Lease of the claim.
         lease: LeaseId,
-        /// The range.
-        range: u32,
+        /// The ranges.
+        ranges: Vec<u32>,
         /// Token of the claim.
         fence: id::FencingToken,
-        /// Whether another sidecar had offered the range.
+        /// Whether another sidecar had offered the ranges.
         offered: bool,
     },
-    /// A range that another sidecar offers was not taken, or the answer was lost.
+    /// Ranges that another sidecar offers were not taken, or the answer was lost.
     TakeFailed,
     /// A handover ended.
     Offered {
-        /// The range.
-        range: u32,
-        /// Whether the other sidecar owns it now.
+        /// The ranges.
+        ranges: Vec<u32>,
+        /// Whether the other sidecar owns them now.
         accepted: bool,
     },
     /// A call failed or its answer was lost.
@@ -220,6 +218,10 @@
     last_view: time::Duration,
     leaving: bool,
     left: bool,
+    /// Whether an offer came to nothing since the last view, which may be out of date.
+    declined: bool,
+    /// Whether a range was taken since the running look at the store began.
+    overtaken: bool,
 }
 
 impl Ownership {
@@ -240,6 +242,8 @@
             last_view: time::Duration::ZERO,
             leaving: false,
             left: false,
+            declined: false,
+            overtaken: false,
         }
     }
 
@@ -313,6 +317,7 @@
         if now.mono >= self.next_view {
             let pause = if self.leaving { BUSY_INTERVAL } else { VIEW_INTERVAL };
             self.last_view = now.mono;
+            self.overtaken = false;
             self.next_view = now.mono + pause;
             self.start(Call::Read, calls);
         }
@@ -346,26 +351,33 @@
         }
     }
 
-    /// Picks a range to hand over: any while leaving, else one above the fair share.
+    /// Picks idle ranges to hand over: while leaving a share for each other member, else what is
+    /// above the fair share.
     fn next_offer(&mut self, now: clock::Now, is_idle: impl Fn(u32) -> bool) -> Option<Call> {
-        if !self.lease.is_some_and(|lease| lease.is_valid(now)) {
+        if self.declined || !self.lease.is_some_and(|lease| lease.is_valid(now)) {
             return None;
         }
-        let to = self.least_loaded()?;
-        let surplus =
-            self.leaving || self.owned.len() > self.fair_share() && to.1 + 1 < self.owned.len();
-        if !surplus {
-            return None;
+        let (to, theirs) = self.least_loaded()?;
+        let count = self.surplus(theirs);
+        let idle = self.owned.iter_mut().filter(|(range, _)| is_idle(**range));
+        let mut ranges = Tokens::new();
+        for (range, owned) in idle.take(count.min(BATCH)) {
+            // From now on the ledger must not change.
+            owned.leaving = true;
+            ranges.insert(*range, owned.fence);
         }
+        (!ranges.is_empty()).then_some(Call::Offer { ranges, to })
+    }
+
+    /// Returns how many ranges should go to a member that has `theirs`.
+    fn surplus(&self, theirs: usize) -> usize {
+        let mine = self.owned.len();
         if self.leaving {
-            // All ranges stop taking new keys now, so that each becomes idle within a deadline.
-            for owned in self.owned.values_mut() {
-                owned.leaving = true;
-            }
+            let others = self.members.keys().filter(|instance| **instance != self.me).count();
+            return mine.div_ceil(others.max(1));
         }
-        let (&range, owned) = self.owned.iter_mut().find(|(range, _)| is_idle(**range))?;
-        owned.leaving = true;
-        Some(Call::Offer { range, fence: owned.fence, to: to.0 })
+        let fair = self.fair_share();
+        mine.saturating_sub(fair).min(fair.saturating_sub(theirs))
     }
 
     /// Returns the other member with the fewest ranges, and their number.
@@ -415,9 +427,17 @@
                 self.owned.clear();
             }
             Reply::LeaseFailed => self.lease_busy = false,
-            Reply::View { owners, members } => {
+            Reply::View { owners, members, marked } => {
                 self.busy = false;
-                self.take_view(now, owners, members, calls, changes);
+                if self.overtaken {
+                    // It shows some ranges as they were before this sidecar took them.
+                    self.next_view = time::Duration::ZERO;
+                    return;
+                }
+                self.declined = false;
+                self.owners = owners;
+                self.members = members;
+                self.take_view(now, &marked, calls, changes);
             }
             Reply::Claimed { lease, ranges, fence, first } => {
                 self.busy = false;
@@ -431,29 +451,29 @@
                 }
                 self.next_view = time::Duration::ZERO;
             }
-            Reply::Refused { first } => {
+            Reply::Refused => {
                 self.busy = false;
                 self.next_view = time::Duration::ZERO;
-                if first {
-                    self.claim(now, false, calls);
-                }
             }
-            Reply::Taken { lease, range, fence, offered } => {
+            Reply::Taken { lease, ranges, fence, offered } => {
                 if !offered {
                     self.busy = false;
                 }
                 if self.holds(lease) {
-                    self.own(range, fence);
-                    if offered {
-                        changes.push(Change::Taken(range));
+                    self.overtaken = true;
+                    for range in ranges {
+                        self.own(range, fence);
+                        if offered {
+                            changes.push(Change::Taken(range));
+                        }
                     }
                 }
             }
             Reply::TakeFailed => {}
-            Reply::Offered { range, accepted } => {
+            Reply::Offered { ranges, accepted } => {
                 self.busy = false;
                 self.next_view = time::Duration::ZERO;
-                self.end_offer(range, accepted, changes);
+                self.end_offer(ranges, accepted, changes);
             }
             Reply::Failed => self.busy = false,
         }
@@ -464,10 +484,14 @@
         self.lease.is_some_and(|own| own.id == lease)
     }
 
-    fn end_offer(&mut self, range: u32, accepted: bool, changes: &mut Vec<Change>) {
-        // Without a clear answer the other sidecar may still take the range with the ledger that
-        // it was sent: the range stays closed until a claim with a new token rules that out.
-        if accepted {
+    fn end_offer(&mut self, ranges: Vec<u32>, accepted: bool, changes: &mut Vec<Change>) {
+        // Without a clear answer the other sidecar may still take the ranges with the ledgers that
+        // it was sent: they stay closed until a claim with a new token rules that out.
+        if !accepted {
+            self.declined = true;
+            return;
+        }
+        for range in ranges {
             self.owned.remove(&range);
             changes.push(Change::Given(range));
         }
@@ -487,13 +511,10 @@
     fn take_view(
         &mut self,
         now: clock::Now,
-        owners: wire::Owners,
-        members: Members,
+        marked: &collections::BTreeSet<u32>,
         calls: &mut Vec<Call>,
         changes: &mut Vec<Change>,
     ) {
-        self.owners = owners;
-        self.members = members;
         for range in 0..key::RANGES {
             let mine = self.owners.get(&range).filter(|o| o.incarnation == self.incarnation);
             match (mine.map(|o| o.fence), self.owned.get_mut(&range)) {
@@ -513,38 +534,44 @@
             }
         }
         if !self.reopen(now, calls) {
-            self.claim(now, true, calls);
+            self.claim(now, marked, calls);
         }
     }
 
-    /// Claims a range anew that was closed for a handover which did not come about; returns whether
-    /// there is one.
+    /// Claims ranges anew that were closed for a handover which did not come about; returns whether
+    /// there are any.
     fn reopen(&mut self, now: clock::Now, calls: &mut Vec<Call>) -> bool {
         let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else { return false };
         if self.leaving {
             return false;
         }
-        let closed = self.owned.iter().find(|(_, owned)| owned.leaving);
-        let Some((&range, fence)) = closed.map(|(range, owned)| (range, owned.fence)) else {
+        let closed = self.owned.iter().filter(|(_, owned)| owned.leaving).take(BATCH);
+        let ranges: Tokens = closed.map(|(range, owned)| (*range, owned.fence)).collect();
+        if ranges.is_empty() {
             return false;
-        };
+        }
         self.next_view = now.mono;
-        self.start(Call::Take { lease: lease.id, range, fence, offered: false }, calls);
+        self.start(Call::Take { lease: lease.id, ranges, offered: false }, calls);
         true
     }
 
-    fn claim(&mut self, now: clock::Now, first: bool, calls: &mut Vec<Call>) {
+    /// Claims ranges without an owner, those first that never had one: their ledger is complete.
+    fn claim(
+        &mut self,
+        now: clock::Now,
+        marked: &collections::BTreeSet<u32>,
+        calls: &mut Vec<Call>,
+    ) {
         let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else { return };
         if self.leaving {
             return;
         }
-        let room = self.fair_share().saturating_sub(self.owned.len()).min(CLAIM_BATCH);
-        let ranges: Vec<u32> = self
-            .preferred()
-            .into_iter()
-            .filter(|range| !self.owners.contains_key(range))
-            .take(room)
-            .collect();
+        let room = self.fair_share().saturating_sub(self.owned.len()).min(BATCH);
+        let free: Vec<u32> =
+            self.preferred().into_iter().filter(|range| !self.owners.contains_key(range)).collect();
+        let first = free.iter().any(|range| !marked.contains(range));
+        let ranges: Vec<u32> =
+            free.into_iter().filter(|range| marked.contains(range) != first).take(room).collect();
         if !ranges.is_empty() {
             self.start(Call::Claim { lease: lease.id, ranges, first }, calls);
         }
@@ -559,15 +586,10 @@
         ranges
     }
 
-    /// Returns the call that takes a range offered by its owner.
-    pub fn accept_offer(
-        &mut self,
-        now: clock::Now,
-        range: u32,
-        fence: id::FencingToken,
-    ) -> Option<Call> {
+    /// Returns the call that takes ranges offered by their owner.
+    pub fn accept_offer(&mut self, now: clock::Now, ranges: Tokens) -> Option<Call> {
         let lease = self.lease.filter(|lease| lease.is_valid(now) && !self.leaving)?;
-        Some(Call::Take { lease: lease.id, range, fence, offered: true })
+        Some(Call::Take { lease: lease.id, ranges, offered: true })
     }
 
     /// Returns the lease, to be revoked when the process ends.
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -162,16 +162,16 @@
     pub body: wire::Chunk,
 }
 
-/// A range with its ledger and answers.
+/// Ranges with their ledgers and answers.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct HandoverMessage {
-    /// The range and its ledger.
+    /// The ranges and their ledgers.
     pub handover: sidecar::Handover,
     /// Answers that are kept.
     pub answers: Vec<KeptAnswer>,
 }
 
-/// Offers a range to another sidecar; returns whether it took the range.
+/// Offers ranges to another sidecar; returns whether it took them.
 ///
 /// # Errors
 /// Fails if there is no clear answer.
--- a/lib/src/sidecar.rs
+++ b/lib/src/sidecar.rs
@@ -73,19 +73,24 @@
     NotResumable,
 }
 
-/// Ledger of a range on its way to another sidecar.
+/// Ledger of one range.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Handover {
-    /// Major version of the sender.
-    pub version: u16,
-    /// The range.
-    pub range: u32,
-    /// Token under which the sender owns it.
+pub struct RangeLedger {
+    /// Token under which the sender owns the range.
     pub fence: id::FencingToken,
     /// When the ledger began to be complete, in milliseconds since the Unix epoch.
     pub since: unit::Millis,
     /// Keys of the range.
     pub records: collections::BTreeMap<String, key::Record>,
+}
+
+/// Ledgers of ranges on their way to another sidecar.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Handover {
+    /// Major version of the sender.
+    pub version: u16,
+    /// The ledgers by range.
+    pub ranges: collections::BTreeMap<u32, RangeLedger>,
     /// States of the attempts behind the keys: whether a whole answer is kept.
     pub done: collections::BTreeMap<id::AttemptId, bool>,
 }
@@ -125,11 +130,11 @@
     Drain(Cause, bool),
     /// A call of the ownership ended.
     Ownership(ownership::Reply),
-    /// Another sidecar offers a range; the shell has stored the answers that came with it.
+    /// Another sidecar offers ranges; the shell has stored the answers that came with them.
     Offered {
         /// Connection that waits for the verdict.
         conn: attempt::ConnId,
-        /// The range and its ledger.
+        /// The ranges and their ledgers.
         handover: Handover,
         /// Bytes of each answer that came with it.
         sizes: collections::BTreeMap<id::AttemptId, u64>,
@@ -171,7 +176,7 @@
     Drop(id::AttemptId),
     /// Make a call of the ownership.
     Call(ownership::Call),
-    /// Hand a ledger over: send it, with the kept answers, to the address.
+    /// Hand ledgers over: send them, with the kept answers, to the address.
     HandOver(net::SocketAddr, Handover),
     /// Answer an offered handover.
     Verdict(attempt::ConnId, bool),
--- a/lib/src/sidecar/handover.rs
+++ b/lib/src/sidecar/handover.rs
@@ -12,7 +12,7 @@
 use crate::unit;
 use crate::wire;
 
-use super::{Effect, Handover, MEMORY, Sidecar, Staged};
+use super::{Effect, Handover, MEMORY, RangeLedger, Sidecar, Staged};
 
 impl Sidecar {
     pub(super) fn busy_ranges(&self) -> collections::BTreeSet<u32> {
@@ -23,29 +23,32 @@
     pub(super) fn call(&mut self, calls: Vec<ownership::Call>, effects: &mut Vec<Effect>) {
         for call in calls {
             match call {
-                ownership::Call::Offer { range, fence, to } => {
-                    effects.push(Effect::HandOver(to, self.ledger_of(range, fence)));
+                ownership::Call::Offer { ranges, to } => {
+                    effects.push(Effect::HandOver(to, self.ledgers_of(&ranges)));
                 }
                 other => effects.push(Effect::Call(other)),
             }
         }
     }
 
-    pub(super) fn ledger_of(&self, range: u32, fence: id::FencingToken) -> Handover {
-        let book = self.books.get(&range).cloned().unwrap_or_default();
-        let records: collections::BTreeMap<_, _> =
-            book.iter().map(|(key, record)| (key.clone(), record.clone())).collect();
-        let done = records
-            .values()
-            .filter_map(|record| {
-                let state = self.ledger.get(record.attempt)?.state();
-                Some((record.attempt, state == attempt::State::Done))
-            })
-            .collect();
-        // Rounded up, because a later beginning is the safe side; zero keeps its meaning.
-        let rounding = u64::from(!book.since.is_zero());
-        let since = unit::Millis(unit::Millis::from(book.since).0 + rounding);
-        Handover { version: wire::MAJOR, range, fence, since, records, done }
+    fn ledgers_of(&self, tokens: &ownership::Tokens) -> Handover {
+        let mut ranges = collections::BTreeMap::new();
+        let mut done = collections::BTreeMap::new();
+        for (range, fence) in tokens {
+            let book = self.books.get(range).cloned().unwrap_or_default();
+            // Rounded up, because a later beginning is the safe side; zero keeps its meaning.
+            let rounding = u64::from(!book.since.is_zero());
+            let since = unit::Millis(unit::Millis::from(book.since).0 + rounding);
+            let records: collections::BTreeMap<_, _> =
+                book.iter().map(|(key, record)| (key.clone(), record.clone())).collect();
+            for record in records.values() {
+                if let Some(kept) = self.ledger.get(record.attempt) {
+                    done.insert(record.attempt, kept.state() == attempt::State::Done);
+                }
+            }
+            ranges.insert(*range, RangeLedger { fence: *fence, since, records });
+        }
+        Handover { version: wire::MAJOR, ranges, done }
     }
 
     pub(super) fn ownership_reply(
@@ -54,17 +57,23 @@
         reply: ownership::Reply,
         effects: &mut Vec<Effect>,
     ) {
-        let ended = matches!(
+        let is_verdict = matches!(
             reply,
             ownership::Reply::Taken { offered: true, .. } | ownership::Reply::TakeFailed
         );
         let (mut calls, mut changes) = (Vec::new(), Vec::new());
         self.ownership.reply(now, reply, &mut calls, &mut changes);
+        let taken = changes.iter().any(|change| matches!(change, ownership::Change::Taken(_)));
         for change in changes {
             self.apply_change(now, &change, effects);
         }
-        if ended && let Some(staged) = self.staged.take() {
-            self.decline(&staged, effects);
+        if is_verdict && let Some(staged) = self.staged.take() {
+            if taken {
+                effects.push(Effect::Verdict(staged.conn, true));
+            } else {
+                self.decline(&staged, effects);
+            }
+            self.evict(effects);
         }
         self.call(calls, effects);
     }
@@ -84,11 +93,7 @@
                 effects.push(Effect::Log(line));
             }
             ownership::Change::Taken(range) => {
-                match self.staged.take_if(|staged| staged.handover.range == range) {
-                    Some(staged) => self.adopt(now, staged, effects),
-                    // The ledger was given up in the meantime: begin a new one.
-                    None => self.books.entry(range).or_default().since = now.wall,
-                }
+                self.adopt(now, range);
                 effects.push(Effect::Log(line.with("taken", range)));
             }
             ownership::Change::Given(range) => {
@@ -98,13 +103,14 @@
     }
 
     pub(super) fn offered(&mut self, now: clock::Now, staged: Staged, effects: &mut Vec<Effect>) {
-        let (range, fence) = (staged.handover.range, staged.handover.fence);
+        let ledgers = &staged.handover.ranges;
+        let records: usize = ledgers.values().map(|ledger| ledger.records.len()).sum();
         let fits = staged.handover.version == wire::MAJOR
             && !self.is_draining()
             && self.staged.is_none()
-            && self.remembered() + staged.handover.records.len()
-                <= self.config.limits.ledger_entries as usize;
-        match self.ownership.accept_offer(now, range, fence).filter(|_| fits) {
+            && self.remembered() + 2 * records <= self.config.limits.ledger_entries as usize;
+        let tokens = ledgers.iter().map(|(range, ledger)| (*range, ledger.fence)).collect();
+        match self.ownership.accept_offer(now, tokens).filter(|_| fits) {
             Some(call) => {
                 self.staged = Some(staged);
                 effects.push(Effect::Call(call));
@@ -120,28 +126,36 @@
     }
 
     /// Makes the ledger of a range that was taken over by agreement this sidecar's own.
-    pub(super) fn adopt(&mut self, now: clock::Now, staged: Staged, effects: &mut Vec<Effect>) {
-        let handover = staged.handover;
-        let forget = now.mono + self.config.limits.key_ms.duration() + MEMORY;
-        for (key, record) in &handover.records {
-            let done = handover.done.get(&record.attempt).copied().unwrap_or(false);
-            let kept = staged.sizes.get(&record.attempt).copied();
-            let state = match (done, kept) {
-                (true, Some(_)) => attempt::State::Done,
-                (true, None) => attempt::State::Dropped,
-                (false, _) => {
-                    attempt::State::Broken(refusal::Kind::AnswerDropped, refusal::Ran::Unknown)
-                }
-            };
-            let mut own = attempt::Record::new(state, now.mono, forget);
-            own.key = Some(key.clone());
-            own.length = kept.unwrap_or(0);
-            self.ledger.insert(record.attempt, own);
+    fn adopt(&mut self, now: clock::Now, range: u32) {
+        let ledger = self.staged.as_mut().and_then(|staged| staged.handover.ranges.remove(&range));
+        let Some(ledger) = ledger else {
+            // The ledger was given up in the meantime: begin a new one.
+            self.books.entry(range).or_default().since = now.wall;
+            return;
+        };
+        for (key, record) in &ledger.records {
+            self.adopt_attempt(now, key, record.attempt);
         }
-        let mut book = key::Book::new(handover.since.duration());
-        book.extend(handover.records);
-        self.books.insert(handover.range, book);
-        effects.push(Effect::Verdict(staged.conn, true));
-        self.evict(effects);
+        let mut book = key::Book::new(ledger.since.duration());
+        book.extend(ledger.records);
+        self.books.insert(range, book);
+    }
+
+    fn adopt_attempt(&mut self, now: clock::Now, key: &str, attempt: id::AttemptId) {
+        let Some(staged) = &self.staged else { return };
+        let done = staged.handover.done.get(&attempt).copied().unwrap_or(false);
+        let kept = staged.sizes.get(&attempt).copied();
+        let state = match (done, kept) {
+            (true, Some(_)) => attempt::State::Done,
+            (true, None) => attempt::State::Dropped,
+            (false, _) => {
+                attempt::State::Broken(refusal::Kind::AnswerDropped, refusal::Ran::Unknown)
+            }
+        };
+        let forget = now.mono + self.config.limits.key_ms.duration() + MEMORY;
+        let mut own = attempt::Record::new(state, now.mono, forget);
+        own.key = Some(key.to_owned());
+        own.length = kept.unwrap_or(0);
+        self.ledger.insert(attempt, own);
     }
 }
--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -463,7 +463,7 @@
     }
 
     fn hand_over(&self, to: net::SocketAddr, handover: sidecar::Handover) {
-        let range = handover.range;
+        let ranges = handover.ranges.keys().copied().collect();
         let answers = handover
             .done
             .iter()
@@ -477,7 +477,7 @@
         let (client, messages) = (self.peers.clone(), self.messages.clone());
         tokio::spawn(async move {
             let accepted = peer::hand_over(&client, to, &message).await.unwrap_or(false);
-            let reply = ownership::Reply::Offered { range, accepted };
+            let reply = ownership::Reply::Offered { ranges, accepted };
             // Fails only when the process ends.
             let _ = messages.send(Message::Ownership(reply)).await;
         });
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -382,28 +382,35 @@
     format!("{PREFIX}services/{service}/")
 }
 
-/// Reads owners and members out of a snapshot of a service's prefix.
-pub fn read_service(
-    service: &crate::id::ServiceId,
-    snapshot: &Snapshot,
-) -> (crate::wire::Owners, ownership::Members) {
+/// Reads owners, members and marks out of a snapshot of a service's prefix.
+pub fn read_service(service: &crate::id::ServiceId, snapshot: &Snapshot) -> ownership::Reply {
     let prefix = service_prefix(service);
     let mut owners = crate::wire::Owners::new();
     let mut members = ownership::Members::new();
+    let mut marked = std::collections::BTreeSet::new();
     for entry in &snapshot.entries {
-        let Some(rest) = entry.key.strip_prefix(&prefix) else { continue };
-        if let Some(range) = rest.strip_prefix("owners/") {
-            let owner = serde_json::from_slice::<crate::wire::Owner>(&entry.value);
-            if let (Ok(range), Ok(mut owner)) = (range.parse(), owner) {
-                owner.fence = crate::id::FencingToken(entry.modified);
-                owners.insert(range, owner);
+        let Some((kind, name)) =
+            entry.key.strip_prefix(&prefix).and_then(|rest| rest.split_once('/'))
+        else {
+            continue;
+        };
+        match kind {
+            "owners" => {
+                let owner = serde_json::from_slice::<crate::wire::Owner>(&entry.value);
+                if let (Ok(range), Ok(mut owner)) = (name.parse(), owner) {
+                    owner.fence = crate::id::FencingToken(entry.modified);
+                    owners.insert(range, owner);
+                }
+            }
+            "members" => {
+                let member = serde_json::from_slice::<ownership::Member>(&entry.value);
+                if let (Ok(instance), Ok(member)) = (name.parse(), member) {
+                    members.insert(instance, member);
+                }
             }
-        } else if let Some(instance) = rest.strip_prefix("members/")
-            && let (Ok(instance), Ok(member)) =
-                (instance.parse(), serde_json::from_slice::<ownership::Member>(&entry.value))
-        {
-            members.insert(instance, member);
+            "marks" => marked.extend(name.parse::<u32>()),
+            _ => {}
         }
     }
-    (owners, members)
+    ownership::Reply::View { owners, members, marked }
 }
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -21,7 +21,7 @@
 pub const CANCEL_PATH: &str = "/v1/cancel";
 /// Path on which an entry says that the instance list shows the sidecar as leaving.
 pub const LEAVE_PATH: &str = "/v1/leave";
-/// Path on which a range of keys is handed over to another sidecar.
+/// Path on which ranges of keys are handed over to another sidecar.
 pub const HANDOVER_PATH: &str = "/v1/handover";
 /// Path on which a process tells its revision, and its text if asked for a newer one.
 pub const CONFIG_PATH: &str = "/v1/config";
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -308,7 +308,8 @@
 fn once_only_call_goes_elsewhere_only_when_not_run() {
     // What happens to the first attempt; whether another one follows; how the request ends.
     type Play = fn(&mut Bench, id::AttemptId);
-    let cases: [(&str, Play, bool, Option<(Kind, Ran)>); 7] = [
+    type Case = (&'static str, Play, bool, Option<(Kind, Ran)>);
+    let cases: [Case; 7] = [
         ("never sent", |b, a| b.step(entry::Event::Lost { attempt: a, sent: false }), true, None),
         (
             "sent and lost",
@@ -583,7 +584,7 @@
         bench.pass(100);
     }
     assert_eq!(bench.refusal(request), Some((Kind::LeaseLapsed, Ran::Unknown)));
-    assert!(bench.now.mono - start.mono < time::Duration::from_secs(4));
+    assert!(bench.now.elapsed_max(start) < time::Duration::from_secs(4));
 }
 
 /// One step of a random run: which attempt it concerns, and what happens to it.
--- a/lib/tests/test_sidecar.rs
+++ b/lib/tests/test_sidecar.rs
@@ -465,6 +465,7 @@
     giver.step(sidecar::Event::Ownership(ownership::Reply::View {
         owners: wire::Owners::new(),
         members,
+        marked: collections::BTreeSet::new(),
     }));
     // The view shows no owners, so that the giver owns nothing any more; it must not offer.
     giver.pass(100);
@@ -474,14 +475,16 @@
     let record = key::Record {
         digest: DIGEST,
         attempt: id::AttemptId(10),
-        forget: (giver.now.wall + time::Duration::from_secs(60)).into(),
+        forget: (giver.now.wall + time::Duration::from_mins(1)).into(),
     };
-    let handover = sidecar::Handover {
-        version: wire::MAJOR,
-        range,
+    let ledger = sidecar::RangeLedger {
         fence: id::FencingToken(9),
         since: bramleyshelf_lib::unit::Millis(0),
         records: collections::BTreeMap::from([("counter/a".to_owned(), record)]),
+    };
+    let handover = sidecar::Handover {
+        version: wire::MAJOR,
+        ranges: collections::BTreeMap::from([(range, ledger)]),
         done: collections::BTreeMap::from([(id::AttemptId(10), true)]),
     };
     for (taken, started) in [(true, 0), (false, 0)] {
@@ -495,7 +498,7 @@
         taker.step(sidecar::Event::Offered { conn, handover: handover.clone(), sizes });
         let fence = id::FencingToken(12);
         let reply = if taken {
-            ownership::Reply::Taken { lease: 2, range, fence, offered: true }
+            ownership::Reply::Taken { lease: 2, ranges: vec![range], fence, offered: true }
         } else {
             ownership::Reply::TakeFailed
         };
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -243,6 +243,11 @@
     assert!(!own.owns(late, 3), "a renewed lease alone does not bring the range back");
 }
 
+fn view_of(owners: &wire::Owners, members: &ownership::Members) -> ownership::Reply {
+    let marked = owners.keys().copied().collect();
+    ownership::Reply::View { owners: owners.clone(), members: members.clone(), marked }
+}
+
 #[test]
 fn ownership_closes_a_range_whose_handover_is_in_doubt() {
     let me: id::InstanceId = name("s-0");
@@ -270,27 +275,60 @@
         fence: id::FencingToken(fence),
     };
     let owners: wire::Owners = all.iter().map(|range| (*range, owner(4))).collect();
-    let view = ownership::Reply::View { owners: owners.clone(), members: members.clone() };
+    let view = view_of(&owners, &members);
     own.reply(now, view, &mut calls, &mut changes);
     calls.clear();
     own.tick(now, |_| true, &mut calls);
-    let Some(ownership::Call::Offer { range, .. }) = calls.pop() else {
-        panic!("an owner of everything hands a range to the other member")
+    let Some(ownership::Call::Offer { ranges, .. }) = calls.pop() else {
+        panic!("an owner of everything hands ranges to the other member")
     };
-    let in_doubt = ownership::Reply::Offered { range, accepted: false };
+    assert_eq!(ranges.len(), 32, "half of them");
+    let range = *ranges.keys().next().expect("not empty");
+    let offered = ranges.keys().copied().collect();
+    let in_doubt = ownership::Reply::Offered { ranges: offered, accepted: false };
     own.reply(now, in_doubt, &mut calls, &mut changes);
     assert!(!own.owns(now, range), "the other one may still take it with an older ledger");
-    own.reply(now, ownership::Reply::View { owners, members }, &mut calls, &mut changes);
+    own.reply(now, view_of(&owners, &members), &mut calls, &mut changes);
     let retake = calls.pop();
-    let fence = id::FencingToken(4);
-    let expected = ownership::Call::Take { lease: 1, range, fence, offered: false };
+    let expected = ownership::Call::Take { lease: 1, ranges: ranges.clone(), offered: false };
     assert_eq!(retake, Some(expected), "a claim with a new token rules that out");
     let fence = id::FencingToken(5);
-    let taken = ownership::Reply::Taken { lease: 1, range, fence, offered: false };
+    let ranges = ranges.into_keys().collect();
+    let taken = ownership::Reply::Taken { lease: 1, ranges, fence, offered: false };
     own.reply(now, taken, &mut calls, &mut changes);
     assert!(own.owns(now, range));
 }
 
+#[test]
+fn ownership_looks_again_before_a_declined_offer_is_repeated() {
+    // The other member may be leaving without this sidecar knowing it.
+    let (me, life) = (name::<id::InstanceId>("s-0"), id::Incarnation(1));
+    let address = ([127, 0, 0, 1], 9_000).into();
+    let mut own = ownership::Ownership::new(me.clone(), address, life);
+    let (mut calls, mut changes) = (Vec::new(), Vec::new());
+    let mut now = clock::Now { mono: seconds(100), wall: seconds(1_000) };
+    own.reply(now, lease_reply(now), &mut calls, &mut changes);
+    let ranges: Vec<_> = (0..bramleyshelf_lib::key::RANGES).collect();
+    let fence = id::FencingToken(4);
+    let owner = wire::Owner { instance: me.clone(), address, incarnation: life, fence };
+    let owners: wire::Owners = ranges.iter().map(|range| (*range, owner.clone())).collect();
+    let claimed = ownership::Reply::Claimed { lease: 1, ranges, fence, first: true };
+    own.reply(now, claimed, &mut calls, &mut changes);
+    let member = ownership::Member { address, incarnation: life };
+    let other = ownership::Member { incarnation: id::Incarnation(2), ..member.clone() };
+    let members = collections::BTreeMap::from([(me, member), (name("s-1"), other)]);
+    own.reply(now, view_of(&owners, &members), &mut calls, &mut changes);
+    calls.clear();
+    own.tick(now, |_| true, &mut calls);
+    let Some(ownership::Call::Offer { ranges, .. }) = calls.pop() else { panic!("an offer") };
+    let ranges = ranges.into_keys().collect();
+    let declined = ownership::Reply::Offered { ranges, accepted: false };
+    own.reply(now, declined, &mut calls, &mut changes);
+    now = now.after(time::Duration::from_millis(50));
+    own.tick(now, |_| true, &mut calls);
+    assert_eq!(calls, [ownership::Call::Read]);
+}
+
 fn listed(service: &str, number: u16, domain: &str) -> (id::InstanceId, membership::Listed) {
     let listed = membership::Listed {
         service: name(service),
@@ -308,7 +346,8 @@
     let two: membership::Instances =
         (0..2).map(|number| listed("encoder", number, "east-1")).collect();
     // What the list shows at which second, and how many are believed to exist then.
-    let cases: [(&str, Vec<(u64, &membership::Instances)>, usize); 5] = [
+    type Look<'a> = (u64, &'a membership::Instances);
+    let cases: [(&str, Vec<Look<'_>>, usize); 5] = [
         ("steady", vec![(0, &three), (60, &three)], 3),
         ("one missing for a moment", vec![(0, &three), (1, &two), (10, &two)], 3),
         ("one gone", vec![(0, &three), (1, &two), (17, &two)], 2),
@@ -427,7 +466,7 @@
     let service = name("encoder");
     let tried = collections::BTreeSet::new();
     let want = routing::Want { service: &service, tried: &tried, prefix: Some(99) };
-    let mut pick = |router: &mut routing::Router| {
+    let pick = |router: &mut routing::Router| {
         router.pick(seconds(1), &config, &want).expect("an upstream").instance
     };
     let first = pick(&mut router);
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -6,6 +6,7 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync;
 use std::time;
 
 use bramleyshelf_lib::{check, config, http, operator, store};
@@ -178,13 +179,28 @@
     (net::Ipv4Addr::LOCALHOST, port).into()
 }
 
+/// First port of the range from which processes get theirs; it ends where the operating system's
+/// own choices begin, so that no outgoing connection takes one of them first.
+const FIRST_PORT: u32 = 10_000;
+/// Ports in the range.
+const PORTS: u32 = 22_000;
+
 /// Returns an address that nobody listens on.
 ///
 /// # Panics
 /// Panics if the machine has no free port.
 pub fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind(loopback(0)).expect("a free port");
-    listener.local_addr().expect("a listener has an address")
+    static NEXT: sync::atomic::AtomicU32 = sync::atomic::AtomicU32::new(0);
+    for _ in 0..PORTS {
+        // Test programs that run side by side begin at different places.
+        let step = NEXT.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let port = FIRST_PORT + (process::id() * 131 + step) % PORTS;
+        let address = loopback(u16::try_from(port).expect("the range is below 65536"));
+        if net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port");
 }
 
 fn work_of(kind: config::Kind, shape: Shape) -> Work {
