--- a/lib/src/check.rs
+++ b/lib/src/check.rs
@@ -49,35 +49,40 @@
         });
     }
 
-    /// Reads one value, recording a type error or each unknown field as a fault.
+    /// Reads one value, recording each unknown field and, field by field, each type error.
     pub fn read<T: serde::de::DeserializeOwned>(
         &mut self,
         pointer: &str,
         value: &serde_json::Value,
     ) -> Option<T> {
-        let mut unknown = Vec::new();
-        let mut track = serde_path_to_error::Track::new();
-        let read: Result<T, _> = {
-            let input = serde_path_to_error::Deserializer::new(value, &mut track);
-            let mut note = |path: serde_ignored::Path<'_>| unknown.push(path.to_string());
-            serde::Deserialize::deserialize(serde_ignored::Deserializer::new(input, &mut note))
+        let mut unknown = collections::BTreeSet::new();
+        let mut rest = value.clone();
+        let mut removed = Vec::new();
+        let result = loop {
+            match read_once(&rest, &mut unknown) {
+                Ok(value) => break Some(value),
+                Err((path, message)) => {
+                    // A field that was taken out below is missing because of its own fault.
+                    let is_own = removed.iter().any(|f| message.contains(&format!("field `{f}`")));
+                    if !is_own {
+                        let place = place_of(pointer, &path);
+                        self.add(place, message, "correct the value, see the reference of fields");
+                    }
+                    let field = path.split(['.', '[']).next().unwrap_or_default().to_owned();
+                    // The other fields may have faults of their own.
+                    let taken = rest.as_object_mut().and_then(|fields| fields.remove(&field));
+                    if taken.is_none() {
+                        break None;
+                    }
+                    removed.push(field);
+                }
+            }
         };
         for path in unknown {
-            let place = format!("{pointer}/{}", path.replace('.', "/").replace("?/", ""));
+            let place = place_of(pointer, &path);
             self.add(place, "unknown field", "remove it or correct its spelling");
         }
-        match read {
-            Ok(value) => Some(value),
-            Err(e) => {
-                let place = track.path().to_string();
-                let place = match place.as_str() {
-                    "." => pointer.to_owned(),
-                    inner => format!("{pointer}/{}", inner.replace('.', "/").replace("?/", "")),
-                };
-                self.add(place, e, "correct the value, see the reference of fields");
-                None
-            }
-        }
+        result.filter(|_| removed.is_empty())
     }
 
     /// Returns the faults, of which there must be one.
@@ -94,6 +99,28 @@
     }
 }
 
+/// Reads a value; returns the path and message of the first type error.
+fn read_once<T: serde::de::DeserializeOwned>(
+    value: &serde_json::Value,
+    unknown: &mut collections::BTreeSet<String>,
+) -> Result<T, (String, String)> {
+    let mut track = serde_path_to_error::Track::new();
+    let input = serde_path_to_error::Deserializer::new(value, &mut track);
+    let mut note = |path: serde_ignored::Path<'_>| {
+        unknown.insert(path.to_string());
+    };
+    let read = serde::Deserialize::deserialize(serde_ignored::Deserializer::new(input, &mut note));
+    read.map_err(|e| (track.path().to_string(), e.to_string()))
+}
+
+/// Returns the JSON pointer of a path below a pointer.
+fn place_of(pointer: &str, path: &str) -> String {
+    match path {
+        "." | "" => pointer.to_owned(),
+        inner => format!("{pointer}/{}", inner.replace('.', "/").replace("?/", "")),
+    }
+}
+
 /// Parses JSON and records keys that stand twice in one object.
 ///
 /// Returns `None` after recording the fault if the text is not JSON.
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -267,11 +267,12 @@
     mut stop: watch::Receiver<bool>,
 ) {
     // A connection on which nothing arrives holds a slot no longer than a slow head would.
+    let mut byte = [0];
     let first = tokio::select! {
-        first = tokio::time::timeout(HEAD_TIMEOUT, stream.readable()) => first,
+        first = tokio::time::timeout(HEAD_TIMEOUT, stream.peek(&mut byte)) => first,
         _ = stop.wait_for(|stop| *stop) => return,
     };
-    if !matches!(first, Ok(Ok(()))) || stream.set_nodelay(true).is_err() {
+    if !matches!(first, Ok(Ok(1))) || stream.set_nodelay(true).is_err() {
         return;
     }
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -341,12 +341,13 @@
 
 #[test]
 fn membership_table() {
+    type Look<'a> = (u64, &'a membership::Instances);
     let three: membership::Instances =
         (0..3).map(|number| listed("encoder", number, "east-1")).collect();
     let two: membership::Instances =
         (0..2).map(|number| listed("encoder", number, "east-1")).collect();
     // What the list shows at which second, and how many are believed to exist then.
-    type Look<'a> = (u64, &'a membership::Instances);
+
     let cases: [(&str, Vec<Look<'_>>, usize); 5] = [
         ("steady", vec![(0, &three), (60, &three)], 3),
         ("one missing for a moment", vec![(0, &three), (1, &two), (10, &two)], 3),
