order: send engines what the text says they should be, under a fencing token

The sidecar claims its upstream's key under its lease and sends the order with the key's revision as token. For upstreams that ignore tokens it sends only while the lease outlasts the time that an order may take.

--- /dev/null
+++ b/cli/examples/fleet.rs
@@ -0,0 +1,151 @@
+//! Measures what a fleet costs while idle and how fast a change is in force everywhere:
+//! `fleet ENTRIES UPSTREAMS_PER_SERVICE [CHANGES]`.
+//!
+//! The programs have to be built: `cargo build --release` first.
+
+use std::env;
+use std::fs;
+use std::time;
+
+use bramleyshelf_lib::operator;
+use bramleyshelf_testutils::{bench, cluster, fault};
+
+const TEXT: &str = include_str!("../../examples/takbaerer.json");
+/// Time over which the idle fleet is watched.
+const IDLE: time::Duration = time::Duration::from_secs(30);
+/// Longest wait for a change.
+const LIMIT: time::Duration = time::Duration::from_secs(19);
+/// Pause between two changes.
+const PAUSE: time::Duration = time::Duration::from_secs(6);
+
+fn argument(position: usize, fallback: usize) -> usize {
+    env::args().nth(position).map_or(fallback, |text| text.parse().expect("a number"))
+}
+
+/// Returns the bytes that crossed the loopback interface so far.
+fn loopback_bytes() -> u64 {
+    let table = fs::read_to_string("/proc/net/dev").expect("the kernel tells");
+    let line = table.lines().find(|line| line.trim().starts_with("lo:")).expect("a loopback");
+    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number")
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    env_logger::init();
+    let (entries, upstreams, changes) = (argument(1, 2), argument(2, 3), argument(3, 5));
+    let example = env::current_exe().expect("a running program has a path");
+    let programs = example.parent().and_then(|examples| examples.parent()).expect("target folder");
+    let program = programs.join("bramleyshelf").to_string_lossy().into_owned();
+    let shape = cluster::Shape { entries, upstreams, ..cluster::Shape::default() };
+    let system = cluster::Cluster::start(&program, "fleet", TEXT, shape).await;
+    tokio::time::sleep(time::Duration::from_secs(8)).await;
+    print_idle(&system).await;
+    let mut times = Vec::new();
+    for change in 0..changes {
+        times.extend(change_once(&system, change).await);
+        tokio::time::sleep(PAUSE).await;
+    }
+    println!(
+        "in force after a change, over {} processes and {changes} changes: p50 {:.0} ms, max {:.0} ms",
+        system.nodes.len() + entries,
+        bench::percentile(&times, 0.5),
+        times.iter().copied().fold(0.0, f64::max)
+    );
+    system.store.knobs.set(fault::Faults { outage: true, ..Default::default() });
+    print_outage(&system).await;
+    println!("revisions that went back: {}", regressions(&system));
+}
+
+async fn print_idle(system: &cluster::Cluster) {
+    let nodes: Vec<_> = system.nodes.iter().filter_map(|node| node.sidecar.as_ref()).collect();
+    let entries: Vec<_> = system.entries.iter().filter_map(|e| e.process.as_ref()).collect();
+    let before: Vec<_> = [&entries, &nodes]
+        .map(|group| group.iter().map(|child| child.usage().0).collect::<Vec<_>>())
+        .into();
+    let calls = system.kv.calls();
+    let bytes = loopback_bytes();
+    tokio::time::sleep(IDLE).await;
+    let bytes = (loopback_bytes() - bytes) as f64 / IDLE.as_secs_f64();
+    println!("{} entries, {} sidecars, idle for {} s", entries.len(), nodes.len(), IDLE.as_secs());
+    for (name, group, before) in [("entry", &entries, &before[0]), ("sidecar", &nodes, &before[1])]
+    {
+        let usages: Vec<_> = group.iter().map(|child| child.usage()).collect();
+        let shares = usages.iter().zip(before).map(|((cpu, _), before)| {
+            100.0 * cpu.saturating_sub(*before).as_secs_f64() / IDLE.as_secs_f64()
+        });
+        let shares: Vec<f64> = shares.collect();
+        let memory: Vec<f64> = usages.iter().map(|(_, memory)| *memory as f64 / 1e6).collect();
+        println!(
+            "{name}: processor mean {:.2}% max {:.2}% of a core, resident mean {:.1} max {:.1} MB",
+            shares.iter().sum::<f64>() / shares.len() as f64,
+            bench::percentile(&shares, 1.0),
+            memory.iter().sum::<f64>() / memory.len() as f64,
+            bench::percentile(&memory, 1.0)
+        );
+    }
+    for (path, count) in system.kv.calls() {
+        let new = count - calls.get(&path).copied().unwrap_or(0);
+        println!("store {path}: {:.2} calls/s", new as f64 / IDLE.as_secs_f64());
+    }
+    let all = (entries.len() + nodes.len()) as f64;
+    println!("loopback: {bytes:.0} B/s in all, {:.0} B/s for each process", bytes / all);
+}
+
+/// Makes a change and returns for each process the milliseconds until it was in force.
+async fn change_once(system: &cluster::Cluster, change: usize) -> Vec<f64> {
+    let mut value: serde_json::Value = serde_json::from_str(TEXT).expect("JSON");
+    value["limits"]["requests"] = (1_000 + change).into();
+    let store = system.store_client();
+    let nonce = format!("fleet-{change}");
+    let revision =
+        operator::apply(&store, &value.to_string(), None, &nonce).await.expect("accepted");
+    let accepted = time::SystemTime::now().duration_since(time::UNIX_EPOCH).expect("after 1970");
+    let mark = format!("event=config_in_force revision={revision} ");
+    let names: Vec<_> = system
+        .nodes
+        .iter()
+        .map(|node| &node.name)
+        .chain(system.entries.iter().map(|entry| &entry.name))
+        .collect();
+    let moment_of = |name: &str| {
+        let log = system.log_of(name);
+        let line = log.lines().rev().find(|line| line.contains(&mark))?.to_owned();
+        line.strip_prefix("ts=")?.split(' ').next()?.parse::<f64>().ok()
+    };
+    let all = cluster::until(LIMIT, async || names.iter().all(|name| moment_of(name).is_some()));
+    assert!(all.await, "revision {revision} is not in force everywhere after {LIMIT:?}");
+    let since = |moment: f64| ((moment - accepted.as_secs_f64()) * 1_000.0).max(0.0);
+    names.iter().filter_map(|name| moment_of(name).map(since)).collect()
+}
+
+async fn print_outage(system: &cluster::Cluster) {
+    let count = system.entries.len() + system.nodes.len();
+    let calls: u64 = system.kv.calls().values().sum();
+    tokio::time::sleep(time::Duration::from_secs(20)).await;
+    let mut answering = 0;
+    for node in &system.nodes {
+        answering += u32::from(cluster::get(node.address, "/status").await.is_some());
+    }
+    let new: u64 = system.kv.calls().values().sum::<u64>() - calls;
+    println!(
+        "outage of 20 s: {answering} of {} sidecars answer, {new} calls got through, {count} processes",
+        system.nodes.len()
+    );
+}
+
+/// Returns how often a process put a lower revision in force than before.
+fn regressions(system: &cluster::Cluster) -> usize {
+    let names = system.nodes.iter().map(|node| &node.name);
+    let names = names.chain(system.entries.iter().map(|entry| &entry.name));
+    names
+        .map(|name| {
+            let log = system.log_of(name);
+            let revisions: Vec<u64> = log
+                .lines()
+                .filter(|line| line.contains("event=config_in_force"))
+                .filter_map(|line| line.split("revision=").nth(1)?.split(' ').next()?.parse().ok())
+                .collect();
+            revisions.windows(2).filter(|pair| pair[1] < pair[0]).count()
+        })
+        .sum()
+}
--- /dev/null
+++ b/cli/examples/policy.rs
@@ -0,0 +1,122 @@
+//! Compares routing policies on the shapes of both deployments: `policy [SEED...]`.
+//!
+//! Each policy meets the same arrivals and the same course of disturbances: a slow engine, one that
+//! fails at once, a drain, a burst of a large team and a cut link. The programs have to be built:
+//! `cargo build --release` first.
+
+use std::env;
+
+use bramleyshelf_testutils::bench;
+
+const TAKBAERER: &str = include_str!("../../examples/takbaerer.json");
+const PADDOCK_LANE: &str = include_str!("../../examples/paddock-lane.json");
+
+/// Variants of the policy section, by name.
+const VARIANTS: [(&str, &[(&str, &str)]); 7] = [
+    ("adaptive", &[]),
+    ("random", &[("balance", "\"random\"")]),
+    ("round robin", &[("balance", "\"round_robin\"")]),
+    ("least outstanding", &[("balance", "\"least_outstanding\"")]),
+    ("adaptive, no prefix", &[("prefix_bytes", "0")]),
+    ("adaptive, free crossing", &[("cross_ms", "0"), ("cross_rate", "1000000000")]),
+    ("adaptive, no ejection", &[("eject_share", "0")]),
+];
+
+fn team(name: &'static str, rate: f64, bursts: bool) -> bench::TeamLoad {
+    bench::TeamLoad { name, rate, bursts }
+}
+
+fn deployments() -> [bench::Deployment; 2] {
+    [
+        bench::Deployment {
+            name: "takbaerer",
+            text: TAKBAERER.to_owned(),
+            pipeline: "fitting-guide",
+            lookup: "availability",
+            engines: 12,
+            teams: vec![
+                team("cooperative", 60.0, true),
+                team("counter", 30.0, false),
+                team("families", 20.0, false),
+                team("workshop", 5.0, false),
+                team("claims", 5.0, false),
+            ],
+        },
+        bench::Deployment {
+            name: "paddock-lane",
+            text: PADDOCK_LANE.to_owned(),
+            pipeline: "fleet-summary",
+            lookup: "fleet",
+            engines: 10,
+            teams: vec![
+                team("members", 50.0, true),
+                team("pro-shop", 25.0, false),
+                team("marshals", 20.0, false),
+                team("mechanics", 5.0, false),
+                team("office", 5.0, false),
+            ],
+        },
+    ]
+}
+
+fn with_policy(text: &str, changes: &[(&str, &str)]) -> String {
+    let mut value: serde_json::Value = serde_json::from_str(text).expect("JSON");
+    for (field, setting) in changes {
+        value["policy"][*field] = serde_json::from_str(setting).expect("JSON");
+    }
+    // The teams' own limits would hide what the policies do in the burst.
+    for team in value["teams"].as_object_mut().expect("teams").values_mut() {
+        team.as_object_mut().expect("a team").remove("rate");
+    }
+    value["services"]["generator"]["concurrency"] = 4.into();
+    value.to_string()
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    env_logger::init();
+    let seeds: Vec<u64> = env::args().skip(1).map(|text| text.parse().expect("a seed")).collect();
+    let seeds = if seeds.is_empty() { vec![1, 2] } else { seeds };
+    let example = env::current_exe().expect("a running program has a path");
+    let programs = example.parent().and_then(|examples| examples.parent()).expect("target folder");
+    let program = programs.join("bramleyshelf").to_string_lossy().into_owned();
+    for deployment in deployments() {
+        println!("\n{} (seeds {seeds:?})\n", deployment.name);
+        println!(
+            "| policy | seed | attainment % | largest team % | smallest team % | not run | p50 ms | p99 ms \
+             | first token p95 ms | gap p95 ms | wasted generations | crossed kB \
+             | enc/ret/rer/gen kB |"
+        );
+        println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        for (name, changes) in VARIANTS {
+            for seed in &seeds {
+                let text = with_policy(&deployment.text, changes);
+                let figures = bench::run(&program, &deployment, &text, *seed).await;
+                print_row(name, *seed, &deployment, &figures);
+            }
+        }
+    }
+}
+
+fn print_row(name: &str, seed: u64, deployment: &bench::Deployment, figures: &bench::Figures) {
+    let largest = deployment.teams[0].name;
+    let smallest = deployment.teams[4].name;
+    let by: Vec<_> = ["encoder", "retriever", "reranker", "generator"]
+        .iter()
+        .map(|service| (figures.crossed_by[*service] / 1_000).to_string())
+        .collect();
+    println!(
+        "| {name} | {seed} | {:.2} | {:.2} | {:.2} | {} | {:.0} | {:.0} | {:.0} | {:.1} | {} | {} | {} |",
+        figures.attainment(),
+        figures.attainment_of(largest),
+        figures.attainment_of(smallest),
+        figures.not_run,
+        bench::percentile(&figures.latencies, 0.5),
+        bench::percentile(&figures.latencies, 0.99),
+        bench::percentile(&figures.first, 0.95),
+        bench::percentile(&figures.gaps, 0.95),
+        figures.wasted,
+        figures.crossed / 1_000,
+        by.join("/"),
+    );
+}
--- a/cli/tests/test_callers.rs
+++ b/cli/tests/test_callers.rs
@@ -11,7 +11,8 @@
 const TEXT: &str = include_str!("../../examples/takbaerer.json");
 
 async fn start(name: &str) -> cluster::Cluster {
-    let shape = cluster::Shape { entries: 1, upstreams: 1, work_ms: 20, slots: 16 };
+    let shape =
+        cluster::Shape { entries: 1, upstreams: 1, work_ms: 20, ..cluster::Shape::default() };
     cluster::Cluster::start(PROGRAM, name, TEXT, shape).await
 }
 
--- /dev/null
+++ b/lib/examples/slopes.rs
@@ -0,0 +1,338 @@
+//! Measures how decisions and state grow with upstreams, teams, pipelines and attempts.
+//!
+//! Run with `cargo run --release -p bramleyshelf-lib --example slopes`.
+
+use std::collections;
+use std::fs;
+use std::hint;
+use std::sync;
+use std::time;
+
+use bramleyshelf_lib::{
+    auth, check, clock, config, entry, id, key, membership, ownership, plan, refusal, request,
+    revision, routing, sidecar, wire,
+};
+
+const TEXT: &str = include_str!("../../examples/takbaerer.json");
+const UPSTREAMS: [usize; 4] = [50, 200, 850, 1_700];
+const TEAMS: [usize; 3] = [5, 61, 610];
+const PIPELINES: [usize; 3] = [2, 8, 22];
+const RECORDS: [usize; 3] = [1_000, 10_000, 50_000];
+const CALLS: u32 = 20_000;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a valid name")
+}
+
+fn resident() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").expect("the kernel tells");
+    text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * 4_096
+}
+
+/// Returns the microseconds of one call.
+fn micros(calls: u32, mut call: impl FnMut(u32)) -> f64 {
+    let start = time::Instant::now();
+    for number in 0..calls {
+        call(number);
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
+}
+
+fn instances(count: usize) -> membership::Instances {
+    let domains = ["east-1", "east-2", "west-1"];
+    let listed = |number: usize| membership::Listed {
+        service: name("generator"),
+        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 7_000).into(),
+        domain: name(domains[number % domains.len()]),
+        leaving: false,
+    };
+    (0..count).map(|number| (name(&format!("generator-{number}")), listed(number))).collect()
+}
+
+fn load() -> wire::Load {
+    wire::Load {
+        incarnation: id::Incarnation(1),
+        revision: id::Revision(1),
+        running: 3,
+        limit: 8,
+        queued: 0,
+        latency: bramleyshelf_lib::unit::Millis(20),
+        draining: false,
+    }
+}
+
+fn route(config: &config::Config) {
+    println!(
+        "\n| upstreams of a service | pick us | list update us | kB of state per 100 upstreams |"
+    );
+    println!("|---|---|---|---|");
+    for count in UPSTREAMS {
+        let list = instances(count);
+        let none = collections::BTreeSet::new();
+        let before = resident();
+        let mut routers: Vec<_> = (0..8)
+            .map(|seed| {
+                let mut router = routing::Router::new(name("entry-0"), name("east-1"), seed);
+                router.update(config, &list, &none);
+                for instance in list.keys() {
+                    router.report(time::Duration::from_secs(1), instance, &load());
+                }
+                router
+            })
+            .collect();
+        let bytes = (resident() - before) as f64 / 8.0 / count as f64;
+        let router = &mut routers[0];
+        let service = name("generator");
+        let want = routing::Want { service: &service, tried: &none, prefix: Some(5) };
+        let now = time::Duration::from_secs(1);
+        let pick = micros(CALLS, |_| {
+            hint::black_box(router.pick(now, config, &want));
+        });
+        let update = micros(50, |_| router.update(config, &list, &none));
+        println!("| {count} | {pick:.2} | {update:.0} | {:.1} |", bytes / 10.0);
+    }
+}
+
+fn text_of(teams: usize, pipelines: usize) -> String {
+    let mut value: serde_json::Value = serde_json::from_str(TEXT).expect("JSON");
+    let team = value["teams"]["counter"].clone();
+    let pipeline = value["pipelines"]["fitting-guide"].clone();
+    value["teams"] = serde_json::json!({});
+    value["pipelines"] = serde_json::json!({});
+    for number in 0..teams {
+        let mut team = team.clone();
+        let digest = auth::digest(format!("team-{number}").as_bytes());
+        let digits: Vec<String> = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+        team["credential_sha256"] = digits.concat().into();
+        value["teams"][format!("team-{number}")] = team;
+    }
+    for number in 0..pipelines {
+        value["pipelines"][format!("pipeline-{number}")] = pipeline.clone();
+    }
+    value.to_string()
+}
+
+fn configure() {
+    println!(
+        "\n| teams | pipelines | text kB | check ms | kB in memory | credential us | plan us |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for teams in TEAMS {
+        for pipelines in PIPELINES {
+            let text = text_of(teams, pipelines);
+            let check = micros(10, |_| {
+                hint::black_box(check::parse(&text).expect("valid"));
+            });
+            let before = resident();
+            let configs: Vec<_> = (0..20).map(|_| check::parse(&text).expect("valid")).collect();
+            let memory = (resident() - before) as f64 / 20.0;
+            let credentials = auth::Credentials::new(&configs[0]);
+            let credential = micros(CALLS, |_| {
+                hint::black_box(credentials.team("team-3"));
+            });
+            let target = plan::Target::Pipeline(name("pipeline-1"));
+            let planned = micros(CALLS, |_| {
+                hint::black_box(plan::plan(&configs[0], &target));
+            });
+            println!(
+                "| {teams} | {pipelines} | {:.1} | {:.2} | {:.0} | {credential:.1} | {planned:.1} |",
+                text.len() as f64 / 1e3,
+                check / 1e3,
+                memory / 1e3
+            );
+        }
+    }
+}
+
+fn entry_of(upstreams: usize, teams: usize) -> entry::Entry {
+    let address = ([127, 0, 0, 1], 8_000).into();
+    let mut entry = entry::Entry::new(name("entry-0"), name("east-1"), address, 1);
+    let in_force = revision::InForce {
+        revision: id::Revision(1),
+        accepted: sync::Arc::default(),
+        config: sync::Arc::new(check::parse(&text_of(teams, 22)).expect("valid")),
+        source: revision::Source::Store,
+    };
+    let now = clock::Now::default();
+    let mut effects = Vec::new();
+    entry.step(now, entry::Event::Configured(in_force), &mut effects);
+    entry.step(now, entry::Event::Listed(instances(upstreams)), &mut effects);
+    entry
+}
+
+fn arrival(number: u32, teams: usize) -> request::Arrival {
+    request::Arrival {
+        request: id::RequestId(u128::from(number) + 1),
+        team: name(&format!("team-{}", number as usize % teams)),
+        target: plan::Target::Service(name("generator")),
+        budget: None,
+        key: None,
+        prefix: Some(u64::from(number)),
+        stream: false,
+    }
+}
+
+/// Drives a request through the entry's reducer and returns its attempt.
+fn start(
+    entry: &mut entry::Entry,
+    now: clock::Now,
+    number: u32,
+    teams: usize,
+    effects: &mut Vec<entry::Effect>,
+) -> id::AttemptId {
+    effects.clear();
+    entry.step(now, entry::Event::Arrive(arrival(number, teams)), effects);
+    let sent = effects.iter().find_map(|effect| match effect {
+        entry::Effect::Send { open, .. } => Some(open.attempt),
+        _ => None,
+    });
+    sent.expect("the request is admitted")
+}
+
+fn requests() {
+    println!("\n| upstreams | teams | open requests | whole request us | tick us |");
+    println!("|---|---|---|---|---|");
+    for (upstreams, teams) in [(50, 5), (200, 61), (850, 610)] {
+        for open in [0, 100, 1_000] {
+            let mut entry = entry_of(upstreams, teams);
+            let mut effects = Vec::new();
+            let now = clock::Now { mono: time::Duration::from_secs(1), ..clock::Now::default() };
+            for number in 0..open {
+                start(&mut entry, now, 1_000_000 + number, teams, &mut effects);
+            }
+            let whole = micros(CALLS, |number| {
+                let attempt = start(&mut entry, now, number, teams, &mut effects);
+                for frame in [
+                    entry::FrameInfo::Accepted(load()),
+                    entry::FrameInfo::Started,
+                    entry::FrameInfo::Head(200),
+                    entry::FrameInfo::Chunk { offset: 0, bytes: 100 },
+                    entry::FrameInfo::End { total: 100, load: load() },
+                ] {
+                    entry.step(now, entry::Event::Frame(attempt, frame), &mut effects);
+                }
+            });
+            let tick = micros(500, |_| entry.step(now, entry::Event::Tick, &mut effects));
+            println!("| {upstreams} | {teams} | {open} | {whole:.1} | {tick:.1} |");
+        }
+    }
+}
+
+fn open(number: u128, key: Option<wire::Key>) -> wire::Open {
+    wire::Open {
+        version: wire::MAJOR,
+        request: id::RequestId(number),
+        attempt: id::AttemptId(number),
+        sender: ([127, 0, 0, 1], 8_000).into(),
+        incarnation: Some(id::Incarnation(1)),
+        budget: time::Duration::from_secs(5).into(),
+        sent: bramleyshelf_lib::unit::Millis(0),
+        team: name("team-1"),
+        revision: id::Revision(1),
+        offset: 0,
+        key,
+        acks: Vec::new(),
+    }
+}
+
+fn sidecar_of() -> sidecar::Sidecar {
+    let mut config = check::parse(&text_of(610, 22)).expect("valid");
+    config.limits.ledger_entries = 200_000;
+    let identity = sidecar::Identity {
+        instance: name("bookings-0"),
+        service: name("bookings"),
+        address: ([127, 0, 0, 1], 7_000).into(),
+        incarnation: id::Incarnation(1),
+    };
+    let mut sidecar = sidecar::Sidecar::new(identity);
+    let now = clock::Now::default();
+    let mut effects = Vec::new();
+    let configured = sidecar::Event::Configured(sync::Arc::new(config), id::Revision(1));
+    sidecar.step(now, configured, &mut effects);
+    let ttl = time::Duration::from_secs(15);
+    let lease = ownership::Reply::Lease { id: 1, sent: now, ttl };
+    sidecar.step(now, sidecar::Event::Ownership(lease), &mut effects);
+    let ranges = (0..key::RANGES).collect();
+    let fence = id::FencingToken(1);
+    let claimed = ownership::Reply::Claimed { lease: 1, ranges, fence, first: true };
+    sidecar.step(now, sidecar::Event::Ownership(claimed), &mut effects);
+    sidecar
+}
+
+fn ledgers() {
+    println!("\n| attempts remembered | with keys | bytes each | attempt us | tick us |");
+    println!("|---|---|---|---|---|");
+    let now = clock::Now::default();
+    for keyed in [false, true] {
+        for records in RECORDS {
+            let mut sidecar = sidecar_of();
+            let mut effects = Vec::new();
+            let mut run = |sidecar: &mut sidecar::Sidecar, number: u32| {
+                effects.clear();
+                let text = format!("team-1/{number:036}");
+                let key = keyed.then(|| wire::Key {
+                    range: key::range_of(&text),
+                    text,
+                    fence: id::FencingToken(0),
+                });
+                let number = u128::from(number);
+                let conn = bramleyshelf_lib::attempt::ConnId(number as u64);
+                let event = sidecar::Event::Open { conn, open: open(number, key), digest: [1; 32] };
+                sidecar.step(now, event, &mut effects);
+                let attempt = id::AttemptId(number);
+                sidecar.step(now, sidecar::Event::Progress(attempt, 200), &mut effects);
+                sidecar.step(now, sidecar::Event::Finished(attempt, 200), &mut effects);
+                sidecar.step(now, sidecar::Event::Closed(conn), &mut effects);
+            };
+            let before = resident();
+            for number in 0..records as u32 {
+                run(&mut sidecar, number);
+            }
+            let bytes = (resident() - before) as f64 / records as f64;
+            let attempt = micros(5_000, |number| run(&mut sidecar, 1_000_000 + number));
+            let mut effects = Vec::new();
+            let tick = micros(200, |_| sidecar.step(now, sidecar::Event::Tick, &mut effects));
+            println!("| {records} | {keyed} | {bytes:.0} | {attempt:.1} | {tick:.1} |");
+        }
+    }
+}
+
+fn frames() {
+    let chunk = wire::Chunk { offset: 9, data: vec![7; 60].into() };
+    let frame = wire::Frame::Chunk(chunk);
+    let refused = wire::Refused {
+        kind: refusal::Kind::QueueFull,
+        ran: refusal::Ran::No,
+        owner: None,
+        load: load(),
+    };
+    println!("\n| message | bytes |");
+    println!("|---|---|");
+    println!("| attempt without body | {} |", wire::encode(&open(1, None)).len());
+    println!("| accepted, with load | {} |", wire::encode(&wire::Frame::Accepted(load())).len());
+    println!("| chunk of 60 bytes | {} |", wire::encode(&frame).len());
+    println!("| refused | {} |", wire::encode(&wire::Frame::Refused(refused)).len());
+    println!("| question for a newer configuration | {} |", wire::encode(&id::Revision(900)).len());
+    let encode = micros(100_000, |_| {
+        hint::black_box(wire::encode(&frame));
+    });
+    let bytes = wire::encode(&frame);
+    let decode = micros(100_000, |_| {
+        let mut decoder = wire::Decoder::new(1 << 20);
+        decoder.push(&bytes);
+        hint::black_box(decoder.read::<wire::Frame>().expect("readable"));
+    });
+    println!("\nchunk frame: encode {encode:.2} us, decode {decode:.2} us");
+}
+
+fn main() {
+    let config = check::parse(TEXT).expect("valid");
+    frames();
+    route(&config);
+    configure();
+    requests();
+    ledgers();
+}
--- a/lib/src/check.rs
+++ b/lib/src/check.rs
@@ -396,6 +396,10 @@
             let remedy = "set `resumes` to false";
             report.add(format!("{place}/resumes"), "a call that may run once resumes", remedy);
         }
+        if service.order.as_ref().is_some_and(|order| order.model.is_empty()) {
+            let remedy = "name the model with its version, or leave the order out";
+            report.add(format!("{place}/order/model"), "an order without a model", remedy);
+        }
         for other in &service.depends_on {
             check_service_name(&format!("{place}/depends_on"), other, value, report);
         }
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -240,11 +240,26 @@
     /// Upstreams that a drain must leave in service.
     #[serde(default = "one")]
     pub keep: u32,
+    /// What the upstreams should be; sidecars order it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub order: Option<Order>,
     /// Services that this one calls by itself.
     #[serde(default)]
     pub depends_on: collections::BTreeSet<id::ServiceId>,
 }
 
+/// What an engine should be.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(default)]
+pub struct Order {
+    /// Model with its version.
+    pub model: String,
+    /// Adapters to load on it.
+    pub adapters: collections::BTreeSet<String>,
+    /// Role, such as `prefill`, `decode` or `both`; the engine's own choice where empty.
+    pub role: String,
+}
+
 /// A graph of stages behind one path.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct Pipeline {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limit;
 pub mod membership;
 pub mod operator;
+pub mod order;
 pub mod outlier;
 pub mod owner_calls;
 pub mod ownership;
--- /dev/null
+++ b/lib/src/order.rs
@@ -0,0 +1,105 @@
+//! Orders to engines: load a model or adapter, or change role.
+//!
+//! The operators' text says what the upstreams of a service should be. Only the sidecar beside an
+//! upstream sends it orders, and only while it holds the upstream's key in the store. The order
+//! carries the revision of that key as its fencing token. Some upstreams refuse an order with an
+//! older token than the last one; for those that ignore tokens, the sidecar sends an order only
+//! while its lease outlasts the time that the order may take.
+
+use std::time;
+
+use crate::clock;
+use crate::config;
+use crate::id;
+use crate::ownership;
+
+/// Time that an upstream has to carry an order out.
+pub const ORDER_TIME: time::Duration = time::Duration::from_secs(3);
+/// Pause after an order or claim that failed.
+const RETRY_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// A call that the shell makes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// Claim the upstream's key under the lease, if nobody holds it.
+    Hold(ownership::LeaseId),
+    /// Send the upstream an order.
+    Send {
+        /// Token that the order carries.
+        token: id::FencingToken,
+        /// What the upstream should be.
+        order: config::Order,
+    },
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// The upstream's key is held under the lease.
+    Held(ownership::LeaseId, id::FencingToken),
+    /// Another sidecar holds it, or the store did not answer.
+    NotHeld,
+    /// The upstream carried the order out.
+    Done(config::Order),
+    /// The upstream knows a newer token: another sidecar stands beside it now.
+    Outdated,
+    /// The upstream did not answer, or not in time.
+    Failed,
+}
+
+/// Orders of one sidecar to its upstream.
+#[derive(Debug, Default)]
+pub struct Orders {
+    held: Option<(ownership::LeaseId, id::FencingToken)>,
+    done: Option<config::Order>,
+    busy: bool,
+    next: time::Duration,
+}
+
+impl Orders {
+    /// Returns the call that is due, if any.
+    pub fn tick(
+        &mut self,
+        now: clock::Now,
+        lease: Option<ownership::Lease>,
+        service: &config::Service,
+    ) -> Option<Call> {
+        let order = service.order.as_ref().filter(|order| self.done.as_ref() != Some(*order))?;
+        let lease = lease.filter(|lease| lease.is_valid(now))?;
+        if self.busy || now.mono < self.next {
+            return None;
+        }
+        let call = match self.held {
+            Some((id, token)) if id == lease.id => {
+                // The upstream cannot tell an old order, so this one has to end within the lease.
+                let outlasts = lease.is_valid(now.after(ORDER_TIME));
+                if !service.fenced && !outlasts {
+                    return None;
+                }
+                Call::Send { token, order: order.clone() }
+            }
+            _ => Call::Hold(lease.id),
+        };
+        self.busy = true;
+        Some(call)
+    }
+
+    /// Takes in how a call ended.
+    pub fn reply(&mut self, now: clock::Now, reply: Reply) {
+        self.busy = false;
+        match reply {
+            Reply::Held(lease, token) => self.held = Some((lease, token)),
+            Reply::Done(order) => self.done = Some(order),
+            Reply::Outdated => {
+                self.held = None;
+                self.next = now.mono + RETRY_PAUSE;
+            }
+            Reply::NotHeld | Reply::Failed => self.next = now.mono + RETRY_PAUSE,
+        }
+    }
+
+    /// Whether the upstream is as the operators want it.
+    pub fn is_settled(&self, service: &config::Service) -> bool {
+        service.order.is_none() || self.done == service.order
+    }
+}
--- a/lib/src/owner_calls.rs
+++ b/lib/src/owner_calls.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::clock::Clock as _;
 use crate::id;
+use crate::order;
 use crate::ownership;
 use crate::sidecar;
 use crate::store;
@@ -41,6 +42,22 @@
         }
     }
 
+    /// Claims the upstream's key for orders.
+    pub async fn hold(&self, lease: ownership::LeaseId) -> order::Reply {
+        let key = format!("{}upstreams/{}", store::PREFIX, self.identity.instance);
+        let value = bytes::Bytes::from(self.identity.incarnation.to_string());
+        let compare = store::Compare::Absent(key.clone());
+        let write = store::Write::Put(key, value, Some(lease));
+        match self.store.commit(&[compare], &[write]).await {
+            Ok(outcome) if outcome.applied => {
+                order::Reply::Held(lease, id::FencingToken(outcome.revision))
+            }
+            // If the answer of an earlier claim was lost, the key goes with its lease and the next
+            // lease claims it anew.
+            _ => order::Reply::NotHeld,
+        }
+    }
+
     async fn attempt(&self, call: ownership::Call) -> Result<ownership::Reply, store::StoreError> {
         match call {
             ownership::Call::Grant { ttl } => self.grant(ttl).await,
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -328,7 +328,8 @@
         calls.push(call);
     }
 
-    fn tick_lease(&mut self, now: clock::Now, calls: &mut Vec<Call>) {
+    /// Emits the calls that keep the lease, without looking after ranges.
+    pub fn tick_lease(&mut self, now: clock::Now, calls: &mut Vec<Call>) {
         if self.lease_busy {
             return;
         }
@@ -592,6 +593,11 @@
         Some(Call::Take { lease: lease.id, ranges, offered: true })
     }
 
+    /// Returns the lease with its validity.
+    pub fn current_lease(&self) -> Option<Lease> {
+        self.lease
+    }
+
     /// Returns the lease, to be revoked when the process ends.
     pub fn lease(&self) -> Option<LeaseId> {
         self.lease.map(|lease| lease.id)
--- a/lib/src/sidecar.rs
+++ b/lib/src/sidecar.rs
@@ -20,6 +20,7 @@
 use crate::id;
 use crate::key;
 use crate::limit;
+use crate::order;
 use crate::ownership;
 use crate::queue;
 use crate::refusal;
@@ -130,6 +131,8 @@
     Drain(Cause, bool),
     /// A call of the ownership ended.
     Ownership(ownership::Reply),
+    /// A call about an order ended.
+    Order(order::Reply),
     /// Another sidecar offers ranges; the shell has stored the answers that came with them.
     Offered {
         /// Connection that waits for the verdict.
@@ -176,6 +179,8 @@
     Drop(id::AttemptId),
     /// Make a call of the ownership.
     Call(ownership::Call),
+    /// Make a call about an order.
+    Order(order::Call),
     /// Hand ledgers over: send them, with the kept answers, to the address.
     HandOver(net::SocketAddr, Handover),
     /// Answer an offered handover.
@@ -206,6 +211,7 @@
     ownership: ownership::Ownership,
     books: collections::BTreeMap<u32, key::Book>,
     staged: Option<Staged>,
+    orders: order::Orders,
 }
 
 impl Sidecar {
@@ -228,6 +234,7 @@
             ownership,
             books: collections::BTreeMap::new(),
             staged: None,
+            orders: order::Orders::default(),
         }
     }
 
@@ -244,6 +251,11 @@
             Event::Failed(attempt, error) => self.fail_call(now, attempt, error, effects),
             Event::Drain(cause, on) => self.drain(now, cause, on, effects),
             Event::Ownership(reply) => self.ownership_reply(now, reply, effects),
+            Event::Order(reply) => {
+                let line = telemetry::Line::new("order").with("reply", format!("{reply:?}"));
+                effects.push(Effect::Log(line));
+                self.orders.reply(now, reply);
+            }
             Event::Offered { conn, handover, sizes } => {
                 self.offered(now, Staged { conn, handover, sizes }, effects);
             }
@@ -354,13 +366,22 @@
         for book in self.books.values_mut() {
             book.expire(now);
         }
-        let keyed = self.service().is_some_and(|service| !service.idempotent);
-        if !keyed {
+        let Some(service) = self.config.services.get(&self.identity.service) else { return };
+        let (keyed, ordered) = (!service.idempotent, service.order.is_some());
+        if !keyed && !ordered {
             return;
         }
+        let lease = self.ownership.current_lease();
+        if let Some(call) = self.orders.tick(now, lease, service) {
+            effects.push(Effect::Order(call));
+        }
         let mut calls = Vec::new();
-        let busy = self.busy_ranges();
-        self.ownership.tick(now, |range| !busy.contains(&range), &mut calls);
+        if keyed {
+            let busy = self.busy_ranges();
+            self.ownership.tick(now, |range| !busy.contains(&range), &mut calls);
+        } else {
+            self.ownership.tick_lease(now, &mut calls);
+        }
         self.call(calls, effects);
     }
 }
--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -17,6 +17,7 @@
 use crate::config_sync;
 use crate::http;
 use crate::id;
+use crate::order;
 use crate::owner_calls;
 use crate::ownership;
 use crate::peer;
@@ -61,6 +62,7 @@
         verdict: oneshot::Sender<bool>,
     },
     Ownership(ownership::Reply),
+    Order(order::Reply),
 }
 
 /// What is kept of an attempt until its call is made.
@@ -297,6 +299,7 @@
                 self.step(sidecar::Event::Drain(sidecar::Cause::InstanceList, true));
             }
             Message::Offered { message, verdict } => self.offered(message, verdict),
+            Message::Order(reply) => self.step(sidecar::Event::Order(reply)),
             Message::Ownership(reply) => self.step(sidecar::Event::Ownership(reply)),
         }
     }
@@ -410,6 +413,7 @@
                 self.pending.remove(&attempt);
             }
             sidecar::Effect::Call(call) => self.call(call),
+            sidecar::Effect::Order(call) => self.order(call),
             sidecar::Effect::HandOver(to, handover) => self.hand_over(to, handover),
             sidecar::Effect::Verdict(conn, accepted) => {
                 if let Some(verdict) = self.verdicts.remove(&conn) {
@@ -462,6 +466,21 @@
         });
     }
 
+    fn order(&self, call: order::Call) {
+        let (caller, messages) = (self.caller.clone(), self.messages.clone());
+        let (client, upstream) = (self.clients.once.clone(), self.upstream);
+        tokio::spawn(async move {
+            let reply = match call {
+                order::Call::Hold(lease) => caller.hold(lease).await,
+                order::Call::Send { token, order } => {
+                    upstream::send_order(client, upstream, token, order).await
+                }
+            };
+            // Fails only when the process ends.
+            let _ = messages.send(Message::Order(reply)).await;
+        });
+    }
+
     fn hand_over(&self, to: net::SocketAddr, handover: sidecar::Handover) {
         let ranges = handover.ranges.keys().copied().collect();
         let answers = handover
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -6,8 +6,10 @@
 use http_body_util::BodyExt as _;
 use tokio::sync::mpsc;
 
+use crate::config;
 use crate::http;
 use crate::id;
+use crate::order;
 use crate::sidecar;
 use crate::wire;
 
@@ -157,3 +159,24 @@
 ) -> Result<(), sidecar::CallError> {
     parts.send((attempt, part)).await.map_err(|_| sidecar::CallError::Broken)
 }
+
+/// Path of orders.
+pub const ORDER_PATH: &str = "/orders";
+
+/// Sends an upstream an order and returns how it ended.
+pub async fn send_order(
+    client: http::Client,
+    address: net::SocketAddr,
+    token: id::FencingToken,
+    order: config::Order,
+) -> order::Reply {
+    let body = serde_json::json!({ "token": token, "order": order });
+    let request = http::post(address, ORDER_PATH, body.to_string());
+    match http::within(order::ORDER_TIME, client.request(request)).await {
+        Some(Ok(response)) if response.status().is_success() => order::Reply::Done(order),
+        Some(Ok(response)) if response.status() == hyper::StatusCode::CONFLICT => {
+            order::Reply::Outdated
+        }
+        _ => order::Reply::Failed,
+    }
+}
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -14,6 +14,7 @@
 use crate::engine;
 use crate::instances;
 use crate::kv;
+use crate::link;
 use crate::model;
 use crate::plain;
 use crate::server;
@@ -23,6 +24,11 @@
 /// Pause between two looks at a process.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(25);
 
+/// Units in which the kernel counts processor time.
+const TICKS_PER_SECOND: u64 = 100;
+/// Size of a page of memory.
+const PAGE_BYTES: u64 = 4_096;
+
 /// A signal to a child process.
 #[derive(Clone, Copy, Debug)]
 pub enum Signal {
@@ -72,6 +78,25 @@
         assert!(status.is_ok_and(|status| status.success()), "signal {name} to {id}");
     }
 
+    /// Returns the processor time that the process has used, and its resident memory in bytes.
+    ///
+    /// # Panics
+    /// Panics if the operating system does not tell.
+    pub fn usage(&self) -> (time::Duration, u64) {
+        let id = self.child.id();
+        let read = |file: &str| {
+            fs::read_to_string(format!("/proc/{id}/{file}")).expect("the process runs")
+        };
+        let stat = read("stat");
+        // The name of the program, which may have spaces, ends with the last parenthesis.
+        let (_, rest) = stat.rsplit_once(')').expect("the format of the kernel");
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let ticks: u64 = fields[11..13].iter().filter_map(|text| text.parse::<u64>().ok()).sum();
+        let pages = read("statm").split(' ').nth(1).and_then(|text| text.parse::<u64>().ok());
+        let cpu = time::Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND);
+        (cpu, pages.unwrap_or(0) * PAGE_BYTES)
+    }
+
     /// Whether the process has ended.
     ///
     /// # Panics
@@ -111,6 +136,8 @@
     pub domain: String,
     /// Address of the sidecar.
     pub address: net::SocketAddr,
+    /// Address of the sidecar for entries across the link.
+    pub relay: net::SocketAddr,
     /// The upstream.
     pub upstream: server::Running,
     /// Its work, with the log of what it received.
@@ -135,7 +162,7 @@
 }
 
 /// How large a cluster is.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Shape {
     /// Entries.
     pub entries: usize,
@@ -145,11 +172,25 @@
     pub work_ms: u64,
     /// Calls that an upstream runs at a time.
     pub slots: usize,
+    /// Model engines, if not as many as other upstreams.
+    pub engines: Option<usize>,
+    /// Time of a prompt whose prefix an engine does not know, in milliseconds.
+    pub prefill_ms: u64,
+    /// Link between the first region and the others.
+    pub link: Option<link::Link>,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { entries: 2, upstreams: 3, work_ms: 5, slots: 16 }
+        Self {
+            entries: 2,
+            upstreams: 3,
+            work_ms: 5,
+            slots: 16,
+            engines: None,
+            prefill_ms: 0,
+            link: None,
+        }
     }
 }
 
@@ -166,6 +207,10 @@
     pub list: server::Running,
     /// Content of the instance list.
     pub instances: instances::Instances,
+    /// The instance list of the other regions, and its content.
+    pub far_list: server::Running,
+    /// Content of the instance list of the other regions.
+    pub far_instances: instances::Instances,
     /// Upstreams with their sidecars.
     pub nodes: Vec<Node>,
     /// Entries.
@@ -173,6 +218,8 @@
     programs: path::PathBuf,
     shape: Shape,
     domains: Vec<String>,
+    keyed: usize,
+    home: collections::BTreeSet<String>,
 }
 
 fn loopback(port: u16) -> net::SocketAddr {
@@ -203,10 +250,13 @@
     panic!("no free port");
 }
 
-fn work_of(kind: config::Kind, shape: Shape) -> Work {
+fn work_of(kind: config::Kind, shape: &Shape) -> Work {
     let pause = time::Duration::from_millis(shape.work_ms);
     match kind {
-        config::Kind::Engine => Work::Engine(engine::Engine::new(pause, shape.slots)),
+        config::Kind::Engine => {
+            let prefill = time::Duration::from_millis(shape.prefill_ms);
+            Work::Engine(engine::Engine::new(pause, shape.slots).with_prefill(prefill))
+        }
         config::Kind::Model => Work::Model(model::Model::new(pause, shape.slots)),
         config::Kind::Plain => Work::Plain(plain::Plain::new(pause)),
     }
@@ -235,21 +285,29 @@
         let kv = kv::Kv::default();
         let instances = instances::Instances::default();
         let domains = config.regions.values().flat_map(|region| region.domains.iter());
+        let home = config.regions.values().next().expect("a region").domains.iter();
+        let far_instances = instances::Instances::default();
         let mut cluster = Self {
             directory,
             store: server::start(loopback(0), kv.clone()).await,
             kv,
             list: server::start(loopback(0), instances.clone()).await,
             instances,
+            far_list: server::start(loopback(0), far_instances.clone()).await,
+            far_instances,
             nodes: Vec::new(),
             entries: Vec::new(),
             programs,
-            shape,
+            shape: shape.clone(),
+            keyed: config.services.values().filter(|service| !service.idempotent).count(),
+            home: home.map(ToString::to_string).collect(),
             domains: domains.map(ToString::to_string).collect(),
         };
         cluster.apply(text).await;
         for (service, rules) in &config.services {
-            for number in 0..shape.upstreams {
+            let is_engine = rules.kind == config::Kind::Engine;
+            let count = shape.engines.filter(|_| is_engine).unwrap_or(shape.upstreams);
+            for number in 0..count {
                 cluster.add_node(service.as_str(), rules.kind, number).await;
             }
         }
@@ -282,12 +340,18 @@
     }
 
     async fn add_node(&mut self, service: &str, kind: config::Kind, number: usize) {
-        let work = work_of(kind, self.shape);
+        let work = work_of(kind, &self.shape);
+        let address = free_address();
+        let relay = match &self.shape.link {
+            Some(link) => link.relay(address).await,
+            None => address,
+        };
         let node = Node {
             name: format!("{service}-{number}"),
             service: service.to_owned(),
             domain: self.domains[number % self.domains.len()].clone(),
-            address: free_address(),
+            address,
+            relay,
             upstream: start_work(&work).await,
             work,
             sidecar: None,
@@ -305,16 +369,28 @@
         });
     }
 
-    /// Writes the instance list from the nodes; those in `leaving` are shown as such.
+    /// Writes the instance lists from the nodes; those in `leaving` are shown as such.
     pub fn publish_leaving(&self, leaving: &[&str]) {
-        let listed = self.nodes.iter().map(|node| instances::Instance {
-            name: node.name.clone(),
-            service: node.service.clone(),
-            address: node.address,
-            domain: node.domain.clone(),
-            leaving: leaving.contains(&node.name.as_str()),
-        });
-        self.instances.set(listed.collect());
+        for (content, is_home) in [(&self.instances, true), (&self.far_instances, false)] {
+            let listed = self.nodes.iter().map(|node| instances::Instance {
+                name: node.name.clone(),
+                service: node.service.clone(),
+                address: if self.home.contains(&node.domain) == is_home {
+                    node.address
+                } else {
+                    node.relay
+                },
+                domain: node.domain.clone(),
+                leaving: leaving.contains(&node.name.as_str()),
+            });
+            content.set(listed.collect());
+        }
+    }
+
+    /// Empties the instance lists, as a fault of the platform would.
+    pub fn publish_nothing(&self) {
+        self.instances.set(Vec::new());
+        self.far_instances.set(Vec::new());
     }
 
     /// Writes the instance list from the nodes.
@@ -369,13 +445,15 @@
         let entry = &self.entries[index];
         let others: Vec<_> =
             self.peers().into_iter().filter(|peer| *peer != entry.peer_address).collect();
+        let is_home = self.home.contains(&entry.domain);
+        let list = if is_home { &self.list } else { &self.far_list };
         let settings = serde_json::json!({
             "instance": entry.name,
             "listen": entry.address,
             "peer_listen": entry.peer_address,
             "domain": entry.domain,
             "store": self.store_url(),
-            "instances": format!("http://{}/", self.list.address),
+            "instances": format!("http://{}/", list.address),
             "peers": others,
         });
         let child = self.spawn("bramleyshelf", &["entry"], &entry.name, &settings);
@@ -430,13 +508,7 @@
     /// Whether each key range of each service that needs it has an owner in the store.
     pub fn all_owned(&self) -> bool {
         let owners = self.kv.count_keys("/owners/");
-        let plain: collections::BTreeSet<_> = self
-            .nodes
-            .iter()
-            .filter(|node| self.kv.count_keys(&format!("/{}/members/", node.service)) > 0)
-            .map(|node| &node.service)
-            .collect();
-        owners == plain.len() * bramleyshelf_lib::key::RANGES as usize
+        owners == self.keyed * bramleyshelf_lib::key::RANGES as usize
     }
 
     /// Returns the index of a node.
@@ -458,6 +530,21 @@
             .collect()
     }
 
+    /// Returns the sum of a metric over all entries, for the lines that contain all the texts.
+    pub async fn metric(&self, name: &str, parts: &[&str]) -> f64 {
+        let mut sum = 0.0;
+        for entry in &self.entries {
+            let Some(answer) = get(entry.address, "/metrics").await else { continue };
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            let hits = text.lines().filter(|line| {
+                line.starts_with(name) && parts.iter().all(|part| line.contains(part))
+            });
+            let values = hits.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            sum += values.sum::<f64>();
+        }
+        sum
+    }
+
     /// Returns the log of a process.
     ///
     /// # Panics
@@ -553,11 +640,11 @@
         self
     }
 
-    /// Makes the call at an entry; returns nothing if the connection did not bring a response.
+    /// Returns the request that makes the call at an entry.
     ///
     /// # Panics
     /// Panics if the path or a header is invalid.
-    pub async fn send(&self, client: &http::Client, entry: net::SocketAddr) -> Option<Answer> {
+    pub fn to_request(&self, entry: net::SocketAddr) -> hyper::Request<http::Body> {
         let mut request = hyper::Request::post(format!("http://{entry}{}", self.path))
             .header("authorization", format!("Bearer {}", self.credential));
         if let Some(key) = &self.key {
@@ -566,8 +653,12 @@
         if let Some(millis) = self.deadline_ms {
             request = request.header("x-deadline-ms", millis);
         }
-        let request = request.body(http::Body::full(self.body.to_string())).expect("valid");
-        read_answer(client.request(request).await.ok()?).await
+        request.body(http::Body::full(self.body.to_string())).expect("a valid call")
+    }
+
+    /// Makes the call at an entry; returns nothing if the connection did not bring a response.
+    pub async fn send(&self, client: &http::Client, entry: net::SocketAddr) -> Option<Answer> {
+        read_answer(client.request(self.to_request(entry)).await.ok()?).await
     }
 }
 
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -3,6 +3,7 @@
 //! The text is a function of the messages alone, so that a test knows the whole answer of each
 //! request, and so that any engine continues a stream where another one broke off.
 
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -12,6 +13,11 @@
 /// Tokens of an answer for which the request sets no limit.
 const DEFAULT_TOKENS: u64 = 16;
 
+/// Bytes of a prompt that have to be the same for its prefix to be reused.
+const PREFIX_BYTES: usize = 160;
+/// Prefixes that an engine remembers.
+const CACHED_PREFIXES: usize = 8;
+
 /// One received request.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct Run {
@@ -23,11 +29,24 @@
     pub offset: u64,
 }
 
+/// One order that the engine carried out.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Order {
+    /// Fencing token of the order.
+    pub token: u64,
+    /// Model to load.
+    pub model: String,
+}
+
 /// Stand-in for a model engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
     token_pause: time::Duration,
     slots: sync::Arc<tokio::sync::Semaphore>,
+    prefill: time::Duration,
+    cached: sync::Arc<sync::Mutex<collections::VecDeque<u64>>>,
+    checks_tokens: bool,
+    orders: sync::Arc<sync::Mutex<Vec<Order>>>,
     runs: sync::Arc<sync::Mutex<Vec<Run>>>,
     count: sync::Arc<atomic::AtomicU64>,
 }
@@ -38,11 +57,65 @@
         Self {
             token_pause,
             slots: sync::Arc::new(tokio::sync::Semaphore::new(slots)),
+            prefill: time::Duration::ZERO,
+            cached: sync::Arc::default(),
+            checks_tokens: true,
+            orders: sync::Arc::default(),
             runs: sync::Arc::default(),
             count: sync::Arc::default(),
         }
     }
 
+    /// Adds a time that a prompt takes whose prefix is not among the last few.
+    #[must_use]
+    pub fn with_prefill(mut self, prefill: time::Duration) -> Self {
+        self.prefill = prefill;
+        self
+    }
+
+    /// Makes the engine ignore fencing tokens.
+    #[must_use]
+    pub fn without_tokens(mut self) -> Self {
+        self.checks_tokens = false;
+        self
+    }
+
+    /// Returns the orders carried out so far.
+    ///
+    /// # Panics
+    /// Panics if another holder of the lock panicked.
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.lock().expect("no holder panics").clone()
+    }
+
+    fn take_order(&self, body: &serde_json::Value) -> server::Answer {
+        let token = body["token"].as_u64().unwrap_or(0);
+        let model = body["order"]["model"].as_str().unwrap_or_default().to_owned();
+        let mut orders = self.orders.lock().expect("no holder panics");
+        let newest = orders.iter().map(|order| order.token).max().unwrap_or(0);
+        if self.checks_tokens && token < newest {
+            return server::Answer::Json(409, serde_json::json!({ "newest": newest }));
+        }
+        orders.push(Order { token, model });
+        server::Answer::Json(200, serde_json::json!({}))
+    }
+
+    /// Looks a prompt's prefix up and remembers it; returns the time that it takes.
+    fn prefill_of(&self, prompt: &str) -> time::Duration {
+        let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+        let hash = xxhash_rust::xxh3::xxh3_64(prefix);
+        let mut cached = self.cached.lock().expect("no holder panics");
+        let hit = cached.iter().position(|other| *other == hash);
+        if let Some(position) = hit {
+            cached.remove(position);
+        }
+        cached.push_back(hash);
+        if cached.len() > CACHED_PREFIXES {
+            cached.pop_front();
+        }
+        if hit.is_some() { time::Duration::ZERO } else { self.prefill }
+    }
+
     /// Returns the number of requests received.
     pub fn count(&self) -> u64 {
         self.count.load(atomic::Ordering::Relaxed)
@@ -97,6 +170,9 @@
 
 impl server::Work for Engine {
     async fn answer(&self, request: server::Request) -> server::Answer {
+        if request.path == "/orders" {
+            return self.take_order(&request.json());
+        }
         let offset = request.header("stream-offset").parse().unwrap_or(0);
         self.count.fetch_add(1, atomic::Ordering::Relaxed);
         let run = Run {
@@ -107,6 +183,7 @@
         self.runs.lock().expect("no holder panics").push(run);
         let body = request.json();
         let _slot = self.slots.acquire().await;
+        tokio::time::sleep(self.prefill_of(&prompt_of(&body).0)).await;
         if body["stream"] == true {
             let events = skip(events_of(&body), offset);
             let told = (offset > 0).then_some(offset);
--- a/lib/testutils/src/soak.rs
+++ b/lib/testutils/src/soak.rs
@@ -394,7 +394,7 @@
         }
         Mishap::Drain => drain(system, index, rng).await,
         Mishap::EmptyList => {
-            system.instances.set(Vec::new());
+            system.publish_nothing();
             tokio::time::sleep(time::Duration::from_millis(rng.u64(500..3_000))).await;
             system.publish();
         }
