limit: compare recent with usual latency in place of the best one

Cause: the concurrency limit compared the mean latency with the best one ever seen. Calls differ: one quick call made every other look congested, and the limit fell to 1 and stayed there (sidecar log: limit=1, queued=31).

Ruled out: the path itself (entry 283 us and sidecar 291 us of processor time per call allow 3,400 calls/s), HTTP/2 windows, the queue's order.

Change: averages over about 20 and 500 calls are compared; the limit starts at the operators' ceiling, scales with their ratio beyond a tolerance of 2, and never falls below an eighth of the ceiling. Few calls in flight change nothing.

Conclusion: the old rule would have serialised every engine with uneven generations; the new one holds 24 of 32 or more under them.

--- a/cli/tests/test_callers.rs
+++ b/cli/tests/test_callers.rs
@@ -115,7 +115,7 @@
     for _ in 0..2 {
         let answer = call.send(&client, system.entries[0].address).await;
         assert!(answer.is_some_and(|answer| answer.status == 200));
-        tokio::time::sleep(time::Duration::from_millis(5_000)).await;
+        tokio::time::sleep(time::Duration::from_secs(5)).await;
     }
     let mut stream = tokio::net::TcpStream::connect(system.entries[0].address).await.expect("open");
     let request = format!("{}{{}}", head("POST", "/services/availability", "", 2));
@@ -123,7 +123,7 @@
     for _ in 0..2 {
         stream.write_all(request.as_bytes()).await.expect("sent");
         assert!(stream.read(&mut answer).await.is_ok_and(|bytes| bytes > 0));
-        tokio::time::sleep(time::Duration::from_millis(6_000)).await;
+        tokio::time::sleep(time::Duration::from_secs(6)).await;
     }
 }
 
--- a/lib/src/limit.rs
+++ b/lib/src/limit.rs
@@ -2,44 +2,53 @@
 
 use std::time;
 
-/// Least concurrency that an upstream is given.
-const FLOOR: f64 = 1.0;
-/// Concurrency of an upstream about which nothing is known yet.
-const INITIAL: f64 = 8.0;
-/// Latency relative to the best one from which the limit shrinks.
-const SHRINK_RATIO: f64 = 3.0;
-/// Latency relative to the best one up to which the limit grows.
-const GROW_RATIO: f64 = 2.0;
-/// Factor by which the limit shrinks.
-const SHRINK_FACTOR: f64 = 0.9;
-/// Weight of a new sample in the smoothed latency.
-const SMOOTHING: f64 = 0.1;
-/// Share by which the best latency rises with each slower sample, so that it follows a change.
-const BEST_DRIFT: f64 = 0.002;
-
-/// Additive increase, multiplicative decrease of the calls in flight, guided by latency.
+/// Part of the ceiling below which the limit never falls.
+const FLOOR_SHARE: f64 = 0.125;
+/// Recent latency relative to the usual one up to which the upstream counts as well.
+const TOLERANCE: f64 = 2.0;
+/// Least factor by which one sample scales the limit.
+const LEAST_GRADIENT: f64 = 0.5;
+/// Calls beyond the scaled limit that are tried, so that the limit finds its way up.
+const PROBE: f64 = 1.0;
+/// Weight of a new sample in the limit.
+const LIMIT_SMOOTHING: f64 = 0.1;
+/// Weight of a new sample in the recent latency.
+const RECENT_SMOOTHING: f64 = 0.05;
+/// Weight of a new sample in the usual latency.
+const USUAL_SMOOTHING: f64 = 0.002;
+/// Factor by which a failure shrinks the limit.
+const FAILURE_FACTOR: f64 = 0.9;
+
+/// Limit on the calls in flight, guided by how recent latencies compare with usual ones.
+///
+/// Both latencies are averages over many calls, because calls differ: a long generation among
+/// short ones is no sign of congestion, while many slow calls in a row are.
 #[derive(Debug)]
 pub struct Concurrency {
     limit: f64,
     ceiling: f64,
-    best: f64,
-    mean: f64,
+    recent: f64,
+    usual: f64,
+    samples: f64,
     shrunk: time::Duration,
 }
 
 impl Concurrency {
-    /// Makes a limit that never exceeds `ceiling`.
+    /// Makes a limit that starts at `ceiling` and never exceeds it.
     pub fn new(ceiling: u32) -> Self {
         let ceiling = f64::from(ceiling.max(1));
-        let limit = INITIAL.min(ceiling);
-        Self { limit, ceiling, best: 0.0, mean: 0.0, shrunk: time::Duration::ZERO }
+        let shrunk = time::Duration::ZERO;
+        Self { limit: ceiling, ceiling, recent: 0.0, usual: 0.0, samples: 0.0, shrunk }
     }
 
     /// Changes the ceiling.
     pub fn set_ceiling(&mut self, ceiling: u32) {
-        self.ceiling = f64::from(ceiling.max(1));
-        let known = if self.mean == 0.0 { INITIAL } else { self.limit };
-        self.limit = known.min(self.ceiling);
+        let ceiling = f64::from(ceiling.max(1));
+        if self.samples == 0.0 {
+            self.limit = ceiling;
+        }
+        self.ceiling = ceiling;
+        self.set_limit(self.limit);
     }
 
     /// Returns the calls allowed at a time.
@@ -49,38 +58,38 @@
 
     /// Returns the smoothed latency of a call.
     pub fn latency(&self) -> time::Duration {
-        time::Duration::from_secs_f64(self.mean)
+        time::Duration::from_secs_f64(self.recent)
     }
 
     /// Takes account of a call that took `latency` while `running` calls were in flight.
-    pub fn record(&mut self, now: time::Duration, latency: time::Duration, running: u32) {
-        let sample = latency.as_secs_f64().max(1e-4);
-        self.mean =
-            if self.mean == 0.0 { sample } else { self.mean + (sample - self.mean) * SMOOTHING };
-        self.best = if self.best == 0.0 || sample < self.best {
-            sample
-        } else {
-            self.best * (1.0 + BEST_DRIFT)
-        };
-        if self.mean > self.best * SHRINK_RATIO {
-            self.shrink(now);
-        } else if self.mean < self.best * GROW_RATIO && f64::from(running) >= self.limit - 1.0 {
-            self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
+    pub fn record(&mut self, latency: time::Duration, running: u32) {
+        let sample = latency.as_secs_f64();
+        self.samples += 1.0;
+        // At first both are plain averages, so that the first call does not stand for all.
+        let least = 1.0 / self.samples;
+        self.recent += (sample - self.recent) * least.max(RECENT_SMOOTHING);
+        self.usual += (sample - self.usual) * least.max(USUAL_SMOOTHING);
+        if f64::from(running) * 2.0 < self.limit {
+            // So few calls say nothing about what the upstream could take.
+            return;
         }
+        let gradient = TOLERANCE * self.usual / self.recent.max(f64::MIN_POSITIVE);
+        let target = self.limit * gradient.clamp(LEAST_GRADIENT, 1.0) + PROBE;
+        self.set_limit(self.limit + (target - self.limit) * LIMIT_SMOOTHING);
     }
 
     /// Takes account of a call that the upstream failed.
     pub fn record_failure(&mut self, now: time::Duration) {
-        self.shrink(now);
+        // One decrease per round trip: all calls in flight saw the same trouble.
+        if now.saturating_sub(self.shrunk) >= self.latency() {
+            self.shrunk = now;
+            self.set_limit(self.limit * FAILURE_FACTOR);
+        }
     }
 
-    fn shrink(&mut self, now: time::Duration) {
-        // One decrease per round trip: all calls in flight saw the same congestion.
-        if now.saturating_sub(self.shrunk) < time::Duration::from_secs_f64(self.mean) {
-            return;
-        }
-        self.shrunk = now;
-        self.limit = (self.limit * SHRINK_FACTOR).max(FLOOR);
+    fn set_limit(&mut self, limit: f64) {
+        let floor = (self.ceiling * FLOOR_SHARE).max(1.0);
+        self.limit = limit.clamp(floor, self.ceiling);
     }
 }
 
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -176,23 +176,43 @@
     }
 }
 
+/// Lets calls of a latency run at the limit and returns the limit afterwards.
+fn run_calls(limit: &mut limit::Concurrency, calls: u32, latency_ms: impl Fn(u32) -> u64) -> u32 {
+    for call in 0..calls {
+        let running = limit.limit();
+        limit.record(time::Duration::from_millis(latency_ms(call)), running);
+    }
+    limit.limit()
+}
+
 #[test]
 fn concurrency_falls_with_latency_and_recovers() {
     let mut limit = limit::Concurrency::new(32);
-    let mut now = seconds(1);
-    let mut run = |limit: &mut limit::Concurrency, latency_ms: u64, calls: u32| {
-        for _ in 0..calls {
-            now += time::Duration::from_millis(latency_ms);
-            let running = limit.limit();
-            limit.record(now, time::Duration::from_millis(latency_ms), running);
-        }
-        limit.limit()
-    };
-    let grown = run(&mut limit, 10, 400);
-    assert!(grown > 8, "{grown}");
-    let shrunk = run(&mut limit, 100, 60);
-    assert!(shrunk < grown / 2, "{shrunk}");
-    assert!(run(&mut limit, 10, 600) > shrunk);
+    assert_eq!(run_calls(&mut limit, 400, |_| 10), 32);
+    let shrunk = run_calls(&mut limit, 80, |_| 100);
+    assert!(shrunk <= 16, "{shrunk}");
+    assert_eq!(run_calls(&mut limit, 600, |_| 10), 32);
+}
+
+#[test]
+fn concurrency_does_not_take_uneven_calls_for_congestion() {
+    // Most calls are quick, some generate for long, and the first of all was the quickest.
+    let mut limit = limit::Concurrency::new(32);
+    let least = (0..50)
+        .map(|_| {
+            run_calls(&mut limit, 40, |call| if call % 8 == 3 { 900 } else { 1 + u64::from(call) })
+        })
+        .min();
+    assert!(least >= Some(24), "{least:?}");
+}
+
+#[test]
+fn concurrency_falls_with_failures_to_a_floor() {
+    let mut limit = limit::Concurrency::new(32);
+    for second in 1..100 {
+        limit.record_failure(seconds(second));
+    }
+    assert_eq!(limit.limit(), 4);
 }
 
 #[test]
