--- a/cli/src/failure.rs
+++ b/cli/src/failure.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::path;
 
-use bramleyshelf_lib::{check, operator, settings};
+use bramleyshelf_lib::{fault, operator, settings};
 
 /// Why a command failed.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
@@ -37,7 +37,7 @@
     },
     /// The text has faults, which have been printed.
     #[display("the text has {} fault(s)", _0.0.len())]
-    Faults(check::Faults),
+    Faults(fault::Faults),
     /// The settings cannot be used.
     #[display("{_0}")]
     Settings(settings::SettingsError),
@@ -83,7 +83,7 @@
 
     /// Returns the lines that explain the failure in detail.
     pub fn details(&self) -> Vec<String> {
-        let faults = |faults: &check::Faults| faults.0.iter().map(ToString::to_string).collect();
+        let faults = |faults: &fault::Faults| faults.0.iter().map(ToString::to_string).collect();
         match self {
             Self::Faults(all) | Self::Operator(operator::OperatorError::Faults { faults: all }) => {
                 faults(all)
--- a/cli/tests/test_config.rs
+++ b/cli/tests/test_config.rs
@@ -177,6 +177,14 @@
         self.inner.range(key, prefix).await
     }
 
+    async fn changes(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> Result<(store::Snapshot, usize), store::StoreError> {
+        self.inner.changes(prefix, after).await
+    }
+
     async fn count(&self, prefix: &str) -> Result<u64, store::StoreError> {
         self.inner.count(prefix).await
     }
--- a/lib/src/check.rs
+++ b/lib/src/check.rs
@@ -1,219 +1,21 @@
 //! Reads and checks the operators' text and lists every fault in it, not just the first.
 
 use std::collections;
-use std::fmt;
 
 use crate::auth;
 use crate::config;
+use crate::fault;
 use crate::id;
 use crate::template;
 use crate::unit;
 
-/// One fault in a text.
-#[derive(
-    Clone, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq, serde::Serialize,
-)]
-#[display("{pointer}: {problem}; {remedy}")]
-pub struct Fault {
-    /// JSON pointer to the faulty place.
-    pub pointer: String,
-    /// What is wrong.
-    pub problem: String,
-    /// What to do about it.
-    pub remedy: String,
-}
-
-/// All faults of one text; never empty.
-#[derive(Clone, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq)]
-#[display("the text has {} fault(s), the first at {}", _0.len(), _0[0])]
-pub struct Faults(#[error(not(source))] pub Vec<Fault>);
-
-/// Collects faults while a text is walked.
-#[derive(Debug, Default)]
-pub struct Report {
-    faults: Vec<Fault>,
-}
-
-impl Report {
-    /// Adds a fault.
-    pub fn add(
-        &mut self,
-        pointer: impl Into<String>,
-        problem: impl fmt::Display,
-        remedy: impl fmt::Display,
-    ) {
-        self.faults.push(Fault {
-            pointer: pointer.into(),
-            problem: problem.to_string(),
-            remedy: remedy.to_string(),
-        });
-    }
-
-    /// Reads one value, recording each unknown field and, field by field, each type error.
-    pub fn read<T: serde::de::DeserializeOwned>(
-        &mut self,
-        pointer: &str,
-        value: &serde_json::Value,
-    ) -> Option<T> {
-        let mut unknown = collections::BTreeSet::new();
-        let mut rest = value.clone();
-        let mut removed = Vec::new();
-        let result = loop {
-            match read_once(&rest, &mut unknown) {
-                Ok(value) => break Some(value),
-                Err((path, message)) => {
-                    // A field that was taken out below is missing because of its own fault.
-                    let is_own = removed.iter().any(|f| message.contains(&format!("field `{f}`")));
-                    if !is_own {
-                        let place = place_of(pointer, &path);
-                        self.add(place, message, "correct the value, see the reference of fields");
-                    }
-                    let field = path.split(['.', '[']).next().unwrap_or_default().to_owned();
-                    // The other fields may have faults of their own.
-                    let taken = rest.as_object_mut().and_then(|fields| fields.remove(&field));
-                    if taken.is_none() {
-                        break None;
-                    }
-                    removed.push(field);
-                }
-            }
-        };
-        for path in unknown {
-            let place = place_of(pointer, &path);
-            self.add(place, "unknown field", "remove it or correct its spelling");
-        }
-        result.filter(|_| removed.is_empty())
-    }
-
-    /// Returns the faults, of which there must be one.
-    pub fn into_faults(self) -> Faults {
-        Faults(self.faults)
-    }
-
-    /// Ends the walk with the value if there was no fault.
-    ///
-    /// # Errors
-    /// Returns all faults in the order in which they were found.
-    pub fn finish<T>(self, value: T) -> Result<T, Faults> {
-        if self.faults.is_empty() { Ok(value) } else { Err(Faults(self.faults)) }
-    }
-}
-
-/// Reads a value; returns the path and message of the first type error.
-fn read_once<T: serde::de::DeserializeOwned>(
-    value: &serde_json::Value,
-    unknown: &mut collections::BTreeSet<String>,
-) -> Result<T, (String, String)> {
-    let mut track = serde_path_to_error::Track::new();
-    let input = serde_path_to_error::Deserializer::new(value, &mut track);
-    let mut note = |path: serde_ignored::Path<'_>| {
-        unknown.insert(path.to_string());
-    };
-    let read = serde::Deserialize::deserialize(serde_ignored::Deserializer::new(input, &mut note));
-    read.map_err(|e| (track.path().to_string(), e.to_string()))
-}
-
-/// Returns the JSON pointer of a path below a pointer.
-fn place_of(pointer: &str, path: &str) -> String {
-    match path {
-        "." | "" => pointer.to_owned(),
-        inner => format!("{pointer}/{}", inner.replace('.', "/").replace("?/", "")),
-    }
-}
-
-/// Parses JSON and records keys that stand twice in one object.
-///
-/// Returns `None` after recording the fault if the text is not JSON.
-pub fn parse_json(text: &str, report: &mut Report) -> Option<serde_json::Value> {
-    let value: serde_json::Value = match serde_json::from_str(text) {
-        Ok(value) => value,
-        Err(e) => {
-            let place = format!("line {} column {}", e.line(), e.column());
-            report.add("", format!("not valid JSON at {place}"), "correct the syntax there");
-            return None;
-        }
-    };
-    let mut input = serde_json::Deserializer::from_str(text);
-    let walk = DuplicateWalk { pointer: String::new(), report };
-    // The text was parsed above, so the walk cannot fail.
-    let _ = serde::de::DeserializeSeed::deserialize(walk, &mut input);
-    Some(value)
-}
-
-struct DuplicateWalk<'a> {
-    pointer: String,
-    report: &'a mut Report,
-}
-
-impl<'de> serde::de::DeserializeSeed<'de> for DuplicateWalk<'_> {
-    type Value = ();
-
-    fn deserialize<D: serde::Deserializer<'de>>(self, input: D) -> Result<(), D::Error> {
-        input.deserialize_any(self)
-    }
-}
-
-impl<'de> serde::de::Visitor<'de> for DuplicateWalk<'_> {
-    type Value = ();
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("any JSON value")
-    }
-
-    fn visit_bool<E>(self, _: bool) -> Result<(), E> {
-        Ok(())
-    }
-
-    fn visit_i64<E>(self, _: i64) -> Result<(), E> {
-        Ok(())
-    }
-
-    fn visit_u64<E>(self, _: u64) -> Result<(), E> {
-        Ok(())
-    }
-
-    fn visit_f64<E>(self, _: f64) -> Result<(), E> {
-        Ok(())
-    }
-
-    fn visit_str<E>(self, _: &str) -> Result<(), E> {
-        Ok(())
-    }
-
-    fn visit_unit<E>(self) -> Result<(), E> {
-        Ok(())
-    }
-
-    fn visit_seq<A: serde::de::SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
-        for index in 0.. {
-            let pointer = format!("{}/{index}", self.pointer);
-            if seq.next_element_seed(DuplicateWalk { pointer, report: self.report })?.is_none() {
-                break;
-            }
-        }
-        Ok(())
-    }
-
-    fn visit_map<A: serde::de::MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
-        let mut seen = collections::BTreeSet::new();
-        while let Some(key) = map.next_key::<String>()? {
-            let pointer = format!("{}/{}", self.pointer, key.replace('~', "~0").replace('/', "~1"));
-            if !seen.insert(key) {
-                self.report.add(&pointer, "duplicate id", "keep one of the two entries");
-            }
-            map.next_value_seed(DuplicateWalk { pointer, report: self.report })?;
-        }
-        Ok(())
-    }
-}
-
 /// Reads and checks the operators' text.
 ///
 /// # Errors
-/// Returns every fault found. Faults of a value hide only those checks that need that value.
-pub fn parse(text: &str) -> Result<config::Config, Faults> {
-    let mut report = Report::default();
-    let Some(value) = parse_json(text, &mut report) else {
+/// Returns every fault found. Those of a value hide only those checks that need that value.
+pub fn parse(text: &str) -> Result<config::Config, fault::Faults> {
+    let mut report = fault::Report::default();
+    let Some(value) = fault::parse_json(text, &mut report) else {
         return report.finish(config::Config::default());
     };
     let config = read_sections(&value, &mut report);
@@ -226,7 +28,7 @@
     report.finish(config)
 }
 
-fn read_sections(value: &serde_json::Value, report: &mut Report) -> config::Config {
+fn read_sections(value: &serde_json::Value, report: &mut fault::Report) -> config::Config {
     let mut config = config::Config::default();
     let Some(fields) = value.as_object() else {
         report.add("", "not an object", "write the sections inside `{` and `}`");
@@ -252,7 +54,7 @@
 fn read_map<K, V>(
     pointer: &str,
     section: &serde_json::Value,
-    report: &mut Report,
+    report: &mut fault::Report,
 ) -> collections::BTreeMap<K, V>
 where
     K: Ord + std::str::FromStr<Err = id::IdError>,
@@ -283,7 +85,7 @@
     value.get(section).and_then(|s| s.get(name)).is_some()
 }
 
-fn check_version(config: &config::Config, value: &serde_json::Value, report: &mut Report) {
+fn check_version(config: &config::Config, value: &serde_json::Value, report: &mut fault::Report) {
     let known = config::FORMAT_VERSION;
     if value.get("version").is_none() {
         report.add("/version", "missing", format!("add `\"version\": {known}`"));
@@ -293,7 +95,7 @@
     }
 }
 
-fn check_regions(config: &config::Config, report: &mut Report) {
+fn check_regions(config: &config::Config, report: &mut fault::Report) {
     let mut owner = collections::BTreeMap::new();
     if config.regions.is_empty() {
         report.add("/regions", "no region", "name at least one region with its failure domains");
@@ -312,7 +114,7 @@
     }
 }
 
-fn check_limits(config: &config::Config, report: &mut Report) {
+fn check_limits(config: &config::Config, report: &mut fault::Report) {
     let limits = &config.limits;
     let positive = [
         ("deadline_ms", limits.deadline_ms.0),
@@ -348,13 +150,13 @@
     }
 }
 
-fn check_share(pointer: &str, share: unit::Share, report: &mut Report) {
+fn check_share(pointer: &str, share: unit::Share, report: &mut fault::Report) {
     if !(0.0..=1.0).contains(&share.0) {
         report.add(pointer, format!("{share} is not a share"), "write a number from 0 to 1");
     }
 }
 
-fn check_teams(config: &config::Config, report: &mut Report) {
+fn check_teams(config: &config::Config, report: &mut fault::Report) {
     let mut seen = collections::BTreeMap::new();
     if config.teams.is_empty() {
         report.add("/teams", "no team", "add at least one team with its credential_sha256");
@@ -379,7 +181,7 @@
     }
 }
 
-fn check_services(config: &config::Config, value: &serde_json::Value, report: &mut Report) {
+fn check_services(config: &config::Config, value: &serde_json::Value, report: &mut fault::Report) {
     if config.services.is_empty() {
         report.add("/services", "no service", "add at least one service");
     }
@@ -425,7 +227,7 @@
     pointer: &str,
     name: &id::ServiceId,
     value: &serde_json::Value,
-    report: &mut Report,
+    report: &mut fault::Report,
 ) {
     if !is_named(value, "services", name.as_str()) {
         let problem = format!("unknown service `{name}`");
@@ -433,7 +235,7 @@
     }
 }
 
-fn check_pipelines(config: &config::Config, value: &serde_json::Value, report: &mut Report) {
+fn check_pipelines(config: &config::Config, value: &serde_json::Value, report: &mut fault::Report) {
     for (name, pipeline) in &config.pipelines {
         let place = format!("/pipelines/{name}");
         if pipeline.stages.is_empty() {
@@ -462,7 +264,7 @@
     place: &str,
     pipeline: &config::Pipeline,
     stage: &config::Stage,
-    report: &mut Report,
+    report: &mut fault::Report,
 ) {
     for other in &stage.after {
         if !pipeline.stages.contains_key(other) {
@@ -483,7 +285,7 @@
     config: &config::Config,
     place: &str,
     pipeline: &config::Pipeline,
-    report: &mut Report,
+    report: &mut fault::Report,
 ) {
     let place = format!("{place}/deadline_ms");
     let least = longest_path(config, pipeline);
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -280,7 +280,10 @@
                 self.requests.insert(request, request::Request::new(now, arrival, plan));
                 self.start_ready(now, request, effects);
             }
-            Err(refusal) => {
+            Err(mut refusal) => {
+                if arrival.key.is_some() && leaves_doubt(refusal.kind) {
+                    refusal.ran = refusal::Ran::Unknown;
+                }
                 let line = telemetry::Line::new("refuse")
                     .with("request", request)
                     .with("kind", refusal.kind)
@@ -361,7 +364,8 @@
     ) {
         let in_flight = !self.attempts_of(request, None).is_empty();
         let Some(state) = self.requests.get_mut(&request) else { return };
-        if in_flight {
+        // Without a word of the owner nobody can say whether an earlier request with the key ran.
+        if in_flight || state.is_in_doubt() {
             state.note_ran(refusal::Ran::Unknown);
         }
         let refusal = refusal::Refusal::new(kind, state.ran, message);
@@ -397,3 +401,17 @@
     let first = request.0 << 64;
     (id::AttemptId(first), id::AttemptId(first | u128::from(u64::MAX)))
 }
+
+/// Whether a refusal of a request with a key says nothing about earlier requests with it. The other
+/// kinds are faults of the request itself, which an earlier one would have had as well.
+pub fn leaves_doubt(kind: refusal::Kind) -> bool {
+    use refusal::Kind;
+    matches!(
+        kind,
+        Kind::Draining
+            | Kind::NotReady
+            | Kind::Overloaded
+            | Kind::TeamLimit
+            | Kind::DeadlineUnreachable
+    )
+}
--- a/lib/src/entry/attempts.rs
+++ b/lib/src/entry/attempts.rs
@@ -32,7 +32,13 @@
         stage: plan::StageIndex,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(state) = self.requests.get(&request) else { return };
+        let Some(state) = self.requests.get_mut(&request) else { return };
+        let service = &state.plan.steps[stage].service;
+        if let Some(run) = state.runs.get_mut(&stage)
+            && !self.router.has_untried(service, &run.tried)
+        {
+            run.tried.clear();
+        }
         let budget = state.stage_deadline(stage).saturating_sub(now);
         let Some(budget) = budget.checked_sub(REPLY_MARGIN).filter(|left| !left.is_zero()) else {
             let kind = refusal::Kind::DeadlineExceeded;
@@ -341,11 +347,12 @@
         let took = unit::Millis::from(now.saturating_sub(state.arrived));
         let line = telemetry::Line::new("answer").with("request", request).with("status", status);
         effects.push(Effect::Log(line.with("took", took)));
-        effects.push(if relayed {
-            Effect::EndStream(request)
+        if relayed {
+            effects.push(Effect::EndStream(request));
+            effects.push(Effect::Forget(attempt));
         } else {
-            Effect::Answer(request, attempt)
-        });
+            effects.push(Effect::Answer(request, attempt));
+        }
         self.finish(request, effects);
     }
 
--- a/lib/src/entry/recovery.rs
+++ b/lib/src/entry/recovery.rs
@@ -148,6 +148,9 @@
             let place = (state.plan.steps[stage].service.clone(), key::range_of(key));
             self.owners.remove(&place);
         }
+        if state.stage_key(stage).is_some() && ran == refusal::Ran::No && vouches(kind) {
+            state.vouched = true;
+        }
         let Some(run) = state.runs.get_mut(&stage) else { return };
         run.failure = Some(kind);
         if !self.attempts_of(request, Some(stage)).is_empty() {
@@ -198,8 +201,6 @@
                 if !is_late && wake + REPLY_MARGIN < state.stage_deadline(stage) {
                     if let Some(run) = state.runs.get_mut(&stage) {
                         run.wake = Some(wake);
-                        // An owner is looked for among all members again.
-                        run.tried.clear();
                     }
                 } else {
                     self.give_up(record, kind, effects);
@@ -219,13 +220,6 @@
     ) {
         let request = record.request;
         let message = describe(record, self.requests.get(&request), kind);
-        if let Some(state) = self.requests.get_mut(&request)
-            && state.stage_key(record.stage).is_some()
-            && is_redirect(kind)
-        {
-            // Without the owner nobody can say whether an earlier request with the key ran.
-            state.note_ran(refusal::Ran::Unknown);
-        }
         self.refuse(request, kind, message, effects);
     }
 
@@ -375,6 +369,21 @@
     )
 }
 
+/// Whether a refusal as not run comes from the owner of the key, which then also knows that no
+/// earlier request with the key ran.
+fn vouches(kind: refusal::Kind) -> bool {
+    use refusal::Kind;
+    matches!(
+        kind,
+        Kind::QueueFull
+            | Kind::DeadlineUnreachable
+            | Kind::DeadlineExceeded
+            | Kind::UpstreamUnreachable
+            | Kind::KeyMismatch
+            | Kind::KeyFromFuture
+    )
+}
+
 /// Whether trying again makes sense only after a pause.
 fn is_pause(kind: refusal::Kind) -> bool {
     matches!(kind, refusal::Kind::LeaseLapsed)
--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -8,6 +8,7 @@
 
 use crate::auth;
 use crate::config;
+use crate::entry;
 use crate::http;
 use crate::id;
 use crate::key;
@@ -16,6 +17,7 @@
 use crate::registry;
 use crate::request;
 use crate::revision;
+use crate::sidecar_http;
 use crate::telemetry;
 use crate::wire;
 
@@ -118,9 +120,13 @@
             return response;
         }
         let number = id::RequestId(uuid::Uuid::new_v4().as_u128());
+        let has_key = request.headers().contains_key(KEY_HEADER);
         let mut response = match self.serve(number, request).await {
             Ok(response) => response,
-            Err(refusal) => {
+            Err(mut refusal) => {
+                if has_key && entry::leaves_doubt(refusal.kind) {
+                    refusal.ran = refusal::Ran::Unknown;
+                }
                 metrics::counter!("refusals", "kind" => refusal.kind.to_string()).increment(1);
                 refuse(&refusal)
             }
@@ -345,3 +351,35 @@
     }
     drop(presence);
 }
+
+/// Answers other processes of the system.
+#[derive(Clone, Debug)]
+pub struct PeerHandler {
+    /// Configuration in force.
+    pub in_force: watch::Receiver<revision::InForce>,
+    /// State of the process.
+    pub status: watch::Receiver<registry::Status>,
+}
+
+impl http::Handler for PeerHandler {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        let path = request.uri().path().to_owned();
+        if let Some(response) = plain_path(&path, &self.status.borrow()) {
+            return response;
+        }
+        if path != wire::CONFIG_PATH {
+            return http::respond(404, "text/plain", "no such path");
+        }
+        let mut decoder = wire::Decoder::new(64);
+        if let Ok(body) = http::read_body(request.into_body(), 64, BODY_TIMEOUT).await {
+            decoder.push(&body);
+        }
+        match decoder.read() {
+            Ok(Some(known)) => sidecar_http::pass_config(&self.in_force.borrow(), known),
+            _ => http::respond(400, "text/plain", "send the revision that is known"),
+        }
+    }
+}
--- a/lib/src/entry_shell.rs
+++ b/lib/src/entry_shell.rs
@@ -14,17 +14,17 @@
 use crate::config_sync;
 use crate::entry;
 use crate::entry_http;
+use crate::flight;
 use crate::http;
 use crate::id;
 use crate::membership;
-use crate::peer;
 use crate::plan;
+use crate::platform;
 use crate::refusal;
 use crate::registry;
 use crate::revision;
 use crate::routing;
 use crate::settings;
-use crate::sidecar_shell;
 use crate::store;
 use crate::telemetry;
 use crate::template;
@@ -34,25 +34,9 @@
 const TICK: time::Duration = time::Duration::from_millis(20);
 /// Events that wait for the loop before senders are held back.
 const EVENT_BUFFER: usize = 4_096;
-/// Pause between two looks at the instance list.
-const LIST_INTERVAL: time::Duration = time::Duration::from_secs(2);
-/// Pause between two counts of the entries.
-const COUNT_INTERVAL: time::Duration = time::Duration::from_secs(30);
-/// Largest instance list, in bytes.
-const MAX_LIST_BYTES: u64 = 8 << 20;
-/// Time that the instance list has to answer.
-const LIST_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Time beyond the longest deadline that a stop waits for requests in progress.
 const STOP_SLACK: time::Duration = time::Duration::from_secs(2);
 
-/// What reaches the loop besides callers' messages.
-enum Message {
-    Frame(id::AttemptId, wire::Frame),
-    Lost { attempt: id::AttemptId, sent: bool },
-    Listed(membership::Instances),
-    Entries(u32),
-}
-
 /// Listeners of an entry.
 #[derive(Debug)]
 pub struct Listeners {
@@ -102,6 +86,8 @@
     let in_force = config_sync::InForce::new(revision::InForce::default());
     let (messages, inbox) = mpsc::channel(EVENT_BUFFER);
     let (callers, caller_inbox) = mpsc::channel(EVENT_BUFFER);
+    let (lists, list_inbox) = mpsc::channel(1);
+    let (counts, count_inbox) = mpsc::channel(1);
     let (hints, hint_inbox) = mpsc::channel(16);
     let (credentials, credential_reader) = watch::channel(sync::Arc::default());
     let (status, status_reader) = watch::channel(registry::Status {
@@ -130,8 +116,8 @@
             rng.fork(),
         )),
         tokio::spawn(registry::register(store.clone(), settings.instance.clone(), process)),
-        tokio::spawn(follow_list(settings.instances.clone(), messages.clone(), rng.fork())),
-        tokio::spawn(count_entries(store, messages.clone())),
+        tokio::spawn(platform::follow_list(settings.instances.clone(), lists, rng.fork())),
+        tokio::spawn(platform::count_entries(store, counts)),
     ];
     let (close, closing) = watch::channel(false);
     let handler = entry_http::Callers {
@@ -140,25 +126,26 @@
         credentials: credential_reader,
         status: status_reader.clone(),
     };
-    let peer_handler = PeerHandler { in_force: in_force.subscribe(), status: status_reader };
+    let peer_handler =
+        entry_http::PeerHandler { in_force: in_force.subscribe(), status: status_reader };
     let server = tokio::spawn(http::serve(listeners.callers, handler, closing.clone()));
     let peer_server = tokio::spawn(http::serve(listeners.peers, peer_handler, closing));
     let shell = Shell {
         reducer,
         clock: clock::SystemClock::new(),
-        client: http::peer_client(),
-        messages,
         hints,
         credentials,
         status,
         in_force: in_force.subscribe(),
         requests: collections::BTreeMap::new(),
-        attempts: collections::BTreeMap::new(),
+        flights: flight::Flights::new(messages),
         chunk: bytes::Bytes::new(),
         stopping: false,
         settings,
     };
-    shell.run(inbox, caller_inbox, stop, &close).await;
+    let inboxes =
+        Inboxes { messages: inbox, callers: caller_inbox, lists: list_inbox, counts: count_inbox };
+    shell.run(inboxes, stop, &close).await;
     for task in background {
         task.abort();
     }
@@ -166,79 +153,6 @@
     peer_server.abort();
 }
 
-async fn follow_list(url: String, messages: mpsc::Sender<Message>, mut rng: fastrand::Rng) {
-    let client = http::client(true);
-    loop {
-        match fetch_list(&client, &url).await {
-            Ok(list) => {
-                if messages.send(Message::Listed(list)).await.is_err() {
-                    return;
-                }
-            }
-            // The instances known so far stay in use.
-            Err(message) => log::warn!("event=list_failed url={url} error={message:?}"),
-        }
-        tokio::time::sleep(LIST_INTERVAL.mul_f64(rng.f64() + 0.5)).await;
-    }
-}
-
-async fn fetch_list(client: &http::Client, url: &str) -> Result<membership::Instances, String> {
-    let request = hyper::Request::get(url).body(http::Body::full("")).map_err(|e| e.to_string())?;
-    let response = http::within(LIST_TIMEOUT, client.request(request))
-        .await
-        .ok_or("no answer in time")?
-        .map_err(|e| e.to_string())?;
-    if response.status() != 200 {
-        return Err(format!("status {}", response.status()));
-    }
-    let body = http::read_body(response.into_body(), MAX_LIST_BYTES, LIST_TIMEOUT).await;
-    membership::parse(&body.map_err(|e| e.to_string())?).map_err(|e| e.to_string())
-}
-
-async fn count_entries<S: store::Store>(store: S, messages: mpsc::Sender<Message>) {
-    let prefix = registry::prefix_of(registry::Role::Entry);
-    loop {
-        // During an outage of the store the last count stays in use.
-        if let Ok(count) = store.count(&prefix).await {
-            let count = u32::try_from(count).unwrap_or(u32::MAX);
-            if messages.send(Message::Entries(count)).await.is_err() {
-                return;
-            }
-        }
-        tokio::time::sleep(COUNT_INTERVAL).await;
-    }
-}
-
-/// Answers other processes of the system.
-#[derive(Clone)]
-struct PeerHandler {
-    in_force: watch::Receiver<revision::InForce>,
-    status: watch::Receiver<registry::Status>,
-}
-
-impl http::Handler for PeerHandler {
-    async fn handle(
-        &self,
-        request: hyper::Request<hyper::body::Incoming>,
-    ) -> hyper::Response<http::Body> {
-        let path = request.uri().path().to_owned();
-        if let Some(response) = entry_http::plain_path(&path, &self.status.borrow()) {
-            return response;
-        }
-        if path != wire::CONFIG_PATH {
-            return http::respond(404, "text/plain", "no such path");
-        }
-        let mut decoder = wire::Decoder::new(64);
-        if let Ok(body) = http::read_body(request.into_body(), 64, LIST_TIMEOUT).await {
-            decoder.push(&body);
-        }
-        match decoder.read() {
-            Ok(Some(known)) => sidecar_shell::pass_config(&self.in_force.borrow(), known),
-            _ => http::respond(400, "text/plain", "send the revision that is known"),
-        }
-    }
-}
-
 /// What is kept of a request.
 struct Held {
     body: bytes::Bytes,
@@ -249,26 +163,23 @@
     arrived: time::Instant,
 }
 
-/// What is kept of an attempt.
-struct Flight {
-    task: tokio::task::AbortHandle,
-    head: Option<wire::Head>,
-    kept: Vec<u8>,
-    service: String,
-    tier: routing::Tier,
+/// Ways into the loop.
+struct Inboxes {
+    messages: mpsc::Receiver<flight::Message>,
+    callers: mpsc::Receiver<entry_http::Message>,
+    lists: mpsc::Receiver<membership::Instances>,
+    counts: mpsc::Receiver<u32>,
 }
 
 struct Shell {
     reducer: entry::Entry,
     clock: clock::SystemClock,
-    client: http::Client,
-    messages: mpsc::Sender<Message>,
     hints: mpsc::Sender<config_sync::Hint>,
     credentials: watch::Sender<sync::Arc<auth::Credentials>>,
     status: watch::Sender<registry::Status>,
     in_force: watch::Receiver<revision::InForce>,
     requests: collections::BTreeMap<id::RequestId, Held>,
-    attempts: collections::BTreeMap<id::AttemptId, Flight>,
+    flights: flight::Flights,
     /// Bytes of the frame that the reducer is being told about.
     chunk: bytes::Bytes,
     stopping: bool,
@@ -278,8 +189,7 @@
 impl Shell {
     async fn run(
         mut self,
-        mut inbox: mpsc::Receiver<Message>,
-        mut callers: mpsc::Receiver<entry_http::Message>,
+        mut inboxes: Inboxes,
         mut stop: watch::Receiver<bool>,
         close: &watch::Sender<bool>,
     ) {
@@ -294,8 +204,10 @@
                     self.step(entry::Event::Tick);
                     self.publish_status();
                 }
-                Some(message) = inbox.recv() => self.take(message),
-                Some(message) = callers.recv() => self.take_caller(message),
+                Some(message) = inboxes.messages.recv() => self.take(message),
+                Some(list) = inboxes.lists.recv() => self.step(entry::Event::Listed(list)),
+                Some(count) = inboxes.counts.recv() => self.step(entry::Event::Entries(count)),
+                Some(message) = inboxes.callers.recv() => self.take_caller(message),
                 Ok(()) = in_force.changed() => {
                     let now = in_force.borrow_and_update().clone();
                     let credentials = auth::Credentials::new(&now.config);
@@ -348,12 +260,12 @@
         });
     }
 
-    fn take(&mut self, message: Message) {
+    fn take(&mut self, message: flight::Message) {
         match message {
-            Message::Frame(attempt, frame) => self.take_frame(attempt, frame),
-            Message::Lost { attempt, sent } => self.step(entry::Event::Lost { attempt, sent }),
-            Message::Listed(list) => self.step(entry::Event::Listed(list)),
-            Message::Entries(count) => self.step(entry::Event::Entries(count)),
+            flight::Message::Frame(attempt, frame) => self.take_frame(attempt, frame),
+            flight::Message::Lost { attempt, sent } => {
+                self.step(entry::Event::Lost { attempt, sent });
+            }
         }
     }
 
@@ -385,16 +297,12 @@
             wire::Frame::Started => entry::FrameInfo::Started,
             wire::Frame::Head(head) => {
                 let status = head.status;
-                if let Some(flight) = self.attempts.get_mut(&attempt) {
-                    flight.head = Some(head);
-                }
+                self.flights.set_head(attempt, head);
                 entry::FrameInfo::Head(status)
             }
             wire::Frame::Chunk(chunk) => {
                 let bytes = chunk.data.len() as u64;
-                if let Some(flight) = self.attempts.get(&attempt) {
-                    count_bytes(&flight.service, flight.tier, "down", bytes);
-                }
+                self.flights.count_arrived(attempt, bytes);
                 self.chunk = chunk.data;
                 entry::FrameInfo::Chunk { offset: chunk.offset, bytes }
             }
@@ -421,12 +329,11 @@
             entry::Effect::Send { stage, plan, address, tier, open } => {
                 return Some(self.send(&plan, stage, address, tier, &open));
             }
-            entry::Effect::Attach(address, attach) => self.attach(address, &attach),
-            entry::Effect::Cancel(address, attempt) => self.cancel(address, attempt),
-            entry::Effect::Forget(attempt) => self.forget(attempt),
+            entry::Effect::Attach(address, attach) => self.flights.attach(address, &attach),
+            entry::Effect::Cancel(address, attempt) => self.flights.cancel(address, attempt),
+            entry::Effect::Forget(attempt) => self.flights.forget(attempt),
             entry::Effect::RelayHead(request, attempt) => {
-                let head = self.attempts.get(&attempt).and_then(|flight| flight.head.clone());
-                if let Some(head) = head {
+                if let Some(head) = self.flights.head(attempt) {
                     return self.reply(request, entry_http::Reply::Begin(head));
                 }
             }
@@ -435,22 +342,14 @@
                 return self.reply(request, entry_http::Reply::Data(data));
             }
             entry::Effect::Keep { attempt, skip } => {
-                if let Some(flight) = self.attempts.get_mut(&attempt) {
-                    flight.kept.extend_from_slice(&self.chunk[skip as usize..]);
-                }
+                self.flights.keep(attempt, &self.chunk[skip as usize..]);
             }
             entry::Effect::Store(request, stage, attempt) => {
                 return self.store(request, stage, attempt);
             }
             entry::Effect::Answer(request, attempt) => {
-                if let Some(flight) = self.attempts.remove(&attempt)
-                    && let Some(head) = flight.head
-                {
-                    self.end(
-                        request,
-                        "answered",
-                        entry_http::Reply::Whole(head, flight.kept.into()),
-                    );
+                if let Some((head, body)) = self.flights.take(attempt) {
+                    self.end(request, "answered", entry_http::Reply::Whole(head, body));
                 }
             }
             entry::Effect::EndStream(request) => {
@@ -460,7 +359,7 @@
                 let outcome = refusal.kind.to_string();
                 self.end(request, &outcome, entry_http::Reply::Refuse(refusal));
             }
-            entry::Effect::Leave(address) => self.tell_leaving(address),
+            entry::Effect::Leave(address) => self.flights.tell_leaving(address),
             entry::Effect::Newer(address, revision) => {
                 // A full channel means that a hint is being followed already.
                 let _ = self.hints.try_send(config_sync::Hint { address, revision });
@@ -528,65 +427,10 @@
                 return entry::Event::BadInput { request: open.request, kind, message };
             }
         };
-        let attempt = open.attempt;
         let service = plan.steps[stage].service.to_string();
-        let message = peer::with_body(open, &body);
-        let bytes = message.len() as u64;
-        count_bytes(&service, tier, "up", bytes);
-        let task = self.converse(attempt, address, wire::ATTEMPT_PATH, message);
-        let flight = Flight { task, head: None, kept: Vec::new(), service, tier };
-        self.attempts.insert(attempt, flight);
-        entry::Event::Sent(attempt, bytes)
-    }
-
-    fn attach(&mut self, address: net::SocketAddr, attach: &wire::Attach) {
-        let attempt = attach.attempt;
-        if !self.attempts.contains_key(&attempt) {
-            return;
-        }
-        let task = self.converse(attempt, address, wire::ATTACH_PATH, wire::encode(attach));
-        if let Some(flight) = self.attempts.get_mut(&attempt) {
-            flight.task.abort();
-            flight.task = task;
-        }
-    }
-
-    /// Starts a task that asks a sidecar and passes its frames to the loop.
-    fn converse(
-        &self,
-        attempt: id::AttemptId,
-        address: net::SocketAddr,
-        path: &'static str,
-        message: bytes::Bytes,
-    ) -> tokio::task::AbortHandle {
-        let (client, messages) = (self.client.clone(), self.messages.clone());
-        let task = async move {
-            let sent = match pass_frames(&client, address, path, message, attempt, &messages).await
-            {
-                Ok(()) => return,
-                Err(peer::PeerError::NotSent { .. }) => false,
-                Err(_) => true,
-            };
-            // Fails only when the process ends.
-            let _ = messages.send(Message::Lost { attempt, sent }).await;
-        };
-        tokio::spawn(task).abort_handle()
-    }
-
-    fn cancel(&mut self, address: net::SocketAddr, attempt: id::AttemptId) {
-        self.forget(attempt);
-        let client = self.client.clone();
-        tokio::spawn(async move {
-            if let Err(e) = peer::cancel(&client, address, attempt).await {
-                log::debug!("event=cancel_failed attempt={attempt} error={:?}", e.to_string());
-            }
-        });
-    }
-
-    fn forget(&mut self, attempt: id::AttemptId) {
-        if let Some(flight) = self.attempts.remove(&attempt) {
-            flight.task.abort();
-        }
+        let route = flight::Route { address, tier, service };
+        let bytes = self.flights.send(open, &body, route);
+        entry::Event::Sent(open.attempt, bytes)
     }
 
     fn store(
@@ -595,9 +439,9 @@
         stage: plan::StageIndex,
         attempt: id::AttemptId,
     ) -> Option<entry::Event> {
-        let flight = self.attempts.remove(&attempt)?;
+        let (_, body) = self.flights.take(attempt)?;
         let name = self.reducer.stage_name(request, stage)?;
-        match serde_json::from_slice(&flight.kept) {
+        match serde_json::from_slice(&body) {
             Ok(value) => {
                 self.requests.get_mut(&request)?.results.insert(name, value);
                 None
@@ -609,40 +453,4 @@
             }
         }
     }
-
-    fn tell_leaving(&self, address: net::SocketAddr) {
-        let client = self.client.clone();
-        tokio::spawn(async move {
-            let request = http::post(address, wire::LEAVE_PATH, "");
-            // A sidecar that does not answer gets no work through its broken connection either.
-            let _ = http::within(LIST_TIMEOUT, client.request(request)).await;
-        });
-    }
-}
-
-fn count_bytes(service: &str, tier: routing::Tier, direction: &'static str, bytes: u64) {
-    let labels = [
-        ("service", service.to_owned()),
-        ("tier", tier.to_string()),
-        ("direction", direction.to_owned()),
-    ];
-    metrics::counter!("stage_bytes", &labels).increment(bytes);
-}
-
-async fn pass_frames(
-    client: &http::Client,
-    address: net::SocketAddr,
-    path: &str,
-    message: bytes::Bytes,
-    attempt: id::AttemptId,
-    messages: &mpsc::Sender<Message>,
-) -> Result<(), peer::PeerError> {
-    let mut frames = peer::request(client, address, path, message).await?;
-    loop {
-        let frame = frames.next().await?;
-        let is_last = matches!(frame, wire::Frame::End(_) | wire::Frame::Refused(_));
-        if messages.send(Message::Frame(attempt, frame)).await.is_err() || is_last {
-            return Ok(());
-        }
-    }
 }
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -42,10 +42,19 @@
 
 #[derive(serde::Deserialize)]
 struct SliceList {
+    #[serde(default)]
+    metadata: Metadata,
     items: Vec<Slice>,
 }
 
 #[derive(serde::Deserialize)]
+struct WatchEvent {
+    #[serde(rename = "type")]
+    kind: String,
+    object: serde_json::Value,
+}
+
+#[derive(Debug, serde::Deserialize)]
 struct Slice {
     metadata: Metadata,
     #[serde(default)]
@@ -54,13 +63,17 @@
     ports: Vec<Port>,
 }
 
-#[derive(serde::Deserialize)]
+#[derive(Debug, Default, serde::Deserialize)]
 struct Metadata {
+    #[serde(default)]
+    name: String,
+    #[serde(default, rename = "resourceVersion")]
+    version: String,
     #[serde(default)]
     labels: collections::BTreeMap<String, String>,
 }
 
-#[derive(serde::Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 struct Endpoint {
     addresses: Vec<net::IpAddr>,
     #[serde(default)]
@@ -71,51 +84,101 @@
     target: Target,
 }
 
-#[derive(Default, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
 struct Conditions {
     ready: Option<bool>,
     serving: Option<bool>,
     terminating: Option<bool>,
 }
 
-#[derive(Default, serde::Deserialize)]
+#[derive(Debug, Default, serde::Deserialize)]
 struct Target {
     #[serde(default)]
     name: String,
 }
 
-#[derive(serde::Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 struct Port {
     name: Option<String>,
     port: Option<u16>,
 }
 
-/// Reads an `EndpointSliceList`. Endpoints without a usable name, zone or sidecar port, and those
-/// that are neither ready nor serving nor leaving, are left out.
-///
-/// # Errors
-/// Fails if the text is not such a list.
-pub fn parse(text: &[u8]) -> Result<Instances, ListError> {
-    let list: SliceList =
-        serde_json::from_slice(text).map_err(|e| ListError { message: e.to_string() })?;
-    let mut instances = Instances::new();
-    for slice in list.items {
-        let service = slice.metadata.labels.get(SERVICE_LABEL).and_then(|name| name.parse().ok());
-        let port = slice.ports.iter().find(|port| port.name.as_deref() == Some(SIDECAR_PORT));
-        let (Some(service), Some(port)) = (service, port.and_then(|port| port.port)) else {
-            continue;
-        };
-        for endpoint in slice.endpoints {
-            if let Some((instance, listed)) = read_endpoint(endpoint, &service, port) {
-                instances.insert(instance, listed);
-            }
+/// Slices of the list, as last read or changed by a watch.
+#[derive(Debug, Default)]
+pub struct Slices {
+    slices: collections::BTreeMap<String, Slice>,
+    version: String,
+}
+
+impl Slices {
+    /// Reads an `EndpointSliceList`.
+    ///
+    /// # Errors
+    /// Fails if the text is not such a list.
+    pub fn parse(text: &[u8]) -> Result<Self, ListError> {
+        let list: SliceList = serde_json::from_slice(text).map_err(|e| unreadable(&e))?;
+        let mut slices = collections::BTreeMap::new();
+        for (number, slice) in list.items.into_iter().enumerate() {
+            // A list without names can be read, but not watched.
+            let name = match slice.metadata.name.as_str() {
+                "" => format!("#{number}"),
+                name => name.to_owned(),
+            };
+            slices.insert(name, slice);
         }
+        Ok(Self { slices, version: list.metadata.version })
     }
-    Ok(instances)
+
+    /// Returns the version from which changes can be watched; empty if they cannot.
+    pub fn version(&self) -> &str {
+        &self.version
+    }
+
+    /// Takes in one line of a watch.
+    ///
+    /// # Errors
+    /// Fails if the line is not an event, or tells that the list has to be read again.
+    pub fn apply(&mut self, line: &[u8]) -> Result<(), ListError> {
+        let event: WatchEvent = serde_json::from_slice(line).map_err(|e| unreadable(&e))?;
+        if event.kind == "ERROR" {
+            return Err(ListError { message: event.object.to_string() });
+        }
+        if event.kind == "BOOKMARK" {
+            return Ok(());
+        }
+        let slice: Slice = serde_json::from_value(event.object).map_err(|e| unreadable(&e))?;
+        let name = slice.metadata.name.clone();
+        if event.kind == "DELETED" {
+            self.slices.remove(&name);
+        } else {
+            self.slices.insert(name, slice);
+        }
+        Ok(())
+    }
+
+    /// Returns the instances. Endpoints without a usable name, zone or sidecar port, and those that
+    /// are neither ready nor serving nor leaving, are left out.
+    pub fn instances(&self) -> Instances {
+        let mut instances = Instances::new();
+        for slice in self.slices.values() {
+            let service = slice.metadata.labels.get(SERVICE_LABEL).and_then(|n| n.parse().ok());
+            let port = slice.ports.iter().find(|port| port.name.as_deref() == Some(SIDECAR_PORT));
+            let (Some(service), Some(port)) = (service, port.and_then(|port| port.port)) else {
+                continue;
+            };
+            let endpoints = slice.endpoints.iter();
+            instances.extend(endpoints.filter_map(|e| read_endpoint(e, &service, port)));
+        }
+        instances
+    }
+}
+
+fn unreadable(error: &serde_json::Error) -> ListError {
+    ListError { message: error.to_string() }
 }
 
 fn read_endpoint(
-    endpoint: Endpoint,
+    endpoint: &Endpoint,
     service: &id::ServiceId,
     port: u16,
 ) -> Option<(id::InstanceId, Listed)> {
--- a/lib/src/operator.rs
+++ b/lib/src/operator.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use crate::check;
+use crate::fault;
 use crate::http;
 use crate::id;
 use crate::registry;
@@ -29,7 +30,7 @@
     #[display("the text has {} fault(s)", faults.0.len())]
     Faults {
         /// All of them.
-        faults: check::Faults,
+        faults: fault::Faults,
     },
     /// The text is larger than the store holds.
     #[display("the text has {size} bytes, more than {MAX_CONFIG_BYTES}; shorten it")]
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -8,10 +8,10 @@
 
 use std::time;
 
+use crate::claim;
 use crate::clock;
 use crate::config;
 use crate::id;
-use crate::ownership;
 
 /// Time that an upstream has to carry an order out.
 pub const ORDER_TIME: time::Duration = time::Duration::from_secs(3);
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Call {
     /// Claim the upstream's key under the lease, if nobody holds it.
-    Hold(ownership::LeaseId),
+    Hold(claim::LeaseId),
     /// Send the upstream an order.
     Send {
         /// Token that the order carries.
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reply {
     /// The upstream's key is held under the lease.
-    Held(ownership::LeaseId, id::FencingToken),
+    Held(claim::LeaseId, id::FencingToken),
     /// Another sidecar holds it, or the store did not answer.
     NotHeld,
     /// The upstream carried the order out.
@@ -50,7 +50,7 @@
 /// Orders of one sidecar to its upstream.
 #[derive(Debug, Default)]
 pub struct Orders {
-    held: Option<(ownership::LeaseId, id::FencingToken)>,
+    held: Option<(claim::LeaseId, id::FencingToken)>,
     done: Option<config::Order>,
     busy: bool,
     next: time::Duration,
@@ -61,7 +61,7 @@
     pub fn tick(
         &mut self,
         now: clock::Now,
-        lease: Option<ownership::Lease>,
+        lease: Option<claim::Lease>,
         service: &config::Service,
     ) -> Option<Call> {
         let order = service.order.as_ref().filter(|order| self.done.as_ref() != Some(*order))?;
--- a/lib/src/owner_calls.rs
+++ b/lib/src/owner_calls.rs
@@ -1,10 +1,12 @@
 //! Carries the calls of the ownership out against the store.
 
+use std::sync;
+
+use crate::claim;
 use crate::clock;
 use crate::clock::Clock as _;
 use crate::id;
 use crate::order;
-use crate::ownership;
 use crate::sidecar;
 use crate::store;
 use crate::wire;
@@ -15,35 +17,36 @@
     store: S,
     clock: clock::SystemClock,
     identity: sidecar::Identity,
+    mirror: sync::Arc<tokio::sync::Mutex<store::Mirror>>,
 }
 
 impl<S: store::Store> Caller<S> {
     /// Makes a caller.
     pub fn new(store: S, clock: clock::SystemClock, identity: sidecar::Identity) -> Self {
-        Self { store, clock, identity }
+        Self { store, clock, identity, mirror: sync::Arc::default() }
     }
 
     /// Makes a call and returns how it ended.
-    pub async fn call(&self, call: ownership::Call) -> ownership::Reply {
+    pub async fn call(&self, call: claim::Call) -> claim::Reply {
         let is_lease_call = call.is_lease_call();
-        let is_offered = matches!(call, ownership::Call::Take { offered: true, .. });
+        let is_offered = matches!(call, claim::Call::Take { offered: true, .. });
         match self.attempt(call).await {
             Ok(reply) => reply,
             Err(e) => {
                 log::warn!("event=ownership_call_failed error={:?}", e.to_string());
                 if is_lease_call {
-                    ownership::Reply::LeaseFailed
+                    claim::Reply::LeaseFailed
                 } else if is_offered {
-                    ownership::Reply::TakeFailed
+                    claim::Reply::TakeFailed
                 } else {
-                    ownership::Reply::Failed
+                    claim::Reply::Failed
                 }
             }
         }
     }
 
     /// Claims the upstream's key for orders.
-    pub async fn hold(&self, lease: ownership::LeaseId) -> order::Reply {
+    pub async fn hold(&self, lease: claim::LeaseId) -> order::Reply {
         let key = format!("{}upstreams/{}", store::PREFIX, self.identity.instance);
         let value = bytes::Bytes::from(self.identity.incarnation.to_string());
         let compare = store::Compare::Absent(key.clone());
@@ -58,68 +61,59 @@
         }
     }
 
-    async fn attempt(&self, call: ownership::Call) -> Result<ownership::Reply, store::StoreError> {
+    async fn attempt(&self, call: claim::Call) -> Result<claim::Reply, store::StoreError> {
         match call {
-            ownership::Call::Grant { ttl } => self.grant(ttl).await,
-            ownership::Call::KeepAlive { lease } => self.keep_alive(lease).await,
-            ownership::Call::Revoke { lease } => {
+            claim::Call::Grant { ttl } => self.grant(ttl).await,
+            claim::Call::KeepAlive { lease } => self.keep_alive(lease).await,
+            claim::Call::Revoke { lease } => {
                 self.store.revoke(lease).await?;
-                Ok(ownership::Reply::LeaseGone)
+                Ok(claim::Reply::LeaseGone)
             }
-            ownership::Call::Leave => {
+            claim::Call::Leave => {
                 self.store.commit(&[], &[store::Write::Delete(self.member_key())]).await?;
-                Ok(ownership::Reply::Failed)
+                Ok(claim::Reply::Failed)
             }
-            ownership::Call::Read => {
+            claim::Call::Read => {
                 let prefix = store::service_prefix(&self.identity.service);
-                let snapshot = self.store.range(&prefix, true).await?;
+                let snapshot = self.mirror.lock().await.update(&self.store, &prefix).await?;
                 Ok(store::read_service(&self.identity.service, &snapshot))
             }
-            ownership::Call::Claim { lease, ranges, first } => {
-                self.claim(lease, ranges, first).await
-            }
-            ownership::Call::Take { lease, ranges, offered } => {
+            claim::Call::Claim { lease, ranges, first } => self.claim(lease, ranges, first).await,
+            claim::Call::Take { lease, ranges, offered } => {
                 self.take(lease, &ranges, offered).await
             }
-            ownership::Call::Offer { ranges, .. } => {
+            claim::Call::Offer { ranges, .. } => {
                 let ranges = ranges.into_keys().collect();
-                Ok(ownership::Reply::Offered { ranges, accepted: false })
+                Ok(claim::Reply::Offered { ranges, accepted: false })
             }
         }
     }
 
-    async fn grant(&self, ttl: std::time::Duration) -> Result<ownership::Reply, store::StoreError> {
+    async fn grant(&self, ttl: std::time::Duration) -> Result<claim::Reply, store::StoreError> {
         let sent = self.clock.now();
         let (id, ttl) = self.store.grant(ttl).await?;
-        let member = ownership::Member {
+        let member = claim::Member {
             address: self.identity.address,
             incarnation: self.identity.incarnation,
         };
         let value = serde_json::json!(member).to_string().into();
         let write = store::Write::Put(self.member_key(), value, Some(id));
         self.store.commit(&[], &[write]).await?;
-        Ok(ownership::Reply::Lease { id, sent, ttl })
+        Ok(claim::Reply::Lease { id, sent, ttl })
     }
 
-    async fn keep_alive(
-        &self,
-        lease: ownership::LeaseId,
-    ) -> Result<ownership::Reply, store::StoreError> {
+    async fn keep_alive(&self, lease: claim::LeaseId) -> Result<claim::Reply, store::StoreError> {
         let sent = self.clock.now();
         let ttl = self.store.keep_alive(lease).await?;
-        Ok(ttl.map_or(ownership::Reply::LeaseGone, |ttl| ownership::Reply::Lease {
-            id: lease,
-            sent,
-            ttl,
-        }))
+        Ok(ttl.map_or(claim::Reply::LeaseGone, |ttl| claim::Reply::Lease { id: lease, sent, ttl }))
     }
 
     async fn claim(
         &self,
-        lease: ownership::LeaseId,
+        lease: claim::LeaseId,
         ranges: Vec<u32>,
         first: bool,
-    ) -> Result<ownership::Reply, store::StoreError> {
+    ) -> Result<claim::Reply, store::StoreError> {
         let mut compares = Vec::new();
         let mut writes = Vec::new();
         for range in &ranges {
@@ -134,18 +128,18 @@
         }
         let outcome = self.store.commit(&compares, &writes).await?;
         if !outcome.applied {
-            return Ok(ownership::Reply::Refused);
+            return Ok(claim::Reply::Refused);
         }
         let fence = id::FencingToken(outcome.revision);
-        Ok(ownership::Reply::Claimed { lease, ranges, fence, first })
+        Ok(claim::Reply::Claimed { lease, ranges, fence, first })
     }
 
     async fn take(
         &self,
-        lease: ownership::LeaseId,
-        tokens: &ownership::Tokens,
+        lease: claim::LeaseId,
+        tokens: &claim::Tokens,
         offered: bool,
-    ) -> Result<ownership::Reply, store::StoreError> {
+    ) -> Result<claim::Reply, store::StoreError> {
         let mut compares = Vec::new();
         let mut writes = Vec::new();
         for (range, fence) in tokens {
@@ -156,9 +150,9 @@
         if outcome.applied {
             let fence = id::FencingToken(outcome.revision);
             let ranges = tokens.keys().copied().collect();
-            return Ok(ownership::Reply::Taken { lease, ranges, fence, offered });
+            return Ok(claim::Reply::Taken { lease, ranges, fence, offered });
         }
-        Ok(if offered { ownership::Reply::TakeFailed } else { ownership::Reply::Failed })
+        Ok(if offered { claim::Reply::TakeFailed } else { claim::Reply::Failed })
     }
 
     fn member_key(&self) -> String {
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -10,6 +10,7 @@
 use std::net;
 use std::time;
 
+use crate::claim;
 use crate::clock;
 use crate::id;
 use crate::key;
@@ -21,162 +22,6 @@
 const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(300);
 /// Most ranges in one transaction or handover.
 const BATCH: usize = 32;
-/// Part of the lease that is not used, for the delay between a check and its consequence.
-const LEASE_MARGIN: time::Duration = time::Duration::from_millis(500);
-
-/// Number by which the store knows a lease.
-pub type LeaseId = i64;
-
-/// A lease as its holder sees it.
-#[derive(Clone, Copy, Debug)]
-pub struct Lease {
-    /// Number of the lease.
-    pub id: LeaseId,
-    /// When the request that last renewed it was sent.
-    pub sent: clock::Now,
-    /// Validity from then on.
-    pub ttl: time::Duration,
-}
-
-impl Lease {
-    /// Whether the holder may still rely on the lease.
-    pub fn is_valid(&self, now: clock::Now) -> bool {
-        now.elapsed_max(self.sent) + LEASE_MARGIN < self.ttl
-    }
-}
-
-/// A sidecar that can own ranges.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Member {
-    /// Address on which the sidecar takes attempts.
-    pub address: net::SocketAddr,
-    /// Its life.
-    pub incarnation: id::Incarnation,
-}
-
-/// Members of a service by instance.
-pub type Members = collections::BTreeMap<id::InstanceId, Member>;
-
-/// Ranges with the tokens under which they are owned.
-pub type Tokens = collections::BTreeMap<u32, id::FencingToken>;
-
-/// A call that the shell makes on behalf of the ownership.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Call {
-    /// Ask the store for a lease and register as a member under it.
-    Grant {
-        /// Validity asked for.
-        ttl: time::Duration,
-    },
-    /// Renew the lease.
-    KeepAlive {
-        /// The lease.
-        lease: LeaseId,
-    },
-    /// Give the lease back, and with it everything registered under it.
-    Revoke {
-        /// The lease.
-        lease: LeaseId,
-    },
-    /// Stop being a member, so that nobody hands ranges to this sidecar.
-    Leave,
-    /// Read owners and members.
-    Read,
-    /// Claim ranges without an owner, all or none.
-    Claim {
-        /// The lease.
-        lease: LeaseId,
-        /// The ranges.
-        ranges: Vec<u32>,
-        /// Whether the claim is only good if no range ever had an owner.
-        first: bool,
-    },
-    /// Take ranges from the owner that holds them under the given tokens, all or none.
-    Take {
-        /// The lease.
-        lease: LeaseId,
-        /// The ranges.
-        ranges: Tokens,
-        /// Whether another sidecar offers the ranges, or this one renews its own claims.
-        offered: bool,
-    },
-    /// Hand ranges with their ledgers over to another sidecar.
-    Offer {
-        /// The ranges.
-        ranges: Tokens,
-        /// Who is to take them.
-        to: net::SocketAddr,
-    },
-}
-
-impl Call {
-    /// Whether the call is about the lease itself; such calls never wait for others.
-    pub fn is_lease_call(&self) -> bool {
-        matches!(self, Self::Grant { .. } | Self::KeepAlive { .. } | Self::Revoke { .. })
-    }
-}
-
-/// How a call ended.
-#[derive(Clone, Debug)]
-pub enum Reply {
-    /// A lease was granted or renewed.
-    Lease {
-        /// Number of the lease.
-        id: LeaseId,
-        /// When the request was sent.
-        sent: clock::Now,
-        /// Validity from then on.
-        ttl: time::Duration,
-    },
-    /// The store does not know the lease any more.
-    LeaseGone,
-    /// A lease call failed or its answer was lost.
-    LeaseFailed,
-    /// Owners and members as the store has them.
-    View {
-        /// Owners by range.
-        owners: wire::Owners,
-        /// Members.
-        members: Members,
-        /// Ranges that ever had an owner.
-        marked: collections::BTreeSet<u32>,
-    },
-    /// A claim took effect.
-    Claimed {
-        /// Lease of the claim.
-        lease: LeaseId,
-        /// The ranges.
-        ranges: Vec<u32>,
-        /// Token of the claim.
-        fence: id::FencingToken,
-        /// Whether no range had an owner before.
-        first: bool,
-    },
-    /// A claim did not take effect, because a range has or had an owner.
-    Refused,
-    /// Ranges were taken over by agreement.
-    Taken {
-        /// Lease of the claim.
-        lease: LeaseId,
-        /// The ranges.
-        ranges: Vec<u32>,
-        /// Token of the claim.
-        fence: id::FencingToken,
-        /// Whether another sidecar had offered the ranges.
-        offered: bool,
-    },
-    /// Ranges that another sidecar offers were not taken, or the answer was lost.
-    TakeFailed,
-    /// A handover ended.
-    Offered {
-        /// The ranges.
-        ranges: Vec<u32>,
-        /// Whether the other sidecar owns them now.
-        accepted: bool,
-    },
-    /// A call failed or its answer was lost.
-    Failed,
-}
 
 /// A range that this sidecar owns.
 #[derive(Clone, Debug)]
@@ -185,22 +30,6 @@
     leaving: bool,
 }
 
-/// What changed for the ledgers of the ranges.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Change {
-    /// The range is owned from now on; whatever ran before `since` is not in the ledger.
-    Gained {
-        /// The range.
-        range: u32,
-        /// When the ledger begins, since the Unix epoch; zero for a range that had no owner.
-        since: time::Duration,
-    },
-    /// The range was taken over with its ledger.
-    Taken(u32),
-    /// The range and its ledger belong to another sidecar.
-    Given(u32),
-}
-
 /// Ownership of ranges by one sidecar.
 #[derive(Debug)]
 pub struct Ownership {
@@ -208,10 +37,10 @@
     address: net::SocketAddr,
     incarnation: id::Incarnation,
     ttl: time::Duration,
-    lease: Option<Lease>,
+    lease: Option<claim::Lease>,
     owned: collections::BTreeMap<u32, Owned>,
     owners: wire::Owners,
-    members: Members,
+    members: claim::Members,
     lease_busy: bool,
     busy: bool,
     next_view: time::Duration,
@@ -235,7 +64,7 @@
             lease: None,
             owned: collections::BTreeMap::new(),
             owners: wire::Owners::new(),
-            members: Members::new(),
+            members: claim::Members::new(),
             lease_busy: false,
             busy: false,
             next_view: time::Duration::ZERO,
@@ -300,14 +129,19 @@
     }
 
     /// Emits the calls that are due; `is_idle` tells whether no call of a range is in progress.
-    pub fn tick(&mut self, now: clock::Now, is_idle: impl Fn(u32) -> bool, calls: &mut Vec<Call>) {
+    pub fn tick(
+        &mut self,
+        now: clock::Now,
+        is_idle: impl Fn(u32) -> bool,
+        calls: &mut Vec<claim::Call>,
+    ) {
         self.tick_lease(now, calls);
         if self.busy {
             return;
         }
         if self.leaving && !self.left {
             self.left = true;
-            self.start(Call::Leave, calls);
+            self.start(claim::Call::Leave, calls);
             return;
         }
         if let Some(offer) = self.next_offer(now, is_idle) {
@@ -319,17 +153,17 @@
             self.last_view = now.mono;
             self.overtaken = false;
             self.next_view = now.mono + pause;
-            self.start(Call::Read, calls);
+            self.start(claim::Call::Read, calls);
         }
     }
 
-    fn start(&mut self, call: Call, calls: &mut Vec<Call>) {
+    fn start(&mut self, call: claim::Call, calls: &mut Vec<claim::Call>) {
         self.busy = true;
         calls.push(call);
     }
 
     /// Emits the calls that keep the lease, without looking after ranges.
-    pub fn tick_lease(&mut self, now: clock::Now, calls: &mut Vec<Call>) {
+    pub fn tick_lease(&mut self, now: clock::Now, calls: &mut Vec<claim::Call>) {
         if self.lease_busy {
             return;
         }
@@ -341,33 +175,37 @@
             }
             Some(lease) if now.elapsed_max(lease.sent) * 3 >= lease.ttl => {
                 self.lease_busy = true;
-                calls.push(Call::KeepAlive { lease: lease.id });
+                calls.push(claim::Call::KeepAlive { lease: lease.id });
             }
             Some(_) => {}
             None if self.leaving => {}
             None => {
                 self.lease_busy = true;
-                calls.push(Call::Grant { ttl: self.ttl });
+                calls.push(claim::Call::Grant { ttl: self.ttl });
             }
         }
     }
 
     /// Picks idle ranges to hand over: while leaving a share for each other member, else what is
     /// above the fair share.
-    fn next_offer(&mut self, now: clock::Now, is_idle: impl Fn(u32) -> bool) -> Option<Call> {
+    fn next_offer(
+        &mut self,
+        now: clock::Now,
+        is_idle: impl Fn(u32) -> bool,
+    ) -> Option<claim::Call> {
         if self.declined || !self.lease.is_some_and(|lease| lease.is_valid(now)) {
             return None;
         }
         let (to, theirs) = self.least_loaded()?;
         let count = self.surplus(theirs);
         let idle = self.owned.iter_mut().filter(|(range, _)| is_idle(**range));
-        let mut ranges = Tokens::new();
+        let mut ranges = claim::Tokens::new();
         for (range, owned) in idle.take(count.min(BATCH)) {
             // From now on the ledger must not change.
             owned.leaving = true;
             ranges.insert(*range, owned.fence);
         }
-        (!ranges.is_empty()).then_some(Call::Offer { ranges, to })
+        (!ranges.is_empty()).then_some(claim::Call::Offer { ranges, to })
     }
 
     /// Returns how many ranges should go to a member that has `theirs`.
@@ -409,26 +247,26 @@
     pub fn reply(
         &mut self,
         now: clock::Now,
-        reply: Reply,
-        calls: &mut Vec<Call>,
-        changes: &mut Vec<Change>,
+        reply: claim::Reply,
+        calls: &mut Vec<claim::Call>,
+        changes: &mut Vec<claim::Change>,
     ) {
         match reply {
-            Reply::Lease { id, sent, ttl } => {
+            claim::Reply::Lease { id, sent, ttl } => {
                 self.lease_busy = false;
                 if self.lease.is_none_or(|old| old.id != id) {
                     self.owned.clear();
                     self.next_view = time::Duration::ZERO;
                 }
-                self.lease = Some(Lease { id, sent, ttl });
+                self.lease = Some(claim::Lease { id, sent, ttl });
             }
-            Reply::LeaseGone => {
+            claim::Reply::LeaseGone => {
                 self.lease_busy = false;
                 self.lease = None;
                 self.owned.clear();
             }
-            Reply::LeaseFailed => self.lease_busy = false,
-            Reply::View { owners, members, marked } => {
+            claim::Reply::LeaseFailed => self.lease_busy = false,
+            claim::Reply::View { owners, members, marked } => {
                 self.busy = false;
                 if self.overtaken {
                     // It shows some ranges as they were before this sidecar took them.
@@ -440,7 +278,7 @@
                 self.members = members;
                 self.take_view(now, &marked, calls, changes);
             }
-            Reply::Claimed { lease, ranges, fence, first } => {
+            claim::Reply::Claimed { lease, ranges, fence, first } => {
                 self.busy = false;
                 if !self.holds(lease) {
                     return;
@@ -448,15 +286,15 @@
                 let since = if first { time::Duration::ZERO } else { now.wall };
                 for range in ranges {
                     self.own(range, fence);
-                    changes.push(Change::Gained { range, since });
+                    changes.push(claim::Change::Gained { range, since });
                 }
                 self.next_view = time::Duration::ZERO;
             }
-            Reply::Refused => {
+            claim::Reply::Refused => {
                 self.busy = false;
                 self.next_view = time::Duration::ZERO;
             }
-            Reply::Taken { lease, ranges, fence, offered } => {
+            claim::Reply::Taken { lease, ranges, fence, offered } => {
                 if !offered {
                     self.busy = false;
                 }
@@ -465,27 +303,27 @@
                     for range in ranges {
                         self.own(range, fence);
                         if offered {
-                            changes.push(Change::Taken(range));
+                            changes.push(claim::Change::Taken(range));
                         }
                     }
                 }
             }
-            Reply::TakeFailed => {}
-            Reply::Offered { ranges, accepted } => {
+            claim::Reply::TakeFailed => {}
+            claim::Reply::Offered { ranges, accepted } => {
                 self.busy = false;
                 self.next_view = time::Duration::ZERO;
                 self.end_offer(ranges, accepted, changes);
             }
-            Reply::Failed => self.busy = false,
+            claim::Reply::Failed => self.busy = false,
         }
     }
 
     /// Whether a claim under the lease is still good; the store drops it with its lease.
-    fn holds(&self, lease: LeaseId) -> bool {
+    fn holds(&self, lease: claim::LeaseId) -> bool {
         self.lease.is_some_and(|own| own.id == lease)
     }
 
-    fn end_offer(&mut self, ranges: Vec<u32>, accepted: bool, changes: &mut Vec<Change>) {
+    fn end_offer(&mut self, ranges: Vec<u32>, accepted: bool, changes: &mut Vec<claim::Change>) {
         // Without a clear answer the other sidecar may still take the ranges with the ledgers that
         // it was sent: they stay closed until a claim with a new token rules that out.
         if !accepted {
@@ -494,7 +332,7 @@
         }
         for range in ranges {
             self.owned.remove(&range);
-            changes.push(Change::Given(range));
+            changes.push(claim::Change::Given(range));
         }
     }
 
@@ -513,8 +351,8 @@
         &mut self,
         now: clock::Now,
         marked: &collections::BTreeSet<u32>,
-        calls: &mut Vec<Call>,
-        changes: &mut Vec<Change>,
+        calls: &mut Vec<claim::Call>,
+        changes: &mut Vec<claim::Change>,
     ) {
         for range in 0..key::RANGES {
             let mine = self.owners.get(&range).filter(|o| o.incarnation == self.incarnation);
@@ -522,7 +360,7 @@
                 // A claim whose answer was lost; counting from now on is safe, because it is later.
                 (Some(fence), None) if self.lease.is_some() => {
                     self.own(range, fence);
-                    changes.push(Change::Gained { range, since: now.wall });
+                    changes.push(claim::Change::Gained { range, since: now.wall });
                 }
                 (Some(fence), Some(owned)) if owned.fence < fence => {
                     // A renewed claim whose answer was lost: offers with the old token are void.
@@ -541,18 +379,18 @@
 
     /// Claims ranges anew that were closed for a handover which did not come about; returns whether
     /// there are any.
-    fn reopen(&mut self, now: clock::Now, calls: &mut Vec<Call>) -> bool {
+    fn reopen(&mut self, now: clock::Now, calls: &mut Vec<claim::Call>) -> bool {
         let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else { return false };
         if self.leaving {
             return false;
         }
         let closed = self.owned.iter().filter(|(_, owned)| owned.leaving).take(BATCH);
-        let ranges: Tokens = closed.map(|(range, owned)| (*range, owned.fence)).collect();
+        let ranges: claim::Tokens = closed.map(|(range, owned)| (*range, owned.fence)).collect();
         if ranges.is_empty() {
             return false;
         }
         self.next_view = now.mono;
-        self.start(Call::Take { lease: lease.id, ranges, offered: false }, calls);
+        self.start(claim::Call::Take { lease: lease.id, ranges, offered: false }, calls);
         true
     }
 
@@ -561,7 +399,7 @@
         &mut self,
         now: clock::Now,
         marked: &collections::BTreeSet<u32>,
-        calls: &mut Vec<Call>,
+        calls: &mut Vec<claim::Call>,
     ) {
         let Some(lease) = self.lease.filter(|lease| lease.is_valid(now)) else { return };
         if self.leaving {
@@ -574,7 +412,7 @@
         let ranges: Vec<u32> =
             free.into_iter().filter(|range| marked.contains(range) != first).take(room).collect();
         if !ranges.is_empty() {
-            self.start(Call::Claim { lease: lease.id, ranges, first }, calls);
+            self.start(claim::Call::Claim { lease: lease.id, ranges, first }, calls);
         }
     }
 
@@ -588,18 +426,18 @@
     }
 
     /// Returns the call that takes ranges offered by their owner.
-    pub fn accept_offer(&mut self, now: clock::Now, ranges: Tokens) -> Option<Call> {
+    pub fn accept_offer(&mut self, now: clock::Now, ranges: claim::Tokens) -> Option<claim::Call> {
         let lease = self.lease.filter(|lease| lease.is_valid(now) && !self.leaving)?;
-        Some(Call::Take { lease: lease.id, ranges, offered: true })
+        Some(claim::Call::Take { lease: lease.id, ranges, offered: true })
     }
 
     /// Returns the lease with its validity.
-    pub fn current_lease(&self) -> Option<Lease> {
+    pub fn current_lease(&self) -> Option<claim::Lease> {
         self.lease
     }
 
     /// Returns the lease, to be revoked when the process ends.
-    pub fn lease(&self) -> Option<LeaseId> {
+    pub fn lease(&self) -> Option<claim::LeaseId> {
         self.lease.map(|lease| lease.id)
     }
 }
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -58,6 +58,13 @@
     pub minimum: unit::Millis,
 }
 
+impl Plan {
+    /// Whether some stage's calls may run only once, so that idempotency keys count.
+    pub fn runs_once(&self) -> bool {
+        self.steps.iter().any(|step| !step.rules.idempotent)
+    }
+}
+
 /// Makes the plan of a target, or nothing if the configuration has no such target.
 pub fn plan(config: &config::Config, target: &Target) -> Option<sync::Arc<Plan>> {
     match target {
--- /dev/null
+++ b/lib/src/platform.rs
@@ -0,0 +1,128 @@
+//! What an entry asks the platform for: the instance list, and the number of entries.
+
+use std::time;
+
+use http_body_util::BodyExt as _;
+use tokio::sync::mpsc;
+
+use crate::http;
+use crate::membership;
+use crate::registry;
+use crate::store;
+
+/// Time after which a watched list is read anew, in case that its watch went silent.
+const REREAD_INTERVAL: time::Duration = time::Duration::from_mins(5);
+/// Pause between two looks at the instance list.
+const LIST_INTERVAL: time::Duration = time::Duration::from_secs(2);
+/// Pause between two counts of the entries.
+const COUNT_INTERVAL: time::Duration = time::Duration::from_secs(30);
+/// Largest instance list, in bytes.
+const MAX_LIST_BYTES: u64 = 8 << 20;
+/// Time that the instance list has to answer.
+const LIST_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Follows the instance list for as long as anybody listens: by its watch, or by reading it again
+/// and again if it cannot be watched.
+pub async fn follow_list(
+    url: String,
+    lists: mpsc::Sender<membership::Instances>,
+    mut rng: fastrand::Rng,
+) {
+    let client = http::client(true);
+    loop {
+        match fetch_list(&client, &url).await {
+            Ok(slices) => {
+                if lists.send(slices.instances()).await.is_err() {
+                    return;
+                }
+                if !slices.version().is_empty()
+                    && let Err(message) = watch_list(&client, &url, slices, &lists).await
+                {
+                    log::info!("event=list_watch_ended url={url} reason={message:?}");
+                }
+            }
+            // The instances known so far stay in use.
+            Err(message) => log::warn!("event=list_failed url={url} error={message:?}"),
+        }
+        tokio::time::sleep(LIST_INTERVAL.mul_f64(rng.f64() + 0.5)).await;
+    }
+}
+
+async fn get(
+    client: &http::Client,
+    url: &str,
+) -> Result<hyper::Response<hyper::body::Incoming>, String> {
+    let request = hyper::Request::get(url).body(http::Body::full("")).map_err(|e| e.to_string())?;
+    let response = http::within(LIST_TIMEOUT, client.request(request))
+        .await
+        .ok_or("no answer in time")?
+        .map_err(|e| e.to_string())?;
+    if response.status() != 200 {
+        return Err(format!("status {}", response.status()));
+    }
+    Ok(response)
+}
+
+async fn fetch_list(client: &http::Client, url: &str) -> Result<membership::Slices, String> {
+    let response = get(client, url).await?;
+    let body = http::read_body(response.into_body(), MAX_LIST_BYTES, LIST_TIMEOUT).await;
+    membership::Slices::parse(&body.map_err(|e| e.to_string())?).map_err(|e| e.to_string())
+}
+
+/// Follows the list's watch until it ends, and at most for the time after which it is read anew.
+async fn watch_list(
+    client: &http::Client,
+    url: &str,
+    mut slices: membership::Slices,
+    lists: &mpsc::Sender<membership::Instances>,
+) -> Result<(), String> {
+    let joint = if url.contains('?') { '&' } else { '?' };
+    let watch = format!("{url}{joint}watch=true&resourceVersion={}", slices.version());
+    let mut body = get(client, &watch).await?.into_body();
+    let mut buffer = bytes::BytesMut::new();
+    let until = tokio::time::Instant::now() + REREAD_INTERVAL;
+    while tokio::time::Instant::now() < until {
+        // The same list again lets the time pass for instances that vanished from it.
+        match http::within(LIST_INTERVAL, body.frame()).await {
+            None => {}
+            Some(Some(Ok(frame))) => {
+                buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+                apply_lines(&mut buffer, &mut slices)?;
+            }
+            Some(_) => return Err("the connection ended".to_owned()),
+        }
+        if lists.send(slices.instances()).await.is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn apply_lines(
+    buffer: &mut bytes::BytesMut,
+    slices: &mut membership::Slices,
+) -> Result<(), String> {
+    while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+        let line = buffer.split_to(end + 1);
+        slices.apply(&line).map_err(|e| e.to_string())?;
+    }
+    if buffer.len() as u64 > MAX_LIST_BYTES {
+        return Err("an event is too long".to_owned());
+    }
+    Ok(())
+}
+
+/// Counts the entries now and then for as long as anybody listens.
+pub async fn count_entries<S: store::Store>(store: S, counts: mpsc::Sender<u32>) {
+    let prefix = registry::prefix_of(registry::Role::Entry);
+    loop {
+        // During an outage of the store the last count stays in use.
+        if let Ok(count) = store.count(&prefix).await {
+            let count = u32::try_from(count).unwrap_or(u32::MAX);
+            if counts.send(count).await.is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(COUNT_INTERVAL).await;
+    }
+}
--- a/lib/src/registry.rs
+++ b/lib/src/registry.rs
@@ -3,8 +3,8 @@
 use std::net;
 use std::time;
 
+use crate::claim;
 use crate::id;
-use crate::ownership;
 use crate::store;
 
 /// Prefix of the registered processes.
@@ -89,7 +89,7 @@
     store: &S,
     key: &str,
     value: &bytes::Bytes,
-) -> Result<ownership::LeaseId, store::StoreError> {
+) -> Result<claim::LeaseId, store::StoreError> {
     let (lease, _) = store.grant(TTL).await?;
     let write = store::Write::Put(key.to_owned(), value.clone(), Some(lease));
     store.commit(&[], &[write]).await?;
@@ -97,7 +97,7 @@
 }
 
 /// Renews a lease until the store no longer knows it.
-async fn renew<S: store::Store>(store: &S, lease: ownership::LeaseId) {
+async fn renew<S: store::Store>(store: &S, lease: claim::LeaseId) {
     loop {
         tokio::time::sleep(RENEWAL).await;
         if let Ok(None) = store.keep_alive(lease).await {
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -54,6 +54,8 @@
     pub runs: collections::BTreeMap<plan::StageIndex, StageRun>,
     /// What is known of what ran so far.
     pub ran: refusal::Ran,
+    /// Whether the owner of the key has said that no request with it ran.
+    pub vouched: bool,
 }
 
 impl Request {
@@ -73,6 +75,7 @@
             done: collections::BTreeSet::new(),
             runs: collections::BTreeMap::new(),
             ran: refusal::Ran::No,
+            vouched: false,
         }
     }
 
@@ -86,6 +89,11 @@
         self.key.as_ref().filter(|_| !self.plan.steps[stage].rules.idempotent)
     }
 
+    /// Whether an earlier request with the same key may have run, for all that is known.
+    pub fn is_in_doubt(&self) -> bool {
+        self.key.is_some() && !self.vouched && self.plan.runs_once()
+    }
+
     /// Takes note that something ran, or may have.
     pub fn note_ran(&mut self, ran: refusal::Ran) {
         self.ran = match (self.ran, ran) {
--- a/lib/src/revision.rs
+++ b/lib/src/revision.rs
@@ -6,6 +6,7 @@
 
 use crate::check;
 use crate::config;
+use crate::fault;
 use crate::id;
 
 /// What stands under the configuration's key in the store.
@@ -68,7 +69,7 @@
     /// It is older than the one in force.
     Older,
     /// Its text is invalid; the last good one stays in force.
-    Invalid(check::Faults),
+    Invalid(fault::Faults),
 }
 
 /// Decides about a configuration of a revision.
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -348,6 +348,19 @@
         })
     }
 
+    /// Whether an upstream of the service that takes work was not tried yet.
+    pub fn has_untried(
+        &self,
+        service: &id::ServiceId,
+        tried: &collections::BTreeSet<id::InstanceId>,
+    ) -> bool {
+        let subset = self.services.get(service).into_iter().flatten();
+        subset.into_iter().any(|instance| {
+            !tried.contains(instance)
+                && self.upstreams.get(instance).is_some_and(|up| !up.is_leaving())
+        })
+    }
+
     /// Returns who may take the attempt: not tried, not leaving and not ejected. If nobody is left
     /// that way, ejected ones are taken, and then tried ones.
     fn candidates(&self, now: time::Duration, want: &Want<'_>) -> Vec<id::InstanceId> {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -5,7 +5,7 @@
 use std::net;
 use std::path;
 
-use crate::check;
+use crate::fault;
 use crate::id;
 
 /// Prefix of environment variables that override settings, such as `BRAMLEYSHELF_STORE`.
@@ -82,7 +82,7 @@
         /// The file.
         path: path::PathBuf,
         /// All of them.
-        faults: check::Faults,
+        faults: fault::Faults,
     },
 }
 
@@ -127,9 +127,9 @@
 pub fn parse<T: serde::de::DeserializeOwned>(
     text: &str,
     overrides: &[Override],
-) -> Result<T, check::Faults> {
-    let mut report = check::Report::default();
-    let value = check::parse_json(text, &mut report).and_then(|mut value| {
+) -> Result<T, fault::Faults> {
+    let mut report = fault::Report::default();
+    let value = fault::parse_json(text, &mut report).and_then(|mut value| {
         for o in overrides {
             let new = serde_json::from_str(&o.value)
                 .unwrap_or_else(|_| serde_json::Value::String(o.value.clone()));
--- a/lib/src/sidecar.rs
+++ b/lib/src/sidecar.rs
@@ -15,6 +15,7 @@
 
 use crate::attempt;
 use crate::auth;
+use crate::claim;
 use crate::clock;
 use crate::config;
 use crate::id;
@@ -132,7 +133,7 @@
     /// A reason to take no new work came up or went away.
     Drain(Cause, bool),
     /// A call of the ownership ended.
-    Ownership(ownership::Reply),
+    Ownership(claim::Reply),
     /// A call about an order ended.
     Order(order::Reply),
     /// Another sidecar offers ranges; the shell has stored the answers that came with them.
@@ -180,7 +181,7 @@
     /// Free the attempt's body and answer.
     Drop(id::AttemptId),
     /// Make a call of the ownership.
-    Call(ownership::Call),
+    Call(claim::Call),
     /// Make a call about an order.
     Order(order::Call),
     /// Hand ledgers over: send them, with the kept answers, to the address.
@@ -302,7 +303,7 @@
     }
 
     /// Returns the lease, to be revoked when the process ends.
-    pub fn lease(&self) -> Option<ownership::LeaseId> {
+    pub fn lease(&self) -> Option<claim::LeaseId> {
         self.ownership.lease()
     }
 
--- a/lib/src/sidecar/handover.rs
+++ b/lib/src/sidecar/handover.rs
@@ -3,10 +3,10 @@
 use std::collections;
 
 use crate::attempt;
+use crate::claim;
 use crate::clock;
 use crate::id;
 use crate::key;
-use crate::ownership;
 use crate::refusal;
 use crate::telemetry;
 use crate::unit;
@@ -20,10 +20,10 @@
         keys.map(|key| key::range_of(key)).collect()
     }
 
-    pub(super) fn call(&mut self, calls: Vec<ownership::Call>, effects: &mut Vec<Effect>) {
+    pub(super) fn call(&mut self, calls: Vec<claim::Call>, effects: &mut Vec<Effect>) {
         for call in calls {
             match call {
-                ownership::Call::Offer { ranges, to } => {
+                claim::Call::Offer { ranges, to } => {
                     effects.push(Effect::HandOver(to, self.ledgers_of(&ranges)));
                 }
                 other => effects.push(Effect::Call(other)),
@@ -31,7 +31,7 @@
         }
     }
 
-    fn ledgers_of(&self, tokens: &ownership::Tokens) -> Handover {
+    fn ledgers_of(&self, tokens: &claim::Tokens) -> Handover {
         let mut ranges = collections::BTreeMap::new();
         let mut done = collections::BTreeMap::new();
         for (range, fence) in tokens {
@@ -54,16 +54,14 @@
     pub(super) fn ownership_reply(
         &mut self,
         now: clock::Now,
-        reply: ownership::Reply,
+        reply: claim::Reply,
         effects: &mut Vec<Effect>,
     ) {
-        let is_verdict = matches!(
-            reply,
-            ownership::Reply::Taken { offered: true, .. } | ownership::Reply::TakeFailed
-        );
+        let is_verdict =
+            matches!(reply, claim::Reply::Taken { offered: true, .. } | claim::Reply::TakeFailed);
         let (mut calls, mut changes) = (Vec::new(), Vec::new());
         self.ownership.reply(now, reply, &mut calls, &mut changes);
-        let taken = changes.iter().any(|change| matches!(change, ownership::Change::Taken(_)));
+        let taken = changes.iter().any(|change| matches!(change, claim::Change::Taken(_)));
         for change in changes {
             self.apply_change(now, &change, effects);
         }
@@ -81,22 +79,22 @@
     pub(super) fn apply_change(
         &mut self,
         now: clock::Now,
-        change: &ownership::Change,
+        change: &claim::Change,
         effects: &mut Vec<Effect>,
     ) {
         let line = telemetry::Line::new("ownership");
         match *change {
-            ownership::Change::Gained { range, since } => {
+            claim::Change::Gained { range, since } => {
                 // What this sidecar remembers from an earlier time stays good to know.
                 self.books.entry(range).or_default().since = since;
                 let line = line.with("gained", range).with("since", unit::Millis::from(since));
                 effects.push(Effect::Log(line));
             }
-            ownership::Change::Taken(range) => {
+            claim::Change::Taken(range) => {
                 self.adopt(now, range);
                 effects.push(Effect::Log(line.with("taken", range)));
             }
-            ownership::Change::Given(range) => {
+            claim::Change::Given(range) => {
                 effects.push(Effect::Log(line.with("given", range)));
             }
         }
--- /dev/null
+++ b/lib/src/sidecar_http.rs
@@ -0,0 +1,222 @@
+//! Interface of a sidecar for entries, other sidecars and operators.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::answer;
+use crate::attempt;
+use crate::claim;
+use crate::config_sync;
+use crate::http;
+use crate::id;
+use crate::order;
+use crate::peer;
+use crate::registry;
+use crate::revision;
+use crate::telemetry;
+use crate::wire;
+
+/// Frames that wait for a slow entry before the forwarding task is held back.
+const BODY_BUFFER: usize = 64;
+/// Largest message of another process, in bytes.
+const MAX_MESSAGE_BYTES: u64 = 64 << 20;
+/// Time that a message of another process may take to arrive.
+const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// What reaches the loop.
+#[derive(Debug)]
+pub enum Message {
+    /// An attempt arrived with its body.
+    Open {
+        /// Connection that waits for the answer.
+        conn: attempt::ConnId,
+        /// The attempt.
+        open: wire::Open,
+        /// Its body.
+        body: bytes::Bytes,
+        /// Where frames go.
+        frames: answer::FrameSender,
+    },
+    /// An entry asks what became of an attempt.
+    Attach {
+        /// Connection that waits for the answer.
+        conn: attempt::ConnId,
+        /// The question.
+        attach: wire::Attach,
+        /// Where frames go.
+        frames: answer::FrameSender,
+    },
+    /// A waiting connection broke or got its whole answer.
+    Closed(attempt::ConnId),
+    /// An entry cancelled an attempt.
+    Cancel(id::AttemptId),
+    /// An entry says that the instance list shows this sidecar as leaving.
+    Leave,
+    /// Another sidecar offers ranges.
+    Offered {
+        /// The ranges with their ledgers and answers.
+        message: peer::HandoverMessage,
+        /// Where the verdict goes.
+        verdict: oneshot::Sender<bool>,
+    },
+    /// A call of the ownership ended.
+    Ownership(claim::Reply),
+    /// A call about an order ended.
+    Order(order::Reply),
+}
+
+/// State that the HTTP handlers read.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// Way to the loop.
+    pub messages: mpsc::Sender<Message>,
+    /// Configuration in force.
+    pub in_force: config_sync::InForce,
+    /// State of the process.
+    pub status: watch::Receiver<registry::Status>,
+    /// Number of the next connection.
+    pub conns: sync::Arc<atomic::AtomicU64>,
+}
+
+impl http::Handler for Shared {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        let path = request.uri().path().to_owned();
+        if let Some(response) = self.handle_plain(&path) {
+            return response;
+        }
+        let body = http::read_body(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await;
+        let Ok(body) = body else {
+            return http::respond(400, "text/plain", "incomplete message");
+        };
+        match self.handle_message(&path, &body).await {
+            Ok(response) => response,
+            Err(e) => http::respond(400, "text/plain", e.to_string()),
+        }
+    }
+}
+
+impl Shared {
+    /// Answers the paths for operators and the platform.
+    fn handle_plain(&self, path: &str) -> Option<hyper::Response<http::Body>> {
+        match path {
+            "/livez" => Some(http::respond(200, "text/plain", "ok")),
+            "/readyz" => {
+                let status = self.status.borrow();
+                let ready = status.revision > id::Revision(0) && !status.draining;
+                let code = if ready { 200 } else { 503 };
+                Some(http::respond_json(code, &serde_json::json!(*status)))
+            }
+            "/status" => Some(http::respond_json(200, &serde_json::json!(*self.status.borrow()))),
+            "/metrics" => {
+                Some(http::respond(200, "text/plain; version=0.0.4", telemetry::render()))
+            }
+            _ => None,
+        }
+    }
+
+    async fn handle_message(
+        &self,
+        path: &str,
+        body: &[u8],
+    ) -> Result<hyper::Response<http::Body>, wire::WireError> {
+        let mut decoder = wire::Decoder::new(body.len());
+        decoder.push(body);
+        match path {
+            wire::ATTEMPT_PATH => {
+                let open = read(&mut decoder)?;
+                let body = decoder.rest();
+                let make = |conn, frames| Message::Open { conn, open, body, frames };
+                Ok(self.stream(make).await)
+            }
+            wire::ATTACH_PATH => {
+                let attach = read(&mut decoder)?;
+                let make = |conn, frames| Message::Attach { conn, attach, frames };
+                Ok(self.stream(make).await)
+            }
+            wire::CANCEL_PATH => {
+                let cancel: wire::Cancel = read(&mut decoder)?;
+                self.tell(Message::Cancel(cancel.attempt)).await;
+                Ok(http::respond(200, "text/plain", ""))
+            }
+            wire::LEAVE_PATH => {
+                self.tell(Message::Leave).await;
+                Ok(http::respond(200, "text/plain", ""))
+            }
+            wire::HANDOVER_PATH => {
+                let message = read(&mut decoder)?;
+                let (verdict, answer) = oneshot::channel();
+                self.tell(Message::Offered { message, verdict }).await;
+                let code = if answer.await.unwrap_or(false) { 200 } else { 409 };
+                Ok(http::respond(code, "text/plain", ""))
+            }
+            wire::CONFIG_PATH => {
+                let known = read(&mut decoder)?;
+                Ok(pass_config(&self.in_force.borrow(), known))
+            }
+            _ => Ok(http::respond(404, "text/plain", "no such path")),
+        }
+    }
+
+    async fn tell(&self, message: Message) {
+        // Fails only when the process ends.
+        let _ = self.messages.send(message).await;
+    }
+
+    /// Passes a question to the loop and its frames back to the entry.
+    async fn stream(
+        &self,
+        make: impl FnOnce(attempt::ConnId, answer::FrameSender) -> Message,
+    ) -> hyper::Response<http::Body> {
+        let conn = attempt::ConnId(self.conns.fetch_add(1, atomic::Ordering::Relaxed));
+        let (frames, outbox) = mpsc::unbounded_channel();
+        let (sender, body) = http::Body::stream(BODY_BUFFER);
+        self.tell(make(conn, frames)).await;
+        let messages = self.messages.clone();
+        tokio::spawn(async move {
+            forward(outbox, sender).await;
+            let _ = messages.send(Message::Closed(conn)).await;
+        });
+        hyper::Response::new(body)
+    }
+}
+
+/// Sends frames until the last one, or until the entry goes away.
+async fn forward(mut outbox: mpsc::UnboundedReceiver<wire::Frame>, mut sender: http::BodySender) {
+    loop {
+        let frame = tokio::select! {
+            frame = outbox.recv() => frame,
+            () = sender.closed() => return,
+        };
+        let Some(frame) = frame else {
+            sender.abort();
+            return;
+        };
+        let is_last = matches!(frame, wire::Frame::End(_) | wire::Frame::Refused(_));
+        if !sender.send(wire::encode(&frame)).await || is_last {
+            return;
+        }
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(decoder: &mut wire::Decoder) -> Result<T, wire::WireError> {
+    decoder.read()?.ok_or(wire::WireError::Truncated)
+}
+
+/// Answers a peer that asks for a configuration newer than the one it knows.
+pub fn pass_config(
+    in_force: &revision::InForce,
+    known: id::Revision,
+) -> hyper::Response<http::Body> {
+    if in_force.revision <= known {
+        return http::respond(204, "application/msgpack", "");
+    }
+    let accepted = (*in_force.accepted).clone();
+    let passed = revision::Passed { revision: in_force.revision, accepted };
+    http::respond(200, "application/msgpack", wire::encode(&passed))
+}
--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use tokio::sync::{mpsc, oneshot, watch};
@@ -12,6 +11,7 @@
 use crate::answer;
 use crate::attempt;
 use crate::auth;
+use crate::claim;
 use crate::clock;
 use crate::clock::Clock as _;
 use crate::config_sync;
@@ -19,12 +19,12 @@
 use crate::id;
 use crate::order;
 use crate::owner_calls;
-use crate::ownership;
 use crate::peer;
 use crate::registry;
 use crate::revision;
 use crate::settings;
 use crate::sidecar;
+use crate::sidecar_http;
 use crate::store;
 use crate::telemetry;
 use crate::upstream;
@@ -34,36 +34,6 @@
 const TICK: time::Duration = time::Duration::from_millis(50);
 /// Events that wait for the loop before senders are held back.
 const EVENT_BUFFER: usize = 1_024;
-/// Frames that wait for a slow entry before the forwarding task is held back.
-const BODY_BUFFER: usize = 64;
-/// Largest message of another process, in bytes.
-const MAX_MESSAGE_BYTES: u64 = 64 << 20;
-/// Time that a message of another process may take to arrive.
-const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
-/// What reaches the loop.
-enum Message {
-    Open {
-        conn: attempt::ConnId,
-        open: wire::Open,
-        body: bytes::Bytes,
-        frames: answer::FrameSender,
-    },
-    Attach {
-        conn: attempt::ConnId,
-        attach: wire::Attach,
-        frames: answer::FrameSender,
-    },
-    Closed(attempt::ConnId),
-    Cancel(id::AttemptId),
-    Leave,
-    Offered {
-        message: peer::HandoverMessage,
-        verdict: oneshot::Sender<bool>,
-    },
-    Ownership(ownership::Reply),
-    Order(order::Reply),
-}
 
 /// What is kept of an attempt until its call is made.
 struct Pending {
@@ -71,15 +41,6 @@
     body: bytes::Bytes,
 }
 
-/// State that the HTTP handlers read.
-#[derive(Clone)]
-struct Shared {
-    messages: mpsc::Sender<Message>,
-    in_force: config_sync::InForce,
-    status: watch::Receiver<registry::Status>,
-    conns: sync::Arc<atomic::AtomicU64>,
-}
-
 /// Runs a sidecar until `stop` turns true and all work in progress has ended.
 ///
 /// # Errors
@@ -124,7 +85,7 @@
     let clock = clock::SystemClock::new();
     let reducer = sidecar::Sidecar::new(identity.clone());
     let (status, status_reader) = watch::channel(status_of(&settings.instance, &reducer, "none"));
-    let shared = Shared {
+    let shared = sidecar_http::Shared {
         messages: messages.clone(),
         in_force: in_force.clone(),
         status: status_reader,
@@ -209,7 +170,7 @@
     clients: Clients,
     peers: http::Client,
     caller: owner_calls::Caller<S>,
-    messages: mpsc::Sender<Message>,
+    messages: mpsc::Sender<sidecar_http::Message>,
     parts: mpsc::Sender<(id::AttemptId, upstream::Part)>,
     hints: mpsc::Sender<config_sync::Hint>,
     status: watch::Sender<registry::Status>,
@@ -228,7 +189,7 @@
 impl<S: store::Store> Shell<S> {
     async fn run(
         mut self,
-        mut inbox: mpsc::Receiver<Message>,
+        mut inbox: mpsc::Receiver<sidecar_http::Message>,
         mut parts: mpsc::Receiver<(id::AttemptId, upstream::Part)>,
         mut stop: watch::Receiver<bool>,
     ) {
@@ -258,7 +219,7 @@
             }
         }
         if let Some(lease) = self.reducer.lease() {
-            self.caller.call(ownership::Call::Revoke { lease }).await;
+            self.caller.call(claim::Call::Revoke { lease }).await;
         }
         log::info!("event=sidecar_stop instance={}", self.settings.instance);
     }
@@ -279,14 +240,16 @@
         });
     }
 
-    fn take(&mut self, message: Message) {
+    fn take(&mut self, message: sidecar_http::Message) {
         match message {
-            Message::Open { conn, open, body, frames } => self.open(conn, open, body, frames),
-            Message::Attach { conn, attach, frames } => {
+            sidecar_http::Message::Open { conn, open, body, frames } => {
+                self.open(conn, open, body, frames);
+            }
+            sidecar_http::Message::Attach { conn, attach, frames } => {
                 self.conns.insert(conn, frames);
                 self.step(sidecar::Event::Attach { conn, attach });
             }
-            Message::Closed(conn) => {
+            sidecar_http::Message::Closed(conn) => {
                 self.conns.remove(&conn);
                 let attempt = self.listening.remove(&conn);
                 if let Some(answer) = attempt.and_then(|a| self.answers.get_mut(&a)) {
@@ -294,13 +257,13 @@
                 }
                 self.step(sidecar::Event::Closed(conn));
             }
-            Message::Cancel(attempt) => self.step(sidecar::Event::Cancel(attempt)),
-            Message::Leave => {
+            sidecar_http::Message::Cancel(attempt) => self.step(sidecar::Event::Cancel(attempt)),
+            sidecar_http::Message::Leave => {
                 self.step(sidecar::Event::Drain(sidecar::Cause::InstanceList, true));
             }
-            Message::Offered { message, verdict } => self.offered(message, verdict),
-            Message::Order(reply) => self.step(sidecar::Event::Order(reply)),
-            Message::Ownership(reply) => self.step(sidecar::Event::Ownership(reply)),
+            sidecar_http::Message::Offered { message, verdict } => self.offered(message, verdict),
+            sidecar_http::Message::Order(reply) => self.step(sidecar::Event::Order(reply)),
+            sidecar_http::Message::Ownership(reply) => self.step(sidecar::Event::Ownership(reply)),
         }
     }
 
@@ -457,12 +420,12 @@
         self.tasks.insert(attempt, task.abort_handle());
     }
 
-    fn call(&self, call: ownership::Call) {
+    fn call(&self, call: claim::Call) {
         let (caller, messages) = (self.caller.clone(), self.messages.clone());
         tokio::spawn(async move {
             let reply = caller.call(call).await;
             // Fails only when the process ends.
-            let _ = messages.send(Message::Ownership(reply)).await;
+            let _ = messages.send(sidecar_http::Message::Ownership(reply)).await;
         });
     }
 
@@ -477,7 +440,7 @@
                 }
             };
             // Fails only when the process ends.
-            let _ = messages.send(Message::Order(reply)).await;
+            let _ = messages.send(sidecar_http::Message::Order(reply)).await;
         });
     }
 
@@ -496,149 +459,9 @@
         let (client, messages) = (self.peers.clone(), self.messages.clone());
         tokio::spawn(async move {
             let accepted = peer::hand_over(&client, to, &message).await.unwrap_or(false);
-            let reply = ownership::Reply::Offered { ranges, accepted };
+            let reply = claim::Reply::Offered { ranges, accepted };
             // Fails only when the process ends.
-            let _ = messages.send(Message::Ownership(reply)).await;
+            let _ = messages.send(sidecar_http::Message::Ownership(reply)).await;
         });
     }
 }
-
-impl http::Handler for Shared {
-    async fn handle(
-        &self,
-        request: hyper::Request<hyper::body::Incoming>,
-    ) -> hyper::Response<http::Body> {
-        let path = request.uri().path().to_owned();
-        if let Some(response) = self.handle_plain(&path) {
-            return response;
-        }
-        let body = http::read_body(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await;
-        let Ok(body) = body else {
-            return http::respond(400, "text/plain", "incomplete message");
-        };
-        match self.handle_message(&path, &body).await {
-            Ok(response) => response,
-            Err(e) => http::respond(400, "text/plain", e.to_string()),
-        }
-    }
-}
-
-impl Shared {
-    /// Answers the paths for operators and the platform.
-    fn handle_plain(&self, path: &str) -> Option<hyper::Response<http::Body>> {
-        match path {
-            "/livez" => Some(http::respond(200, "text/plain", "ok")),
-            "/readyz" => {
-                let status = self.status.borrow();
-                let ready = status.revision > id::Revision(0) && !status.draining;
-                let code = if ready { 200 } else { 503 };
-                Some(http::respond_json(code, &serde_json::json!(*status)))
-            }
-            "/status" => Some(http::respond_json(200, &serde_json::json!(*self.status.borrow()))),
-            "/metrics" => {
-                Some(http::respond(200, "text/plain; version=0.0.4", telemetry::render()))
-            }
-            _ => None,
-        }
-    }
-
-    async fn handle_message(
-        &self,
-        path: &str,
-        body: &[u8],
-    ) -> Result<hyper::Response<http::Body>, wire::WireError> {
-        let mut decoder = wire::Decoder::new(body.len());
-        decoder.push(body);
-        match path {
-            wire::ATTEMPT_PATH => {
-                let open = read(&mut decoder)?;
-                let body = decoder.rest();
-                let make = |conn, frames| Message::Open { conn, open, body, frames };
-                Ok(self.stream(make).await)
-            }
-            wire::ATTACH_PATH => {
-                let attach = read(&mut decoder)?;
-                let make = |conn, frames| Message::Attach { conn, attach, frames };
-                Ok(self.stream(make).await)
-            }
-            wire::CANCEL_PATH => {
-                let cancel: wire::Cancel = read(&mut decoder)?;
-                self.tell(Message::Cancel(cancel.attempt)).await;
-                Ok(http::respond(200, "text/plain", ""))
-            }
-            wire::LEAVE_PATH => {
-                self.tell(Message::Leave).await;
-                Ok(http::respond(200, "text/plain", ""))
-            }
-            wire::HANDOVER_PATH => {
-                let message = read(&mut decoder)?;
-                let (verdict, answer) = oneshot::channel();
-                self.tell(Message::Offered { message, verdict }).await;
-                let code = if answer.await.unwrap_or(false) { 200 } else { 409 };
-                Ok(http::respond(code, "text/plain", ""))
-            }
-            wire::CONFIG_PATH => {
-                let known = read(&mut decoder)?;
-                Ok(pass_config(&self.in_force.borrow(), known))
-            }
-            _ => Ok(http::respond(404, "text/plain", "no such path")),
-        }
-    }
-
-    async fn tell(&self, message: Message) {
-        // Fails only when the process ends.
-        let _ = self.messages.send(message).await;
-    }
-
-    /// Passes a question to the loop and its frames back to the entry.
-    async fn stream(
-        &self,
-        make: impl FnOnce(attempt::ConnId, answer::FrameSender) -> Message,
-    ) -> hyper::Response<http::Body> {
-        let conn = attempt::ConnId(self.conns.fetch_add(1, atomic::Ordering::Relaxed));
-        let (frames, outbox) = mpsc::unbounded_channel();
-        let (sender, body) = http::Body::stream(BODY_BUFFER);
-        self.tell(make(conn, frames)).await;
-        let messages = self.messages.clone();
-        tokio::spawn(async move {
-            forward(outbox, sender).await;
-            let _ = messages.send(Message::Closed(conn)).await;
-        });
-        hyper::Response::new(body)
-    }
-}
-
-/// Sends frames until the last one, or until the entry goes away.
-async fn forward(mut outbox: mpsc::UnboundedReceiver<wire::Frame>, mut sender: http::BodySender) {
-    loop {
-        let frame = tokio::select! {
-            frame = outbox.recv() => frame,
-            () = sender.closed() => return,
-        };
-        let Some(frame) = frame else {
-            sender.abort();
-            return;
-        };
-        let is_last = matches!(frame, wire::Frame::End(_) | wire::Frame::Refused(_));
-        if !sender.send(wire::encode(&frame)).await || is_last {
-            return;
-        }
-    }
-}
-
-fn read<T: serde::de::DeserializeOwned>(decoder: &mut wire::Decoder) -> Result<T, wire::WireError> {
-    decoder.read()?.ok_or(wire::WireError::Truncated)
-}
-
-/// Answers a peer that asks for a configuration newer than the one it knows.
-pub fn pass_config(
-    in_force: &revision::InForce,
-    known: id::Revision,
-) -> hyper::Response<http::Body> {
-    if in_force.revision <= known {
-        return http::respond(204, "application/msgpack", "");
-    }
-    let accepted = (*in_force.accepted).clone();
-    let passed = revision::Passed { revision: in_force.revision, accepted };
-    http::respond(200, "application/msgpack", wire::encode(&passed))
-}
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -5,8 +5,8 @@
 use base64::Engine as _;
 use http_body_util::BodyExt as _;
 
+use crate::claim;
 use crate::http;
-use crate::ownership;
 
 /// Prefix of all keys of the system.
 pub const PREFIX: &str = "/bramleyshelf/";
@@ -77,7 +77,7 @@
 #[derive(Clone, Debug)]
 pub enum Write {
     /// Sets a key, which then lives as long as the lease if one is given.
-    Put(String, bytes::Bytes, Option<ownership::LeaseId>),
+    Put(String, bytes::Bytes, Option<claim::LeaseId>),
     /// Removes a key.
     Delete(String),
 }
@@ -103,6 +103,14 @@
         prefix: bool,
     ) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
 
+    /// Reads the keys under a prefix that were written after a revision, and the number of all keys
+    /// under it.
+    fn changes(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> impl Future<Output = Result<(Snapshot, usize), StoreError>> + Send;
+
     /// Counts the keys under a prefix without reading them.
     fn count(&self, prefix: &str) -> impl Future<Output = Result<u64, StoreError>> + Send;
 
@@ -117,19 +125,16 @@
     fn grant(
         &self,
         ttl: time::Duration,
-    ) -> impl Future<Output = Result<(ownership::LeaseId, time::Duration), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(claim::LeaseId, time::Duration), StoreError>> + Send;
 
     /// Renews a lease; returns its validity, or nothing if the service does not know it.
     fn keep_alive(
         &self,
-        lease: ownership::LeaseId,
+        lease: claim::LeaseId,
     ) -> impl Future<Output = Result<Option<time::Duration>, StoreError>> + Send;
 
     /// Gives a lease back.
-    fn revoke(
-        &self,
-        lease: ownership::LeaseId,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn revoke(&self, lease: claim::LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Watches a key from a revision on.
     fn watch(
@@ -228,6 +233,49 @@
     Ok(Entry { key, value: raw.into(), modified: number(&value["mod_revision"])? })
 }
 
+fn read_snapshot(answer: &serde_json::Value) -> Result<Snapshot, StoreError> {
+    let entries = answer["kvs"].as_array().map_or(&[][..], Vec::as_slice);
+    let entries = entries.iter().map(entry).collect::<Result<_, _>>()?;
+    Ok(Snapshot { revision: revision(answer)?, entries })
+}
+
+/// Copy of the keys under a prefix, kept up to date by reading only what changed.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    revision: u64,
+    entries: std::collections::BTreeMap<String, Entry>,
+}
+
+impl Mirror {
+    /// Brings the copy up to date and returns it.
+    ///
+    /// # Errors
+    /// Fails if the service does not answer; the copy then stays as it was.
+    pub async fn update<S: Store>(
+        &mut self,
+        store: &S,
+        prefix: &str,
+    ) -> Result<Snapshot, StoreError> {
+        let (changed, count) = store.changes(prefix, self.revision).await?;
+        self.take(changed);
+        if self.entries.len() != count {
+            // Keys were removed, of which changes do not tell.
+            let all = store.range(prefix, true).await?;
+            self.entries.clear();
+            self.take(all);
+        }
+        let entries = self.entries.values().cloned().collect();
+        Ok(Snapshot { revision: self.revision, entries })
+    }
+
+    fn take(&mut self, snapshot: Snapshot) {
+        self.revision = snapshot.revision;
+        for entry in snapshot.entries {
+            self.entries.insert(entry.key.clone(), entry);
+        }
+    }
+}
+
 /// Returns the first key after all keys with the prefix.
 fn prefix_end(prefix: &str) -> Vec<u8> {
     let mut end = prefix.as_bytes().to_vec();
@@ -245,10 +293,18 @@
         if prefix {
             body["range_end"] = encode(&prefix_end(key)).into();
         }
+        read_snapshot(&self.call("/v3/kv/range", &body).await?)
+    }
+
+    async fn changes(&self, prefix: &str, after: u64) -> Result<(Snapshot, usize), StoreError> {
+        let body = serde_json::json!({
+            "key": encode(prefix.as_bytes()),
+            "range_end": encode(&prefix_end(prefix)),
+            "min_mod_revision": (after + 1).to_string(),
+        });
         let answer = self.call("/v3/kv/range", &body).await?;
-        let entries = answer["kvs"].as_array().map_or(&[][..], Vec::as_slice);
-        let entries = entries.iter().map(entry).collect::<Result<_, _>>()?;
-        Ok(Snapshot { revision: revision(&answer)?, entries })
+        let count = usize::try_from(number(&answer["count"])?).unwrap_or(usize::MAX);
+        Ok((read_snapshot(&answer)?, count))
     }
 
     async fn count(&self, prefix: &str) -> Result<u64, StoreError> {
@@ -294,7 +350,7 @@
     async fn grant(
         &self,
         ttl: time::Duration,
-    ) -> Result<(ownership::LeaseId, time::Duration), StoreError> {
+    ) -> Result<(claim::LeaseId, time::Duration), StoreError> {
         let body = serde_json::json!({ "TTL": ttl.as_secs().to_string() });
         let answer = self.call("/v3/lease/grant", &body).await?;
         let id = number(&answer["ID"])?.cast_signed();
@@ -303,7 +359,7 @@
 
     async fn keep_alive(
         &self,
-        lease: ownership::LeaseId,
+        lease: claim::LeaseId,
     ) -> Result<Option<time::Duration>, StoreError> {
         let body = serde_json::json!({ "ID": lease.to_string() });
         let answer = self.call("/v3/lease/keepalive", &body).await?;
@@ -311,7 +367,7 @@
         Ok((ttl > 0).then(|| time::Duration::from_secs(ttl)))
     }
 
-    async fn revoke(&self, lease: ownership::LeaseId) -> Result<(), StoreError> {
+    async fn revoke(&self, lease: claim::LeaseId) -> Result<(), StoreError> {
         let body = serde_json::json!({ "ID": lease.to_string() });
         self.call("/v3/lease/revoke", &body).await.map(|_| ())
     }
@@ -383,10 +439,10 @@
 }
 
 /// Reads owners, members and marks out of a snapshot of a service's prefix.
-pub fn read_service(service: &crate::id::ServiceId, snapshot: &Snapshot) -> ownership::Reply {
+pub fn read_service(service: &crate::id::ServiceId, snapshot: &Snapshot) -> claim::Reply {
     let prefix = service_prefix(service);
     let mut owners = crate::wire::Owners::new();
-    let mut members = ownership::Members::new();
+    let mut members = claim::Members::new();
     let mut marked = std::collections::BTreeSet::new();
     for entry in &snapshot.entries {
         let Some((kind, name)) =
@@ -403,7 +459,7 @@
                 }
             }
             "members" => {
-                let member = serde_json::from_slice::<ownership::Member>(&entry.value);
+                let member = serde_json::from_slice::<claim::Member>(&entry.value);
                 if let (Ok(instance), Ok(member)) = (name.parse(), member) {
                     members.insert(instance, member);
                 }
@@ -412,5 +468,5 @@
             _ => {}
         }
     }
-    ownership::Reply::View { owners, members, marked }
+    claim::Reply::View { owners, members, marked }
 }
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -454,6 +454,18 @@
     assert_eq!(bench.answers(request), 1);
 }
 
+#[test]
+fn ended_stream_frees_its_attempt() {
+    let mut bench = Bench::new();
+    let (request, first) = begin_stream(&mut bench);
+    bench.frame(first.attempt, entry::FrameInfo::End { total: 5, load: load() });
+    assert_eq!(bench.answers(request), 1);
+    let freed = bench.effects.iter().any(
+        |effect| matches!(effect, entry::Effect::Forget(attempt) if *attempt == first.attempt),
+    );
+    assert!(freed, "the shell keeps the head and the connection until it is told");
+}
+
 #[test]
 fn broken_stream_that_cannot_resume_is_an_error() {
     let text = TEXT.replace("\"resumes\": true", "\"resumes\": false");
@@ -587,6 +599,56 @@
     assert!(bench.now.elapsed_max(start) < time::Duration::from_secs(4));
 }
 
+#[test]
+fn refusal_of_key_is_not_run_only_if_the_owner_says_so() {
+    // How the attempts end, again and again, and what the caller may be told.
+    let cases = [
+        (Kind::SidecarLost, Ran::Unknown),
+        (Kind::LeaseLapsed, Ran::Unknown),
+        (Kind::NotOwner, Ran::Unknown),
+        (Kind::Draining, Ran::Unknown),
+        (Kind::QueueFull, Ran::No),
+        (Kind::UpstreamUnreachable, Ran::No),
+        (Kind::KeyMismatch, Ran::No),
+    ];
+    for (kind, expected) in cases {
+        let mut bench = Bench::new();
+        let request = bench.arrive("bookings", keyed);
+        for _ in 0..300 {
+            let last = bench.last();
+            if kind == Kind::SidecarLost {
+                bench.step(entry::Event::Lost { attempt: last.attempt, sent: false });
+            } else {
+                bench.refuse(last.attempt, kind, Ran::No);
+            }
+            bench.pass(100);
+        }
+        assert_eq!(bench.refusal(request).map(|(_, ran)| ran), Some(expected), "{kind}");
+    }
+    let mut bench = Bench::new();
+    bench.step(entry::Event::Drain);
+    let request = bench.arrive("bookings", keyed);
+    assert_eq!(bench.refusal(request), Some((Kind::Draining, Ran::Unknown)));
+}
+
+#[test]
+fn owner_is_looked_for_at_every_member() {
+    // Two members are dead, and the nearest ones; the third knows the owner.
+    let mut bench = Bench::new();
+    bench.arrive("bookings", keyed);
+    let mut seen = collections::BTreeSet::new();
+    for _ in 0..12 {
+        let last = bench.last();
+        seen.insert(last.address.port());
+        bench.step(entry::Event::Lost { attempt: last.attempt, sent: false });
+        bench.pass(110);
+    }
+    let ports: Vec<_> = bench.sent().iter().map(|sent| sent.address.port()).collect();
+    assert_eq!(seen.len(), 3);
+    let third = ports.iter().filter(|port| **port == 9_052).count();
+    assert!(third >= 3, "{ports:?}");
+}
+
 /// One step of a random run: which attempt it concerns, and what happens to it.
 #[derive(Clone, Copy, Debug)]
 enum Act {
--- a/lib/testutils/src/kv.rs
+++ b/lib/testutils/src/kv.rs
@@ -96,7 +96,9 @@
         if request["count_only"] == true {
             return serde_json::json!({ "header": self.header(), "count": count });
         }
-        let entries: Vec<_> = found.into_iter().map(|(key, value)| entry(key, value)).collect();
+        let least = number(&request["min_mod_revision"]).cast_unsigned();
+        let found = found.into_iter().filter(|(_, value)| value.modified >= least);
+        let entries: Vec<_> = found.map(|(key, value)| entry(key, value)).collect();
         serde_json::json!({ "header": self.header(), "kvs": entries, "count": count })
     }
 
--- a/lib/testutils/src/server.rs
+++ b/lib/testutils/src/server.rs
@@ -22,6 +22,8 @@
     pub method: hyper::Method,
     /// Path without the query.
     pub path: String,
+    /// Query, or an empty text.
+    pub query: String,
     /// Header fields.
     pub headers: hyper::HeaderMap,
     /// Whole body.
@@ -98,7 +100,9 @@
             return http::respond_json(faults.status, &serde_json::json!({ "error": "fault" }));
         }
         fault::pause(&faults).await;
-        let request = Request { method: parts.method, path, headers: parts.headers, body };
+        let query = parts.uri.query().unwrap_or_default().to_owned();
+        let (method, headers) = (parts.method, parts.headers);
+        let request = Request { method, path, query, headers, body };
         let answer = self.work.answer(request).await;
         if faults.drop_answer {
             return broken();
