ownership: offer ranges only on a view that is newer than the last move

Two pairs of sidecars passed ranges back and forth, 8,400 times in a minute, because an offer went before the next look at the store: each believed the other had few. Ruled out: the watch of the instance list and the store's changes (socket counters named the sidecars' handovers and transactions).

Change: after any range moved, nothing is offered before the next view.

New test ownership_offers_nothing_on_a_view_older_than_its_last_taking, seen failing.

--- a/cli/tests/test_config.rs
+++ b/cli/tests/test_config.rs
@@ -1,6 +1,5 @@
 //! Configuration over real processes: outages, races, lost answers, frozen and fresh processes.
 
-use std::process;
 use std::sync;
 use std::time;
 
@@ -25,15 +24,6 @@
     cluster::Cluster::start(PROGRAM, name, &text(2_000), shape).await
 }
 
-async fn run(system: &cluster::Cluster, words: &[&str]) -> (bool, String) {
-    let mut all: Vec<String> = words.iter().map(ToString::to_string).collect();
-    all.extend(["--store".to_owned(), system.store_url()]);
-    let run = move || process::Command::new(PROGRAM).args(all).output().expect("it runs");
-    let output = tokio::task::spawn_blocking(run).await.expect("no panic");
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.success(), String::from_utf8_lossy(&text).into_owned())
-}
-
 fn file(system: &cluster::Cluster, requests: u64) -> String {
     let path = system.directory.join(format!("text-{requests}.json"));
     std::fs::write(&path, text(requests)).expect("a writable directory");
@@ -81,12 +71,12 @@
 async fn apply_waits_until_every_process_has_it() {
     let system = start("apply").await;
     let path = file(&system, 1_500);
-    let (done, printed) = run(&system, &["apply", &path, "--wait"]).await;
+    let (done, printed) = system.operate(&["apply", &path, "--wait"]).await;
     assert!(done && printed.contains("in force at 18 process(es)"), "{printed}");
-    let (done, printed) = run(&system, &["show"]).await;
+    let (done, printed) = system.operate(&["show"]).await;
     assert!(done && printed.contains("1500"), "{printed}");
     let path = file(&system, 1_400);
-    let (done, printed) = run(&system, &["diff", &path]).await;
+    let (done, printed) = system.operate(&["diff", &path]).await;
     assert!(done && printed.contains("~ /limits/requests: 1500 -> 1400"), "{printed}");
 }
 
@@ -97,7 +87,7 @@
     let child = frozen.sidecar.as_ref().expect("it runs");
     child.signal(cluster::Signal::Stop);
     let path = file(&system, 1_500);
-    let (done, printed) = run(&system, &["apply", &path, "--wait", "--timeout", "6"]).await;
+    let (done, printed) = system.operate(&["apply", &path, "--wait", "--timeout", "6"]).await;
     assert!(!done && printed.contains(&format!("not in force: {}", frozen.name)), "{printed}");
     child.signal(cluster::Signal::Continue);
     let revision = operator::read(&system.store_client()).await.expect("readable").revision;
@@ -112,7 +102,7 @@
     let expect = revision.to_string();
     let paths = [file(&system, 1_501), file(&system, 1_502)];
     let words = paths.each_ref().map(|path| ["apply", path.as_str(), "--expect", &expect]);
-    let (first, second) = tokio::join!(run(&system, &words[0]), run(&system, &words[1]));
+    let (first, second) = tokio::join!(system.operate(&words[0]), system.operate(&words[1]));
     let (won, lost) = if first.0 { (first, second) } else { (second, first) };
     assert!(won.0 && !lost.0, "{won:?} {lost:?}");
     assert!(lost.1.contains("changed since you read it"), "{}", lost.1);
@@ -224,7 +214,7 @@
     let mut system = start("outage").await;
     let client = http::client(true);
     let path = file(&system, 1_700);
-    let (done, printed) = run(&system, &["apply", &path, "--wait"]).await;
+    let (done, printed) = system.operate(&["apply", &path, "--wait"]).await;
     assert!(done, "{printed}");
     let revision = operator::read(&system.store_client()).await.expect("readable").revision;
     system.store.knobs.set(fault::Faults { outage: true, ..Default::default() });
@@ -265,7 +255,7 @@
     let owned = cluster::until(IN_FORCE_LIMIT, async || system.all_owned()).await;
     assert!(owned, "owners come back with the store");
     let path = file(&system, 1_800);
-    let (done, printed) = run(&system, &["apply", &path, "--wait"]).await;
+    let (done, printed) = system.operate(&["apply", &path, "--wait"]).await;
     assert!(done, "{printed}");
     assert_never_back(&system);
 }
@@ -274,7 +264,7 @@
 async fn store_that_goes_back_is_not_followed() {
     let system = start("back").await;
     let path = file(&system, 1_700);
-    let (done, printed) = run(&system, &["apply", &path, "--wait"]).await;
+    let (done, printed) = system.operate(&["apply", &path, "--wait"]).await;
     assert!(done, "{printed}");
     let revision = operator::read(&system.store_client()).await.expect("readable").revision;
     let old = serde_json::json!({ "nonce": "old", "draining": [], "text": text(2_000) });
--- a/cli/tests/test_drain.rs
+++ b/cli/tests/test_drain.rs
@@ -1,6 +1,5 @@
 //! Drains under load: no request is cut, and a leaving upstream gets no new work.
 
-use std::process;
 use std::sync;
 use std::time;
 
@@ -12,17 +11,6 @@
 /// Time after an accepted drain from which an upstream gets no new work.
 const NO_NEW_WORK: time::Duration = time::Duration::from_secs(3);
 
-/// Runs a command of operators and returns whether it succeeded, and what it printed.
-async fn operate(system: &cluster::Cluster, words: &[&str]) -> (bool, String) {
-    let store = system.store_url();
-    let mut all: Vec<String> = words.iter().map(ToString::to_string).collect();
-    all.extend(["--store".to_owned(), store]);
-    let run = move || process::Command::new(PROGRAM).args(all).output().expect("it runs");
-    let output = tokio::task::spawn_blocking(run).await.expect("no panic");
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.success(), String::from_utf8_lossy(&text).into_owned())
-}
-
 #[derive(Debug, Default)]
 struct Tally {
     sent: u32,
@@ -99,35 +87,36 @@
         Self { stop, task }
     }
 
-    async fn end(self) -> Tally {
+    /// Ends the load and checks that every request got its whole answer.
+    async fn end_without_failure(self) {
         self.stop.store(true, sync::atomic::Ordering::Relaxed);
-        self.task.await.expect("the load does not panic")
+        let tally = self.task.await.expect("the load does not panic");
+        let (failed, sent) = (tally.failed.len(), tally.sent);
+        assert!(tally.failed.is_empty(), "{failed} of {sent}: {:#?}", tally.failed);
     }
 }
 
+/// Checks that an upstream gets no work for a while.
+async fn assert_no_new_work(system: &cluster::Cluster, name: &str) {
+    let upstream = system.nodes[system.node(name)].upstream.address;
+    let before = cluster::get(upstream, "/_log").await.expect("a log").body;
+    tokio::time::sleep(time::Duration::from_millis(800)).await;
+    let after = cluster::get(upstream, "/_log").await.expect("a log").body;
+    assert_eq!(before, after, "{name} got work");
+}
+
 #[tokio::test]
 async fn drain_by_configuration_cuts_nothing() {
     let system = start("drain").await;
     let load = Load::start(&system);
     for name in ["generator-0", "bookings-0", "bookings-1", "encoder-0"] {
-        let (done, text) = operate(&system, &["drain", name, "--wait"]).await;
+        let (done, text) = system.operate(&["drain", name, "--wait"]).await;
         assert!(done, "{text}");
-        let node = &system.nodes[system.node(name)];
-        let before = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
-        tokio::time::sleep(time::Duration::from_millis(800)).await;
-        let after = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
-        assert_eq!(before, after, "{name} got work after its drain");
-        let (done, text) = operate(&system, &["undrain", name, "--wait"]).await;
+        assert_no_new_work(&system, name).await;
+        let (done, text) = system.operate(&["undrain", name, "--wait"]).await;
         assert!(done, "{text}");
     }
-    let tally = load.end().await;
-    assert!(
-        tally.failed.is_empty(),
-        "{} of {}: {:#?}",
-        tally.failed.len(),
-        tally.sent,
-        tally.failed
-    );
+    load.end_without_failure().await;
 }
 
 #[tokio::test]
@@ -137,20 +126,9 @@
     system.publish_leaving(&["generator-1", "bookings-1"]);
     tokio::time::sleep(NO_NEW_WORK + time::Duration::from_secs(1)).await;
     for name in ["generator-1", "bookings-1"] {
-        let node = &system.nodes[system.node(name)];
-        let before = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
-        tokio::time::sleep(time::Duration::from_millis(800)).await;
-        let after = cluster::get(node.upstream.address, "/_log").await.expect("a log").body;
-        assert_eq!(before, after, "{name} got work although the list shows it as leaving");
+        assert_no_new_work(&system, name).await;
     }
-    let tally = load.end().await;
-    assert!(
-        tally.failed.is_empty(),
-        "{} of {}: {:#?}",
-        tally.failed.len(),
-        tally.sent,
-        tally.failed
-    );
+    load.end_without_failure().await;
 }
 
 #[tokio::test]
@@ -167,14 +145,7 @@
         system.start_sidecar(index);
         tokio::time::sleep(time::Duration::from_millis(700)).await;
     }
-    let tally = load.end().await;
-    assert!(
-        tally.failed.is_empty(),
-        "{} of {}: {:#?}",
-        tally.failed.len(),
-        tally.sent,
-        tally.failed
-    );
+    load.end_without_failure().await;
 }
 
 #[tokio::test]
@@ -208,12 +179,12 @@
 #[tokio::test]
 async fn drain_that_leaves_too_few_is_refused() {
     let system = start("too-few").await;
-    let (done, text) = operate(&system, &["drain", "bookings-0"]).await;
+    let (done, text) = system.operate(&["drain", "bookings-0"]).await;
     assert!(done, "{text}");
-    let (done, text) = operate(&system, &["drain", "bookings-1"]).await;
+    let (done, text) = system.operate(&["drain", "bookings-1"]).await;
     assert!(!done && text.contains("keeps 2"), "{text}");
-    let (done, text) = operate(&system, &["drain", "bookings-1", "--force"]).await;
+    let (done, text) = system.operate(&["drain", "bookings-1", "--force"]).await;
     assert!(done, "{text}");
-    let (done, text) = operate(&system, &["drain", "nobody"]).await;
+    let (done, text) = system.operate(&["drain", "nobody"]).await;
     assert!(!done && text.contains("no process of instance `nobody`"), "{text}");
 }
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -5,8 +5,8 @@
 /// Both clocks, read together.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Now {
-    /// Time since an arbitrary fixed point; never runs backwards, may stop while a virtual machine
-    /// is frozen.
+    /// Time since an arbitrary fixed point; never runs backwards, may stop while the instance is
+    /// frozen.
     pub mono: time::Duration,
     /// Time since the Unix epoch; may jump.
     pub wall: time::Duration,
@@ -15,7 +15,7 @@
 impl Now {
     /// Returns how much time has passed since `earlier` by whichever clock says more.
     ///
-    /// A frozen virtual machine stops the monotonic clock and a correction can set the wall clock
+    /// A frozen instance stops the monotonic clock and a correction can set the wall clock
     /// back; a lease has to end as soon as either clock says so.
     pub fn elapsed_max(self, earlier: Self) -> time::Duration {
         let mono = self.mono.saturating_sub(earlier.mono);
--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -13,12 +13,12 @@
 use crate::id;
 use crate::key;
 use crate::plan;
+use crate::probe;
 use crate::refusal;
 use crate::registry;
 use crate::request;
 use crate::revision;
 use crate::sidecar_http;
-use crate::telemetry;
 use crate::wire;
 
 /// Header with the time that the caller allows, in milliseconds.
@@ -116,7 +116,7 @@
         &self,
         request: hyper::Request<hyper::body::Incoming>,
     ) -> hyper::Response<http::Body> {
-        if let Some(response) = plain_path(request.uri().path(), &self.status.borrow()) {
+        if let Some(response) = probe::answer(request.uri().path(), &self.status.borrow()) {
             return response;
         }
         let number = id::RequestId(uuid::Uuid::new_v4().as_u128());
@@ -138,21 +138,6 @@
     }
 }
 
-/// Answers the paths for operators and the platform.
-pub fn plain_path(path: &str, status: &registry::Status) -> Option<hyper::Response<http::Body>> {
-    match path {
-        "/livez" => Some(http::respond(200, "text/plain", "ok")),
-        "/readyz" => {
-            let ready = status.revision > id::Revision(0) && !status.draining;
-            let code = if ready { 200 } else { 503 };
-            Some(http::respond_json(code, &serde_json::json!(status)))
-        }
-        "/status" => Some(http::respond_json(200, &serde_json::json!(status))),
-        "/metrics" => Some(http::respond(200, "text/plain; version=0.0.4", telemetry::render())),
-        _ => None,
-    }
-}
-
 /// Makes the response that refuses a request.
 fn refuse(refusal: &refusal::Refusal) -> hyper::Response<http::Body> {
     let mut response = http::respond_json(refusal.kind.status(), &refusal.to_json());
@@ -367,7 +352,7 @@
         request: hyper::Request<hyper::body::Incoming>,
     ) -> hyper::Response<http::Body> {
         let path = request.uri().path().to_owned();
-        if let Some(response) = plain_path(&path, &self.status.borrow()) {
+        if let Some(response) = probe::answer(&path, &self.status.borrow()) {
             return response;
         }
         if path != wire::CONFIG_PATH {
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -78,7 +78,7 @@
     InstanceId
 }
 name_type! {
-    /// A customer of the operators, to which requests and limits are accounted.
+    /// A group of callers, to which requests and limits are accounted.
     TeamId
 }
 name_type! {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peer;
 pub mod plan;
 pub mod platform;
+pub mod probe;
 pub mod queue;
 pub mod refusal;
 pub mod registry;
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -47,8 +47,9 @@
     last_view: time::Duration,
     leaving: bool,
     left: bool,
-    /// Whether an offer came to nothing since the last view, which may be out of date.
-    declined: bool,
+    /// Whether ranges moved, or an offer came to nothing, since the last view: nothing is offered
+    /// before the next one.
+    outdated: bool,
     /// Whether a range was taken since the running look at the store began.
     overtaken: bool,
 }
@@ -71,7 +72,7 @@
             last_view: time::Duration::ZERO,
             leaving: false,
             left: false,
-            declined: false,
+            outdated: false,
             overtaken: false,
         }
     }
@@ -193,7 +194,7 @@
         now: clock::Now,
         is_idle: impl Fn(u32) -> bool,
     ) -> Option<claim::Call> {
-        if self.declined || !self.lease.is_some_and(|lease| lease.is_valid(now)) {
+        if self.outdated || !self.lease.is_some_and(|lease| lease.is_valid(now)) {
             return None;
         }
         let (to, theirs) = self.least_loaded()?;
@@ -273,7 +274,7 @@
                     self.next_view = time::Duration::ZERO;
                     return;
                 }
-                self.declined = false;
+                self.outdated = false;
                 self.owners = owners;
                 self.members = members;
                 self.take_view(now, &marked, calls, changes);
@@ -300,6 +301,7 @@
                 }
                 if self.holds(lease) {
                     self.overtaken = true;
+                    self.outdated = true;
                     for range in ranges {
                         self.own(range, fence);
                         if offered {
@@ -326,8 +328,8 @@
     fn end_offer(&mut self, ranges: Vec<u32>, accepted: bool, changes: &mut Vec<claim::Change>) {
         // Without a clear answer the other sidecar may still take the ranges with the ledgers that
         // it was sent: they stay closed until a claim with a new token rules that out.
+        self.outdated = true;
         if !accepted {
-            self.declined = true;
             return;
         }
         for range in ranges {
--- a/lib/src/sidecar_http.rs
+++ b/lib/src/sidecar_http.rs
@@ -14,9 +14,9 @@
 use crate::id;
 use crate::order;
 use crate::peer;
+use crate::probe;
 use crate::registry;
 use crate::revision;
-use crate::telemetry;
 use crate::wire;
 
 /// Frames that wait for a slow entry before the forwarding task is held back.
@@ -87,7 +87,7 @@
         request: hyper::Request<hyper::body::Incoming>,
     ) -> hyper::Response<http::Body> {
         let path = request.uri().path().to_owned();
-        if let Some(response) = self.handle_plain(&path) {
+        if let Some(response) = probe::answer(&path, &self.status.borrow()) {
             return response;
         }
         let body = http::read_body(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await;
@@ -102,24 +102,6 @@
 }
 
 impl Shared {
-    /// Answers the paths for operators and the platform.
-    fn handle_plain(&self, path: &str) -> Option<hyper::Response<http::Body>> {
-        match path {
-            "/livez" => Some(http::respond(200, "text/plain", "ok")),
-            "/readyz" => {
-                let status = self.status.borrow();
-                let ready = status.revision > id::Revision(0) && !status.draining;
-                let code = if ready { 200 } else { 503 };
-                Some(http::respond_json(code, &serde_json::json!(*status)))
-            }
-            "/status" => Some(http::respond_json(200, &serde_json::json!(*self.status.borrow()))),
-            "/metrics" => {
-                Some(http::respond(200, "text/plain; version=0.0.4", telemetry::render()))
-            }
-            _ => None,
-        }
-    }
-
     async fn handle_message(
         &self,
         path: &str,
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -349,6 +349,30 @@
     assert_eq!(calls, [claim::Call::Read]);
 }
 
+#[test]
+fn ownership_offers_nothing_on_a_view_older_than_its_last_taking() {
+    // Two sidecars that each believe the other one has fewer ranges would pass them back and forth.
+    let me: id::InstanceId = name("s-0");
+    let address = ([127, 0, 0, 1], 9_000).into();
+    let mut own = ownership::Ownership::new(me.clone(), address, id::Incarnation(1));
+    let (mut calls, mut changes) = (Vec::new(), Vec::new());
+    let mut now = clock::Now { mono: seconds(100), wall: seconds(1_000) };
+    own.reply(now, lease_reply(now), &mut calls, &mut changes);
+    let member = claim::Member { address, incarnation: id::Incarnation(1) };
+    let other = claim::Member { incarnation: id::Incarnation(2), ..member.clone() };
+    let members = collections::BTreeMap::from([(me, member), (name("s-1"), other)]);
+    own.reply(now, view_of(&wire::Owners::new(), &members), &mut calls, &mut changes);
+    let fence = id::FencingToken(4);
+    let all: Vec<_> = (0..bramleyshelf_lib::key::RANGES).collect();
+    let taken = claim::Reply::Taken { lease: 1, ranges: all, fence, offered: true };
+    own.reply(now, taken, &mut calls, &mut changes);
+    calls.clear();
+    own.reply(now, claim::Reply::Failed, &mut calls, &mut changes);
+    now = now.after(time::Duration::from_millis(50));
+    own.tick(now, |_| true, &mut calls);
+    assert!(!calls.iter().any(|call| matches!(call, claim::Call::Offer { .. })), "{calls:?}");
+}
+
 fn listed(service: &str, number: u16, domain: &str) -> (id::InstanceId, membership::Listed) {
     let listed = membership::Listed {
         service: name(service),
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -339,6 +339,20 @@
         operator::apply(&self.store_client(), text, None, &nonce).await.expect("an accepted text");
     }
 
+    /// Runs a command of operators; returns whether it succeeded, and all that it printed.
+    ///
+    /// # Panics
+    /// Panics if the program is not built.
+    pub async fn operate(&self, words: &[&str]) -> (bool, String) {
+        let program = self.programs.join("bramleyshelf");
+        let mut all: Vec<String> = words.iter().map(ToString::to_string).collect();
+        all.extend(["--store".to_owned(), self.store_url()]);
+        let run = move || process::Command::new(program).args(all).output().expect("it runs");
+        let output = tokio::task::spawn_blocking(run).await.expect("no panic");
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+    }
+
     async fn add_node(&mut self, service: &str, kind: config::Kind, number: usize) {
         let work = work_of(kind, &self.shape);
         let address = free_address();
