config: pass a change on as the difference from a revision that the receiver has

Ruled out: compression alone (610 digests of 64 hexadecimal digits do not shrink enough).

Change: a process remembers its last four configurations and sends one that knows one of them the middle of the text between what stays at both ends, with a hash of the whole; otherwise, or if the hash does not match, all of it. Invariant: revision_change_leads_to_the_same_text.

--- a/cli/examples/fleet.rs
+++ b/cli/examples/fleet.rs
@@ -3,8 +3,9 @@
 //!
 //! The programs have to be built: `cargo build --release` first.
 
+use std::collections;
 use std::env;
-use std::fs;
+use std::process;
 use std::time;
 
 use bramleyshelf_lib::operator;
@@ -22,11 +23,27 @@
     env::args().nth(position).map_or(fallback, |text| text.parse().expect("a number"))
 }
 
-/// Returns the bytes that crossed the loopback interface so far.
-fn loopback_bytes() -> u64 {
-    let table = fs::read_to_string("/proc/net/dev").expect("the kernel tells");
-    let line = table.lines().find(|line| line.trim().starts_with("lo:")).expect("a loopback");
-    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number")
+/// Returns the bytes that each connection of the system's own processes has sent so far, as the
+/// kernel counts them for `ss`; empty if that program is missing.
+fn sent_bytes() -> collections::BTreeMap<String, u64> {
+    let output = process::Command::new("ss").args(["-tinp", "state", "established"]).output();
+    let text = output.map(|output| output.stdout).unwrap_or_default();
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let mut sent = collections::BTreeMap::new();
+    let mut name = String::new();
+    for line in text.lines() {
+        if line.contains("users:") {
+            name = if line.contains("\"bramleyshelf") { line.to_owned() } else { String::new() };
+        } else if let Some((_, rest)) = line.split_once("bytes_sent:")
+            && !name.is_empty()
+        {
+            let digits = rest.split(' ').next().unwrap_or_default();
+            // The first columns are queue lengths, which change.
+            let key = name.split_whitespace().skip(2).collect::<Vec<_>>().join(" ");
+            sent.insert(key, digits.parse().unwrap_or(0));
+        }
+    }
+    sent
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -63,9 +80,11 @@
         .map(|group| group.iter().map(|child| child.usage().0).collect::<Vec<_>>())
         .into();
     let calls = system.kv.calls();
-    let bytes = loopback_bytes();
+    let bytes = sent_bytes();
     tokio::time::sleep(IDLE).await;
-    let bytes = (loopback_bytes() - bytes) as f64 / IDLE.as_secs_f64();
+    let new = sent_bytes();
+    let grown = new.iter().map(|(name, now)| now - bytes.get(name).copied().unwrap_or(0));
+    let bytes = grown.sum::<u64>() as f64 / IDLE.as_secs_f64();
     println!("{} entries, {} sidecars, idle for {} s", entries.len(), nodes.len(), IDLE.as_secs());
     for (name, group, before) in [("entry", &entries, &before[0]), ("sidecar", &nodes, &before[1])]
     {
@@ -88,7 +107,7 @@
         println!("store {path}: {:.2} calls/s", new as f64 / IDLE.as_secs_f64());
     }
     let all = (entries.len() + nodes.len()) as f64;
-    println!("loopback: {bytes:.0} B/s in all, {:.0} B/s for each process", bytes / all);
+    println!("sent: {bytes:.0} B/s in all, {:.0} B/s by each process", bytes / all);
 }
 
 /// Makes a change and returns for each process the milliseconds until it was in force.
--- a/cli/examples/soak.rs
+++ b/cli/examples/soak.rs
@@ -23,7 +23,7 @@
         seed: argument(1, 1),
         seconds: argument(2, DEFAULT_SECONDS),
         rate: argument(3, DEFAULT_RATE),
-        faults: true,
+        course: soak::Course::Mixed,
     };
     let example = env::current_exe().expect("a running program has a path");
     let programs = example.parent().and_then(|examples| examples.parent()).expect("target folder");
--- a/cli/tests/test_keys.rs
+++ b/cli/tests/test_keys.rs
@@ -158,3 +158,15 @@
     }
     assert_eq!(system.runs("bookings").len(), calls.len());
 }
+
+#[tokio::test]
+async fn key_ranges_come_to_rest() {
+    let shape = cluster::Shape { upstreams: 6, ..cluster::Shape::default() };
+    let text = soak::short_lease(TEXT);
+    let system = cluster::Cluster::start(PROGRAM, "rest", &text, shape).await;
+    let transactions = || system.kv.calls().get("/v3/kv/txn").copied().unwrap_or(0);
+    tokio::time::sleep(time::Duration::from_secs(6)).await;
+    let before = transactions();
+    tokio::time::sleep(time::Duration::from_secs(4)).await;
+    assert_eq!(transactions(), before, "an idle fleet moves nothing");
+}
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -10,7 +10,7 @@
     let shape = cluster::Shape { entries: 3, ..cluster::Shape::default() };
     let text = soak::short_lease(TEXT);
     let mut system = cluster::Cluster::start(PROGRAM, "soak", &text, shape).await;
-    let plan = soak::Plan { seed: 7, seconds: 20, rate: 40, faults: true };
+    let plan = soak::Plan { seed: 7, seconds: 20, rate: 40, course: soak::Course::Mixed };
     let summary = soak::run(&mut system, plan).await;
     println!("{summary}");
     assert!(summary.is_clean(), "seed {}: {summary}", plan.seed);
@@ -22,7 +22,7 @@
     let text = soak::short_lease(TEXT);
     let shape = cluster::Shape::default();
     let mut system = cluster::Cluster::start(PROGRAM, "calm", &text, shape).await;
-    let plan = soak::Plan { seed: 8, seconds: 5, rate: 60, faults: false };
+    let plan = soak::Plan { seed: 8, seconds: 5, rate: 60, course: soak::Course::Calm };
     let summary = soak::run(&mut system, plan).await;
     assert!(summary.is_clean(), "{summary}");
     assert_eq!(summary.answers, summary.requests, "{summary}");
--- a/lib/examples/slopes.rs
+++ b/lib/examples/slopes.rs
@@ -187,6 +187,7 @@
         accepted: sync::Arc::default(),
         config: sync::Arc::new(check::parse(&text_of(teams, 22)).expect("valid")),
         source: revision::Source::Store,
+        earlier: Vec::new(),
     };
     let now = clock::Now::default();
     let mut effects = Vec::new();
@@ -341,6 +342,23 @@
     }
 }
 
+/// Prints the bytes that a process is sent for one change of a large text.
+fn changes() {
+    println!("\n| teams | text kB | bytes of a change of one limit |");
+    println!("|---|---|---|");
+    for teams in TEAMS {
+        let old = text_of(teams, 22);
+        let new = old.replacen("9000", "8000", 1);
+        let accept =
+            |text: &str| revision::Accepted { text: text.to_owned(), ..Default::default() };
+        let (old, new) = (accept(&old), accept(&new));
+        let change = revision::Change::between((id::Revision(1), &old), id::Revision(2), &new);
+        assert_eq!(change.apply(&old).as_ref(), Some(&new));
+        let bytes = wire::encode(&revision::Passed::Change(change)).len();
+        println!("| {teams} | {:.1} | {bytes} |", new.text.len() as f64 / 1e3);
+    }
+}
+
 fn frames() {
     let chunk = wire::Chunk { offset: 9, data: vec![7; 60].into() };
     let frame = wire::Frame::Chunk(chunk);
@@ -379,6 +397,7 @@
     }
     let config = check::parse(TEXT).expect("valid");
     frames();
+    changes();
     route(&config);
     configure();
     requests();
--- a/lib/src/config_sync.rs
+++ b/lib/src/config_sync.rs
@@ -212,15 +212,33 @@
 
 async fn ask(client: &http::Client, address: net::SocketAddr, in_force: &InForce) -> bool {
     let known = in_force.borrow().revision;
-    match peer::fetch_config(client, address, known).await {
-        Ok(None) => true,
-        Ok(Some(passed)) => {
-            offer(in_force, passed.revision, passed.accepted, revision::Source::Peer);
-            true
-        }
+    let passed = match peer::fetch_config(client, address, known).await {
+        Ok(None) => return true,
+        Ok(Some(passed)) => passed,
         Err(e) => {
             log::debug!("event=peer_config_failed peer={address} error={:?}", e.to_string());
-            false
+            return false;
+        }
+    };
+    let accepted = in_force.borrow().accepted.clone();
+    match passed {
+        revision::Passed::Whole { revision, accepted } => {
+            offer(in_force, revision, accepted, revision::Source::Peer);
         }
+        revision::Passed::Change(change) => match change.apply(&accepted) {
+            Some(next) => {
+                offer(in_force, change.revision, next, revision::Source::Peer);
+            }
+            // Another change came into force here meanwhile: all of it serves in any case.
+            None => return fetch_whole(client, address, in_force).await,
+        },
     }
+    true
+}
+
+async fn fetch_whole(client: &http::Client, address: net::SocketAddr, in_force: &InForce) -> bool {
+    let fetched = peer::fetch_config(client, address, id::Revision(0)).await;
+    let Ok(Some(revision::Passed::Whole { revision, accepted })) = fetched else { return false };
+    offer(in_force, revision, accepted, revision::Source::Peer);
+    true
 }
--- a/lib/src/revision.rs
+++ b/lib/src/revision.rs
@@ -9,6 +9,9 @@
 use crate::fault;
 use crate::id;
 
+/// Earlier configurations that a process remembers.
+const EARLIER: usize = 4;
+
 /// What stands under the configuration's key in the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Accepted {
@@ -46,6 +49,8 @@
     pub config: sync::Arc<config::Config>,
     /// Where it was learned from.
     pub source: Source,
+    /// What was in force before, the latest first, so that others can be told what changed.
+    pub earlier: Vec<(id::Revision, sync::Arc<Accepted>)>,
 }
 
 impl Default for InForce {
@@ -55,6 +60,7 @@
             accepted: sync::Arc::default(),
             config: sync::Arc::default(),
             source: Source::None,
+            earlier: Vec::new(),
         }
     }
 }
@@ -89,16 +95,108 @@
                 accepted: sync::Arc::new(accepted),
                 config: sync::Arc::new(config),
                 source,
+                earlier: remember(current),
             }),
         },
     }
 }
 
+fn remember(current: &InForce) -> Vec<(id::Revision, sync::Arc<Accepted>)> {
+    let latest = (current.revision, current.accepted.clone());
+    let known = std::iter::once(latest).chain(current.earlier.iter().cloned());
+    known.filter(|(revision, _)| *revision > id::Revision(0)).take(EARLIER).collect()
+}
+
 /// Message with which processes pass a configuration on.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
-pub struct Passed {
-    /// Its revision.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Passed {
+    /// All of it.
+    Whole {
+        /// Its revision.
+        revision: id::Revision,
+        /// What was accepted.
+        accepted: Accepted,
+    },
+    /// What differs from a revision that the receiver has.
+    Change(Change),
+}
+
+/// Difference between two configurations: the middle of the text, between what both begin and end
+/// with.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Change {
+    /// Revision that it leads from.
+    pub base: id::Revision,
+    /// Revision that it leads to.
     pub revision: id::Revision,
-    /// What was accepted.
-    pub accepted: Accepted,
+    /// Nonce of the new one.
+    pub nonce: String,
+    /// Drains of the new one.
+    pub draining: collections::BTreeSet<id::InstanceId>,
+    /// Bytes at the start that stay.
+    pub prefix: usize,
+    /// Bytes at the end that stay.
+    pub suffix: usize,
+    /// What stands between them.
+    pub middle: String,
+    /// Hash of the whole new text.
+    pub hash: u64,
+}
+
+impl Change {
+    /// Returns what leads from one configuration to another.
+    pub fn between(
+        base: (id::Revision, &Accepted),
+        revision: id::Revision,
+        next: &Accepted,
+    ) -> Self {
+        let (old, new) = (base.1.text.as_bytes(), next.text.as_bytes());
+        let prefix = old.iter().zip(new).take_while(|(a, b)| a == b).count();
+        let prefix = (0..=prefix).rev().find(|at| next.text.is_char_boundary(*at)).unwrap_or(0);
+        let rest = old.len().min(new.len()) - prefix;
+        let ends = old.iter().rev().zip(new.iter().rev()).take(rest);
+        let suffix = ends.take_while(|(a, b)| a == b).count();
+        let is_cut = |length: &usize| next.text.is_char_boundary(new.len() - length);
+        let suffix = (0..=suffix).rev().find(is_cut).unwrap_or(0);
+        Self {
+            base: base.0,
+            revision,
+            nonce: next.nonce.clone(),
+            draining: next.draining.clone(),
+            prefix,
+            suffix,
+            middle: next.text[prefix..new.len() - suffix].to_owned(),
+            hash: xxhash_rust::xxh3::xxh3_64(new),
+        }
+    }
+
+    /// Returns the new configuration, or nothing if `old` is not the one that the change leads
+    /// from.
+    pub fn apply(&self, old: &Accepted) -> Option<Accepted> {
+        let start = old.text.get(..self.prefix)?;
+        let end = old.text.get(old.text.len().checked_sub(self.suffix)?..)?;
+        let text = [start, &self.middle, end].concat();
+        if xxhash_rust::xxh3::xxh3_64(text.as_bytes()) != self.hash {
+            return None;
+        }
+        let (nonce, draining) = (self.nonce.clone(), self.draining.clone());
+        Some(Accepted { nonce, draining, text })
+    }
+}
+
+/// Returns what a process passes on to one that knows the revision `known`, if that is older.
+pub fn pass(in_force: &InForce, known: id::Revision) -> Option<Passed> {
+    if in_force.revision <= known {
+        return None;
+    }
+    let base = in_force.earlier.iter().find(|(revision, _)| *revision == known);
+    Some(match base {
+        Some((revision, accepted)) => {
+            let base = (*revision, &**accepted);
+            Passed::Change(Change::between(base, in_force.revision, &in_force.accepted))
+        }
+        None => {
+            Passed::Whole { revision: in_force.revision, accepted: (*in_force.accepted).clone() }
+        }
+    })
 }
--- a/lib/src/sidecar_http.rs
+++ b/lib/src/sidecar_http.rs
@@ -195,10 +195,8 @@
     in_force: &revision::InForce,
     known: id::Revision,
 ) -> hyper::Response<http::Body> {
-    if in_force.revision <= known {
-        return http::respond(204, "application/msgpack", "");
+    match revision::pass(in_force, known) {
+        None => http::respond(204, "application/msgpack", ""),
+        Some(passed) => http::respond(200, "application/msgpack", wire::encode(&passed)),
     }
-    let accepted = (*in_force.accepted).clone();
-    let passed = revision::Passed { revision: in_force.revision, accepted };
-    http::respond(200, "application/msgpack", wire::encode(&passed))
 }
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -74,6 +74,7 @@
             accepted: sync::Arc::default(),
             config: sync::Arc::new(check::parse(text).expect("valid")),
             source: revision::Source::Store,
+            earlier: Vec::new(),
         }));
         bench.step(entry::Event::Listed(instances()));
         bench
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -114,6 +114,14 @@
         true
     }
 
+    fn revision_change_leads_to_the_same_text(old: String, new: String, other: String) -> bool {
+        let accept = |text: String| revision::Accepted { text, ..revision::Accepted::default() };
+        let (old, new, other) = (accept(old), accept(new), accept(other));
+        let change = revision::Change::between((id::Revision(1), &old), id::Revision(2), &new);
+        let misled = change.apply(&other).is_some_and(|text| text != new);
+        change.apply(&old) == Some(new) && !misled
+    }
+
     fn retry_budget_is_a_share(outcomes: Vec<bool>) -> bool {
         let mut budget = retry::Budget::default();
         let (mut earned, mut spent) = (0_u32, 0_u32);
@@ -150,6 +158,32 @@
     assert!(matches!(decoder.read::<wire::Cancel>(), Err(wire::WireError::TooLong { .. })));
 }
 
+#[test]
+fn revision_is_passed_on_as_a_change_where_the_base_is_known() {
+    let mut current = revision::InForce::default();
+    for number in 1..=7 {
+        let text = TEXT.replacen("9000", &format!("800{number}"), 1);
+        let accepted = revision::Accepted { text, ..revision::Accepted::default() };
+        let offered = id::Revision(number);
+        let verdict = revision::consider(&current, offered, accepted, revision::Source::Store);
+        let revision::Verdict::Adopted(next) = verdict else { panic!("{verdict:?}") };
+        current = next;
+    }
+    let cases =
+        [(0, "whole"), (2, "whole"), (3, "change"), (6, "change"), (7, "nothing"), (9, "nothing")];
+    for (known, expected) in cases {
+        let found = match revision::pass(&current, id::Revision(known)) {
+            None => "nothing",
+            Some(revision::Passed::Whole { .. }) => "whole",
+            Some(revision::Passed::Change(change)) => {
+                assert!(wire::encode(&change).len() < 500, "a change is small");
+                "change"
+            }
+        };
+        assert_eq!(found, expected, "known revision {known}");
+    }
+}
+
 #[test]
 fn template_table() {
     let context = serde_json::json!({
--- a/lib/testutils/src/soak.rs
+++ b/lib/testutils/src/soak.rs
@@ -29,8 +29,8 @@
     pub seconds: u64,
     /// Requests per second.
     pub rate: u64,
-    /// Whether faults are injected at all.
-    pub faults: bool,
+    /// What happens meanwhile.
+    pub course: Course,
 }
 
 /// Faults that a run mixes.
@@ -91,8 +91,12 @@
 pub struct Summary {
     /// Requests sent.
     pub requests: u64,
+    /// Requests with an idempotency key.
+    pub keyed: u64,
     /// Whole answers.
     pub answers: u64,
+    /// Whole answers of requests with a key.
+    pub keyed_answers: u64,
     /// Refusals by kind and by whether the request ran.
     pub refusals: collections::BTreeMap<String, u64>,
     /// Requests whose connection broke because their entry was killed.
@@ -156,7 +160,29 @@
 
 type Shared = sync::Arc<sync::Mutex<Book>>;
 
-/// Runs traffic and faults against a cluster and compares what ran with what callers were told.
+/// What happens during a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Course {
+    /// Nothing.
+    Calm,
+    /// Faults of all kinds, drawn by the seed.
+    Mixed,
+    /// Each upstream of the bookings and the engines is drained in turn.
+    Drains,
+    /// One engine's sidecar is killed and comes back.
+    KillSidecar,
+    /// One entry is killed and comes back.
+    KillEntry,
+    /// The owner of a third of the booking keys is killed and comes back.
+    KillOwner,
+    /// The store is out for ten seconds.
+    StoreOutage,
+    /// The store is out for thirty seconds, longer than leases.
+    LongOutage,
+}
+
+/// Runs traffic and a course of events against a cluster and compares what ran with what callers
+/// were told.
 ///
 /// # Panics
 /// Panics if a fault cannot be injected.
@@ -166,14 +192,7 @@
     let entries = system.entries.iter().map(|entry| entry.address).collect();
     book.lock().expect("no holder panics").up = entries;
     let traffic = tokio::spawn(traffic(plan, rng.fork(), book.clone()));
-    let end = time::Instant::now() + time::Duration::from_secs(plan.seconds);
-    while plan.faults && time::Instant::now() < end {
-        let pause = time::Duration::from_millis(rng.u64(100..700));
-        tokio::time::sleep(pause).await;
-        let mishap = MISHAPS[rng.usize(..MISHAPS.len())];
-        note_mishap(&book, mishap);
-        strike(system, mishap, &mut rng, &book).await;
-    }
+    take_course(system, plan, &mut rng, &book).await;
     traffic.await.expect("the traffic does not panic");
     tokio::time::sleep(SETTLE).await;
     let mut book = book.lock().expect("no holder panics");
@@ -181,6 +200,67 @@
     book.summary.clone()
 }
 
+async fn take_course(
+    system: &mut cluster::Cluster,
+    plan: Plan,
+    rng: &mut fastrand::Rng,
+    book: &Shared,
+) {
+    let lead = time::Duration::from_secs(3);
+    match plan.course {
+        Course::Calm => {}
+        Course::Mixed => mix(system, plan, rng, book).await,
+        Course::Drains => {
+            tokio::time::sleep(lead).await;
+            for index in 0..system.nodes.len() {
+                if matches!(system.nodes[index].service.as_str(), "bookings" | "generator") {
+                    drain(system, index, rng).await;
+                }
+            }
+        }
+        Course::KillSidecar => {
+            tokio::time::sleep(lead).await;
+            let index = system.node("generator-0");
+            restart_sidecar(system, index, cluster::Signal::Kill).await;
+        }
+        Course::KillEntry => {
+            tokio::time::sleep(lead).await;
+            restart_entry(system, 0, cluster::Signal::Kill, book).await;
+        }
+        Course::KillOwner => {
+            tokio::time::sleep(lead).await;
+            let index = system.node("bookings-0");
+            restart_sidecar(system, index, cluster::Signal::Kill).await;
+        }
+        Course::StoreOutage => {
+            tokio::time::sleep(lead).await;
+            store_outage(system, time::Duration::from_secs(10)).await;
+        }
+        Course::LongOutage => {
+            tokio::time::sleep(lead).await;
+            store_outage(system, time::Duration::from_secs(30)).await;
+        }
+    }
+}
+
+async fn store_outage(system: &cluster::Cluster, length: time::Duration) {
+    system.store.knobs.set(fault::Faults { outage: true, ..Default::default() });
+    tokio::time::sleep(length).await;
+    system.store.knobs.set(fault::Faults::default());
+}
+
+/// Draws faults until the run is over.
+async fn mix(system: &mut cluster::Cluster, plan: Plan, rng: &mut fastrand::Rng, book: &Shared) {
+    let end = time::Instant::now() + time::Duration::from_secs(plan.seconds);
+    while time::Instant::now() < end {
+        let pause = time::Duration::from_millis(rng.u64(100..700));
+        tokio::time::sleep(pause).await;
+        let mishap = MISHAPS[rng.usize(..MISHAPS.len())];
+        note_mishap(book, mishap);
+        strike(system, mishap, rng, book).await;
+    }
+}
+
 fn note_mishap(book: &Shared, mishap: Mishap) {
     let mut book = book.lock().expect("no holder panics");
     *book.summary.mishaps.entry(format!("{mishap:?}")).or_default() += 1;
@@ -314,12 +394,15 @@
     }
 
     async fn book_call(&mut self, call: cluster::Call, action: &str) -> Outcome {
+        let keyed = u64::from(call.key.is_some());
+        self.book.lock().expect("no holder panics").summary.keyed += keyed;
         let Some(answer) = self.send(call, action).await else { return Outcome::Lost };
         if answer.status != 200 {
             return self.note_refusal(&answer);
         }
         let mut book = self.book.lock().expect("no holder panics");
         book.summary.answers += 1;
+        book.summary.keyed_answers += keyed;
         if answer.json()["action"] != action {
             book.summary.swaps.push(format!("{action}: {:?}", answer.body));
         }
@@ -384,9 +467,7 @@
             );
         }
         Mishap::StoreOutage => {
-            system.store.knobs.set(fault::Faults { outage: true, ..Default::default() });
-            tokio::time::sleep(time::Duration::from_millis(rng.u64(500..5_000))).await;
-            system.store.knobs.set(fault::Faults::default());
+            store_outage(system, time::Duration::from_millis(rng.u64(500..5_000))).await;
         }
         Mishap::DropStoreAnswers => {
             let faults = fault::Faults { drop_answer: true, times: Some(5), ..Default::default() };
