--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -776,8 +776,7 @@
         !runs_twice(&acts)
     }
 
-    fn random_events_relay_every_byte_once(acts: Vec<Act>) -> bool {
-        // Replays what the caller got: pieces have to fit together without gap or overlap.
+    fn random_events_begin_each_stream_once(acts: Vec<Act>) -> bool {
         let (bench, requests) = play("generator", &acts);
         requests.iter().all(|request| {
             let begins = bench.effects.iter().filter(|e| {
