--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -233,11 +233,6 @@
         state.plan.steps.get(stage).map(|step| step.name.to_string())
     }
 
-    /// Returns the upstreams with what is known of them.
-    pub fn router(&self) -> &routing::Router {
-        &self.router
-    }
-
     fn configure(&mut self, in_force: revision::InForce) {
         if in_force.revision < self.in_force.revision {
             return;
--- a/lib/src/entry/recovery.rs
+++ b/lib/src/entry/recovery.rs
@@ -151,8 +151,6 @@
         if state.stage_key(stage).is_some() && ran == refusal::Ran::No && vouches(kind) {
             state.vouched = true;
         }
-        let Some(run) = state.runs.get_mut(&stage) else { return };
-        run.failure = Some(kind);
         if !self.attempts_of(request, Some(stage)).is_empty() {
             // The other attempt of a hedged stage goes on.
             return;
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -67,9 +67,4 @@
     pub fn remove(&mut self, attempt: id::AttemptId) -> bool {
         self.index.remove(&attempt).is_some_and(|place| self.places.remove(&place).is_some())
     }
-
-    /// Returns the waiting attempts in the order in which they would leave.
-    pub fn iter(&self) -> impl Iterator<Item = id::AttemptId> + '_ {
-        self.places.values().map(|(attempt, _)| *attempt)
-    }
 }
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -121,8 +121,6 @@
     pub relaying: Option<id::AttemptId>,
     /// Whether a second attempt was started because the first one is slow.
     pub hedged: bool,
-    /// Why the last attempt failed.
-    pub failure: Option<refusal::Kind>,
 }
 
 /// An attempt in progress.
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -244,11 +244,6 @@
         self.upstreams.get(instance)
     }
 
-    /// Returns all upstreams with their names.
-    pub fn iter(&self) -> impl Iterator<Item = (&id::InstanceId, &Upstream)> {
-        self.upstreams.iter()
-    }
-
     /// Returns the addresses of the subset's upstreams that the instance list shows as leaving.
     pub fn listed_leaving(&self) -> Vec<net::SocketAddr> {
         let subset = self.services.values().flatten();
