--- /dev/null
+++ b/cli/src/commands/gateway.rs
@@ -0,0 +1,36 @@
+//! `bramleyshelf gateway`.
+
+use bramleyshelf_lib::gateway_shell;
+use bramleyshelf_platform::{headers, store};
+use tokio::sync::watch;
+
+use crate::commands::settings_args;
+use crate::failure;
+use crate::process;
+
+/// Fields that an environment variable may override.
+const FIELDS: [&str; 5] = ["instance", "listen", "probe_listen", "metrics_listen", "store"];
+
+/// Runs a gateway until it is asked to stop.
+pub async fn run(args: settings_args::SettingsArgs) -> Result<(), failure::Failure> {
+    let settings: gateway_shell::Settings = args.read(&FIELDS)?;
+    let store = store::Store::new(settings.store);
+    let address = settings.listen;
+    let signals = gateway_shell::Signals { stop: process::stop_signal(), reload: reload_signal() };
+    gateway_shell::run(settings, headers::Names, store, signals, Some(args.file))
+        .await
+        .map_err(|source| failure::Failure::Listen { address, source })
+}
+
+/// Returns a counter that grows with each SIGHUP.
+fn reload_signal() -> watch::Receiver<u64> {
+    let (count, counted) = watch::channel(0);
+    tokio::spawn(async move {
+        let kind = tokio::signal::unix::SignalKind::hangup();
+        let mut hangup = tokio::signal::unix::signal(kind).expect("the signal can be listened for");
+        while hangup.recv().await.is_some() {
+            count.send_modify(|count| *count += 1);
+        }
+    });
+    counted
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod diff;
 pub mod drain;
 pub mod entry;
+pub mod gateway;
 pub mod show;
 pub mod status;
 
@@ -34,6 +35,8 @@
     Undrain(drain::DrainArgs),
     /// Run an entry.
     Entry(settings_args::SettingsArgs),
+    /// Run a gateway.
+    Gateway(settings_args::SettingsArgs),
     /// Print the text in force.
     Show(show::ShowArgs),
     /// Print the state of all processes.
@@ -78,6 +81,11 @@
         .descr("Runs an entry")
         .footer("Every setting can be overridden by an environment variable BRAMLEYSHELF_FIELD.")
         .command("entry");
+    let gateway = settings_args::parser()
+        .map(Command::Gateway)
+        .to_options()
+        .descr("Runs a gateway: an entry that calls upstreams without sidecars")
+        .command("gateway");
     let show = show::parser()
         .map(Command::Show)
         .to_options()
@@ -88,14 +96,14 @@
         .to_options()
         .descr("Prints the state of all processes")
         .command("status");
-    bpaf::construct!([apply, check, dev, diff, drain, undrain, entry, show, status])
+    bpaf::construct!([apply, check, dev, diff, drain, undrain, entry, gateway, show, status])
 }
 
 impl Command {
     /// Returns the level of logs that suits the command.
     pub fn log_level(&self) -> log::LevelFilter {
         match self {
-            Self::Entry(_) => log::LevelFilter::Info,
+            Self::Entry(_) | Self::Gateway(_) => log::LevelFilter::Info,
             _ => log::LevelFilter::Warn,
         }
     }
@@ -110,6 +118,7 @@
             Self::Drain(args) => drain::run(args, true).await,
             Self::Undrain(args) => drain::run(args, false).await,
             Self::Entry(args) => entry::run(args).await,
+            Self::Gateway(args) => gateway::run(args).await,
             Self::Show(args) => show::run(args).await,
             Self::Status(args) => status::run(args).await,
         }
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -5,8 +5,8 @@
 /// Both clocks, read together.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Now {
-    /// Time since an arbitrary fixed point; never runs backwards, may stop while the instance is
-    /// frozen.
+    /// Time since an arbitrary fixed point; never runs backwards. It may stop while the instance is
+    /// frozen, where the system has no clock that goes on.
     pub mono: time::Duration,
     /// Time since the Unix epoch; may jump.
     pub wall: time::Duration,
@@ -39,13 +39,21 @@
 /// The clocks of the operating system.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    start: time::Instant,
+    start: time::Duration,
+}
+
+/// Returns the time since boot, which counts the time for which the instance was suspended.
+fn boot_time() -> time::Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
+    time::Duration::new(seconds, nanos)
 }
 
 impl SystemClock {
     /// Starts a monotonic clock at zero.
     pub fn new() -> Self {
-        Self { start: time::Instant::now() }
+        Self { start: boot_time() }
     }
 }
 
@@ -60,6 +68,6 @@
         let wall = time::SystemTime::now()
             .duration_since(time::UNIX_EPOCH)
             .unwrap_or(time::Duration::ZERO);
-        Now { mono: self.start.elapsed(), wall }
+        Now { mono: boot_time().saturating_sub(self.start), wall }
     }
 }
--- /dev/null
+++ b/lib/src/event_stream.rs
@@ -0,0 +1,89 @@
+//! Splits a stream of server-sent events into whole events, and checks that their ids go on.
+
+/// Longest event that is accepted, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// A stream that does not go on as it should.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq)]
+pub enum StreamError {
+    /// An event is longer than any that upstreams send.
+    #[display("an event is too long; the upstream's stream was dropped")]
+    TooLong,
+    /// An event's id does not follow the one before it.
+    #[display("event ids do not go on; the upstream's stream was dropped")]
+    Order,
+}
+
+/// Cuts bytes into whole events.
+///
+/// Bytes after the last whole event are kept back, so that a stream that breaks off inside an event
+/// can be continued by another upstream after the last whole one.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: bytes::BytesMut,
+    last: Option<u64>,
+}
+
+impl Splitter {
+    /// Makes a splitter for a stream that goes on after an event.
+    pub fn after(last: Option<u64>) -> Self {
+        Self { buffer: bytes::BytesMut::new(), last }
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Takes in bytes; returns all whole events that they complete, as one piece.
+    ///
+    /// # Errors
+    /// Fails if an event is too long, comes twice or comes out of order.
+    pub fn push(&mut self, data: &[u8]) -> Result<Option<bytes::Bytes>, StreamError> {
+        let searched = self.buffer.len().saturating_sub(3);
+        self.buffer.extend_from_slice(data);
+        let mut start = 0;
+        let mut from = searched;
+        while let Some(end) = find_end(&self.buffer[from..]).map(|at| from + at) {
+            self.note_id(start, end)?;
+            start = end;
+            from = end;
+        }
+        if self.buffer.len() - start > MAX_EVENT_BYTES {
+            return Err(StreamError::TooLong);
+        }
+        Ok((start > 0).then(|| self.buffer.split_to(start).freeze()))
+    }
+
+    /// Returns the bytes after the last whole event.
+    pub fn rest(&mut self) -> bytes::Bytes {
+        self.buffer.split().freeze()
+    }
+
+    fn note_id(&mut self, start: usize, end: usize) -> Result<(), StreamError> {
+        let Some(id) = event_id(&self.buffer[start..end]) else { return Ok(()) };
+        if self.last.is_some_and(|last| id <= last) {
+            return Err(StreamError::Order);
+        }
+        self.last = Some(id);
+        Ok(())
+    }
+}
+
+/// Returns the position after the first blank line.
+fn find_end(data: &[u8]) -> Option<usize> {
+    let plain = data.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let carriage = data.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (plain, carriage) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))
+        .and_then(|value| std::str::from_utf8(value).ok())
+        .and_then(|text| text.trim().parse().ok())
+}
--- /dev/null
+++ b/lib/src/fleet.rs
@@ -0,0 +1,329 @@
+//! Upstreams that a gateway calls itself: which exist, which leave, and how they behave.
+//!
+//! Load pattern: upstreams come, go and change their speed at any moment, and the platform's list
+//! lags. What a gateway sees of its own calls goes before what anybody reports.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use crate::id;
+use crate::outlier;
+use crate::routing;
+use crate::unit;
+
+/// Age of the last list up to which an upstream missing from the next one is taken as gone. After a
+/// longer gap the list may lack upstreams that have not had the time to register again.
+const LIST_GAP: time::Duration = time::Duration::from_millis(2_600);
+/// Time that missing upstreams have to register again after a gap.
+const RETURN_TIME: time::Duration = time::Duration::from_millis(2_000);
+/// Weight of a new sample in the smoothed ratio of observed to expected time.
+const SMOOTHING: f64 = 0.25;
+/// Time constant with which an observed slowness is forgotten.
+const SLOW_MEMORY: time::Duration = time::Duration::from_secs(3);
+/// Age up to which a reported load is believed.
+const LOAD_AGE: time::Duration = time::Duration::from_millis(300);
+/// Ejection of upstreams that fail in a row.
+const EJECTION: outlier::Rule = outlier::Rule {
+    failures: 2,
+    base: time::Duration::from_millis(1_000),
+    warmup: time::Duration::from_millis(2_000),
+};
+/// Largest share of a service's upstreams that may be ejected at once.
+const EJECTED_SHARE: f64 = 0.67;
+
+/// What the platform's list says of one upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// Its id, which it checks on each request that names it.
+    pub instance: id::InstanceId,
+    /// Its service.
+    pub service: id::ServiceId,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Its failure domain.
+    pub domain: id::DomainId,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// Start of its present life, in milliseconds since the Unix epoch, if it says so.
+    pub born: Option<u64>,
+}
+
+/// Load that an upstream reported beside an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at the same time.
+    pub slots: u32,
+}
+
+/// What a gateway knows of one upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What the list says.
+    pub listed: Listed,
+    /// How far it is.
+    pub tier: routing::Tier,
+    /// Calls of this gateway in flight.
+    pub flying: u32,
+    /// Tokens of the prompts of calls in flight, for engines.
+    pub tokens: u64,
+    /// Its failures and ejections.
+    pub health: outlier::Health,
+    /// Bytes of results that it keeps for this gateway.
+    pub held: unit::ByteSize,
+    /// Moment until which it is left alone because it had no room.
+    pub full_until: time::Duration,
+    load: Load,
+    reported: time::Duration,
+    slowness: f64,
+    timed: time::Duration,
+    missing: Option<time::Duration>,
+}
+
+impl Upstream {
+    fn new(listed: Listed, tier: routing::Tier) -> Self {
+        Self {
+            listed,
+            tier,
+            flying: 0,
+            tokens: 0,
+            health: outlier::Health::default(),
+            held: unit::ByteSize(0),
+            full_until: time::Duration::ZERO,
+            load: Load::default(),
+            reported: time::Duration::ZERO,
+            slowness: 1.0,
+            timed: time::Duration::ZERO,
+            missing: None,
+        }
+    }
+
+    /// Returns the ratio of the time that its calls take to the time that they should take. Without
+    /// new calls it goes back to 1, so that a slow upstream is tried again.
+    pub fn slowness(&self, now: time::Duration) -> f64 {
+        let age = now.saturating_sub(self.timed).as_secs_f64();
+        1.0 + (self.slowness - 1.0) * (-age / SLOW_MEMORY.as_secs_f64()).exp()
+    }
+
+    /// Returns the calls that others have running or waiting there, as far as it reported.
+    pub fn foreign(&self, now: time::Duration) -> u32 {
+        if now.saturating_sub(self.reported) > LOAD_AGE {
+            return 0;
+        }
+        (self.load.running + self.load.waiting).saturating_sub(self.flying)
+    }
+
+    /// Whether it may be called.
+    pub fn is_usable(&self, now: time::Duration) -> bool {
+        !self.listed.leaving && !self.health.is_ejected(now) && now >= self.full_until
+    }
+}
+
+/// What changed with a new list.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Change {
+    /// Upstreams that came.
+    pub joined: Vec<id::InstanceId>,
+    /// Upstreams that now leave.
+    pub leaving: Vec<id::InstanceId>,
+    /// Upstreams that are gone, or began another life.
+    pub gone: Vec<id::InstanceId>,
+}
+
+/// All upstreams that a gateway knows.
+#[derive(Debug)]
+pub struct Fleet {
+    domain: id::DomainId,
+    regions: collections::BTreeMap<id::DomainId, id::RegionId>,
+    upstreams: collections::BTreeMap<id::InstanceId, Upstream>,
+    listed: Option<time::Duration>,
+    returned: time::Duration,
+}
+
+impl Fleet {
+    /// Makes an empty fleet as seen from a failure domain.
+    pub fn new(
+        domain: id::DomainId,
+        regions: collections::BTreeMap<id::DomainId, id::RegionId>,
+    ) -> Self {
+        Self {
+            domain,
+            regions,
+            upstreams: collections::BTreeMap::new(),
+            listed: None,
+            returned: time::Duration::ZERO,
+        }
+    }
+
+    /// Returns how far a failure domain is.
+    pub fn tier(&self, domain: &id::DomainId) -> routing::Tier {
+        if *domain == self.domain {
+            routing::Tier::Domain
+        } else if self.regions.get(domain) == self.regions.get(&self.domain) {
+            routing::Tier::Region
+        } else {
+            routing::Tier::Remote
+        }
+    }
+
+    /// Returns the region of a failure domain.
+    pub fn region(&self, domain: &id::DomainId) -> Option<&id::RegionId> {
+        self.regions.get(domain)
+    }
+
+    /// Takes in a whole list that was asked for at `asked`.
+    pub fn update(&mut self, now: time::Duration, list: Vec<Listed>) -> Change {
+        let mut change = Change::default();
+        let gap = self.listed.is_none_or(|last| now.saturating_sub(last) > LIST_GAP);
+        if gap {
+            self.returned = now;
+        }
+        self.listed = Some(now);
+        let mut present = collections::BTreeSet::new();
+        for listed in list {
+            present.insert(listed.instance.clone());
+            self.take(listed, &mut change);
+        }
+        self.drop_missing(now, &present, &mut change);
+        change
+    }
+
+    fn take(&mut self, listed: Listed, change: &mut Change) {
+        let instance = listed.instance.clone();
+        let tier = self.tier(&listed.domain);
+        let Some(known) = self.upstreams.get_mut(&instance) else {
+            change.joined.push(instance.clone());
+            self.upstreams.insert(instance, Upstream::new(listed, tier));
+            return;
+        };
+        let is_same_life = known.listed.address == listed.address
+            && known.listed.service == listed.service
+            && known.listed.born == listed.born;
+        if !is_same_life {
+            change.gone.push(instance.clone());
+            change.joined.push(instance.clone());
+            self.upstreams.insert(instance, Upstream::new(listed, tier));
+            return;
+        }
+        if listed.leaving && !known.listed.leaving {
+            change.leaving.push(instance);
+        }
+        known.missing = None;
+        known.listed = listed;
+    }
+
+    fn drop_missing(
+        &mut self,
+        now: time::Duration,
+        present: &collections::BTreeSet<id::InstanceId>,
+        change: &mut Change,
+    ) {
+        let is_settling = now.saturating_sub(self.returned) < RETURN_TIME;
+        self.upstreams.retain(|instance, upstream| {
+            if present.contains(instance) {
+                return true;
+            }
+            // One that was there after the gap and vanishes now has left.
+            let is_late =
+                is_settling && upstream.missing.is_some_and(|since| since == self.returned);
+            let is_first = is_settling && now == self.returned;
+            if is_first {
+                upstream.missing = Some(now);
+            }
+            let keep = is_first || is_late;
+            if !keep {
+                change.gone.push(instance.clone());
+            }
+            keep
+        });
+    }
+
+    /// Returns an upstream.
+    pub fn get(&self, instance: &id::InstanceId) -> Option<&Upstream> {
+        self.upstreams.get(instance)
+    }
+
+    /// Returns an upstream for changes.
+    pub fn get_mut(&mut self, instance: &id::InstanceId) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(instance)
+    }
+
+    /// Returns the number of known upstreams.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    /// Returns the upstreams of a service that do not leave.
+    pub fn of<'a>(
+        &'a self,
+        service: &'a id::ServiceId,
+    ) -> impl Iterator<Item = (&'a id::InstanceId, &'a Upstream)> + 'a {
+        self.upstreams
+            .iter()
+            .filter(move |(_, up)| up.listed.service == *service && !up.listed.leaving)
+    }
+
+    /// Takes note of a call that was sent.
+    pub fn sent(&mut self, instance: &id::InstanceId, tokens: u64) {
+        if let Some(up) = self.upstreams.get_mut(instance) {
+            up.flying += 1;
+            up.tokens += tokens;
+        }
+    }
+
+    /// Takes note of a call that ended in any way.
+    pub fn ended(&mut self, instance: &id::InstanceId, tokens: u64) {
+        if let Some(up) = self.upstreams.get_mut(instance) {
+            up.flying = up.flying.saturating_sub(1);
+            up.tokens = up.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Takes note that a call did its work, in `ratio` times the time that it should take.
+    pub fn succeeded(
+        &mut self,
+        now: time::Duration,
+        instance: &id::InstanceId,
+        ratio: Option<f64>,
+    ) {
+        let Some(up) = self.upstreams.get_mut(instance) else { return };
+        up.health.succeed();
+        if let Some(ratio) = ratio {
+            up.slowness = up.slowness(now);
+            up.slowness += (ratio - up.slowness) * SMOOTHING;
+            up.timed = now;
+        }
+    }
+
+    /// Takes note that a call failed; returns whether the upstream was ejected.
+    pub fn failed(&mut self, now: time::Duration, instance: &id::InstanceId) -> bool {
+        let Some(up) = self.upstreams.get(instance) else { return false };
+        let service = up.listed.service.clone();
+        let (mut total, mut ejected) = (0, 0);
+        for (_, other) in self.of(&service) {
+            total += 1;
+            ejected += usize::from(other.health.is_ejected(now));
+        }
+        if ejected >= outlier::allowance(total, EJECTED_SHARE) {
+            return false;
+        }
+        self.upstreams.get_mut(instance).is_some_and(|up| up.health.fail(now, EJECTION))
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, now: time::Duration, instance: &id::InstanceId, load: Load) {
+        if let Some(up) = self.upstreams.get_mut(instance) {
+            up.load = load;
+            up.reported = now;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/calls.rs
@@ -0,0 +1,386 @@
+//! Calls that answer requests: which upstream is asked, and what follows from how the call ends.
+
+use std::time;
+
+use crate::fleet;
+use crate::gateway;
+use crate::gateway::request;
+use crate::id;
+use crate::place;
+use crate::refusal;
+use crate::routing;
+use crate::table;
+use crate::telemetry;
+use crate::unit;
+
+/// Calls that one request may cause, whether or not they ran.
+const MAX_SENDS: u32 = 4;
+/// Time that an attempt needs at least to be worth its while.
+const LEAST_BUDGET: time::Duration = time::Duration::from_millis(20);
+/// Pause before an upstream that was full is asked again.
+const FULL_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Time that a plain call is expected to take until more is known, in milliseconds.
+const PLAIN_COST: f64 = 40.0;
+/// Milliseconds that an upstream in another failure domain of the region costs more.
+const NEAR_COST: f64 = 4.0;
+/// Milliseconds that an upstream in another region costs more.
+const FAR_COST: f64 = 90.0;
+/// Time without a first event after which a stream is looked for elsewhere, if that is allowed.
+const FIRST_EVENT_TIME: time::Duration = time::Duration::from_millis(2_500);
+
+/// A call in flight.
+#[derive(Debug)]
+pub struct Call {
+    request: id::RequestId,
+    instance: id::InstanceId,
+    sent: time::Duration,
+    tokens: u64,
+    has_begun: bool,
+}
+
+impl gateway::Gateway {
+    /// Sends a request to an upstream that answers it.
+    pub(super) fn call(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
+        use refusal::Kind;
+        let Some(request) = self.requests.get(&id) else { return };
+        let budget = request.cutoff.saturating_sub(self.now.mono);
+        if !self.may_start(request) {
+            self.refuse(id, Kind::NotReady, "the credential could not be confirmed", effects);
+            return;
+        }
+        if budget < LEAST_BUDGET {
+            self.refuse(id, Kind::DeadlineExceeded, "the time for the answer is over", effects);
+            return;
+        }
+        let Some((choice, reason)) = self.choose(request) else {
+            self.refuse(id, Kind::NoUpstream, "no upstream of the service takes work", effects);
+            return;
+        };
+        self.send(id, choice, reason, effects);
+    }
+
+    fn send(
+        &mut self,
+        id: id::RequestId,
+        choice: place::Choice,
+        reason: &'static str,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let call = gateway::CallId(self.next_serial());
+        let Some(upstream) = self.fleet.get(&choice.instance) else { return };
+        let address = upstream.listed.address;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let is_first = request.sends == 0;
+        request.sends += 1;
+        request.runs += 1;
+        request.may_have_run = true;
+        request.call = Some(call);
+        request.tried.insert(choice.instance.clone());
+        let budget = request.cutoff.saturating_sub(self.now.mono);
+        let inputs = request.results_of(request.route.final_stages());
+        let send = gateway::Send {
+            call,
+            request: id,
+            instance: choice.instance.clone(),
+            address,
+            connections: self
+                .table
+                .services
+                .get(&request.service)
+                .map_or(u32::MAX, |pool| pool.connections),
+            budget,
+            patience: patience(request, budget),
+            team: request.team.clone(),
+            inputs: inputs.into_iter().map(|kept| kept.handle).collect(),
+            after: request.after,
+            kind: request.route.kind,
+            rank: request.rank,
+        };
+        let line = telemetry::Line::new("send")
+            .with("request", &request.name)
+            .with("call", call)
+            .with("upstream", &choice.instance)
+            .with("reason", reason)
+            .with("cost_ms", choice.cost.round())
+            .with("budget_ms", budget.as_millis())
+            .with("repeat", !is_first)
+            .with("waited_ms", self.now.mono.saturating_sub(request.arrived).as_millis());
+        effects.push(gateway::Effect::Log(line));
+        self.placement.note(self.now.mono, &choice.instance, &request.parts);
+        self.fleet.sent(&choice.instance, choice.tokens);
+        let state = Call {
+            request: id,
+            instance: choice.instance,
+            sent: self.now.mono,
+            tokens: choice.tokens,
+            has_begun: false,
+        };
+        self.calls.insert(call, state);
+        effects.push(gateway::Effect::Send(Box::new(send)));
+    }
+
+    /// Picks the upstream that is expected to answer first.
+    fn choose(&self, request: &request::Request) -> Option<(place::Choice, &'static str)> {
+        let engine = self.table.services.get(&request.service).and_then(|pool| pool.engine);
+        let results = request.results_of(request.route.final_stages());
+        let candidates = self.candidates(request, &results);
+        if engine.is_some() {
+            let choice = self.placement.pick(self.now.mono, &request.parts, &candidates)?;
+            return Some((choice, "engine"));
+        }
+        let choice = candidates.into_iter().map(plain_choice);
+        Some((choice.min_by(|a, b| a.cost.total_cmp(&b.cost))?, "least_work"))
+    }
+
+    /// Returns the upstreams that may answer a request: in the own region if it has any, not tried,
+    /// not ejected; and if nobody is left that way, tried or ejected ones.
+    fn candidates(
+        &self,
+        request: &request::Request,
+        results: &[request::Kept],
+    ) -> Vec<place::Candidate> {
+        let now = self.now.mono;
+        let all: Vec<_> = self.fleet.of(&request.service).collect();
+        let is_fresh = |up: &&(&id::InstanceId, &fleet::Upstream)| !request.tried.contains(up.0);
+        let is_usable = |up: &&(&id::InstanceId, &fleet::Upstream)| up.1.is_usable(now);
+        let steps: [Vec<_>; 3] = [
+            all.iter().filter(is_fresh).filter(is_usable).collect(),
+            all.iter().filter(is_fresh).collect(),
+            all.iter().collect(),
+        ];
+        let Some(step) = steps.into_iter().find(|step| !step.is_empty()) else {
+            return Vec::new();
+        };
+        let is_engine = !request.parts.is_empty();
+        let nearest = step.iter().map(|(_, up)| up.tier).min().unwrap_or(routing::Tier::Remote);
+        let reach =
+            if is_engine { nearest.max(routing::Tier::Region) } else { routing::Tier::Remote };
+        step.into_iter()
+            .filter(|(_, up)| up.tier <= reach)
+            .map(|(instance, up)| self.candidate(instance, up, results))
+            .collect()
+    }
+
+    fn candidate(
+        &self,
+        instance: &id::InstanceId,
+        up: &fleet::Upstream,
+        results: &[request::Kept],
+    ) -> place::Candidate {
+        let mut near = unit::ByteSize(0);
+        let mut far = unit::ByteSize(0);
+        for kept in results {
+            let Some(maker) = self.fleet.get(&kept.instance) else { continue };
+            let (from, to) = (&maker.listed.domain, &up.listed.domain);
+            if from == to {
+                continue;
+            }
+            if self.fleet.region(from) == self.fleet.region(to) {
+                near.0 += kept.size.0;
+            } else {
+                far.0 += kept.size.0;
+            }
+        }
+        place::Candidate {
+            instance: instance.clone(),
+            tier: up.tier,
+            flying: up.flying,
+            unread: up.tokens,
+            slowness: up.slowness(self.now.mono),
+            near,
+            far,
+        }
+    }
+
+    pub(super) fn begun(&mut self, id: gateway::CallId, effects: &mut Vec<gateway::Effect>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.has_begun = true;
+        let took = self.now.mono.saturating_sub(call.sent);
+        // The prompt has been read; only the generation still counts.
+        let tokens = std::mem::take(&mut call.tokens);
+        let (request_id, instance) = (call.request, call.instance.clone());
+        if let Some(upstream) = self.fleet.get_mut(&instance) {
+            upstream.tokens = upstream.tokens.saturating_sub(tokens);
+        }
+        let Some(request) = self.requests.get_mut(&request_id) else { return };
+        request.has_begun = true;
+        // A resumable stream needs them again if it has to go on elsewhere.
+        let finals: Vec<_> = match request.route.kind {
+            table::Kind::Resumable => Vec::new(),
+            _ => request.route.final_stages().collect(),
+        };
+        let used: Vec<_> = finals.into_iter().flat_map(|stage| request.use_up(stage)).collect();
+        let line = telemetry::Line::new("begun")
+            .with("request", &request.name)
+            .with("call", id)
+            .with("upstream", &instance)
+            .with("first_ms", took.as_millis())
+            .with("total_ms", self.now.mono.saturating_sub(request.arrived).as_millis());
+        effects.push(gateway::Effect::Log(line));
+        metrics::histogram!("gateway_first_event_seconds")
+            .record(self.now.mono.saturating_sub(request.arrived).as_secs_f64());
+        for kept in used {
+            self.free(kept);
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        id: gateway::CallId,
+        outcome: gateway::Outcome,
+        load: Option<fleet::Load>,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        self.fleet.ended(&call.instance, call.tokens);
+        if let Some(load) = load {
+            self.fleet.report(self.now.mono, &call.instance, load);
+        }
+        let Some(request) = self.requests.get_mut(&call.request) else { return };
+        request.call = None;
+        let line = telemetry::Line::new("call_ended")
+            .with("request", &request.name)
+            .with("call", id)
+            .with("upstream", &call.instance)
+            .with("outcome", outcome)
+            .with("detail", format_args!("{outcome:?}"))
+            .with("took_ms", self.now.mono.saturating_sub(call.sent).as_millis());
+        effects.push(gateway::Effect::Log(line));
+        match outcome {
+            gateway::Outcome::Unsent => {
+                self.note_not_run(call.request);
+                self.note_failure(&call.instance, effects);
+                self.call_again(call.request, "the upstream could not be reached", effects);
+            }
+            gateway::Outcome::NotRun { inputs_gone: true, .. } => {
+                self.note_not_run(call.request);
+                self.remake_results(call.request, effects);
+                self.advance(call.request, effects);
+            }
+            gateway::Outcome::NotRun { .. } => {
+                self.note_not_run(call.request);
+                if let Some(upstream) = self.fleet.get_mut(&call.instance) {
+                    upstream.full_until = self.now.mono + FULL_PAUSE;
+                }
+                self.call_again(call.request, "no upstream had a place", effects);
+            }
+            gateway::Outcome::Answered { status } => {
+                self.answered(&call, id, status, effects);
+            }
+            gateway::Outcome::Ended => {
+                let took = self.now.mono.saturating_sub(call.sent);
+                self.fleet.succeeded(self.now.mono, &call.instance, None);
+                self.finish(call.request, took, effects);
+            }
+            gateway::Outcome::Broken { last } => {
+                self.note_failure(&call.instance, effects);
+                self.broken(call.request, last, effects);
+            }
+        }
+    }
+
+    /// Takes note that the last call did not run the request.
+    fn note_not_run(&mut self, id: id::RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.runs = request.runs.saturating_sub(1);
+        request.may_have_run = request.runs > 0;
+    }
+
+    /// Sends a request that has not run to another upstream, if time and the budget allow it.
+    fn call_again(&mut self, id: id::RequestId, message: &str, effects: &mut Vec<gateway::Effect>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let service = request.service.clone();
+        let is_allowed = request.sends < MAX_SENDS;
+        if is_allowed && self.budgets.entry(service).or_default().spend() {
+            self.call(id, effects);
+        } else {
+            self.refuse(id, refusal::Kind::UpstreamUnreachable, message, effects);
+        }
+    }
+
+    fn answered(
+        &mut self,
+        call: &Call,
+        id: gateway::CallId,
+        status: u16,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let took = self.now.mono.saturating_sub(call.sent);
+        if status < 500 {
+            let ratio = took.as_secs_f64() * 1_000.0 / PLAIN_COST;
+            self.fleet.succeeded(self.now.mono, &call.instance, Some(ratio));
+        } else if self.may_repeat(call.request) {
+            self.call(call.request, effects);
+            return;
+        }
+        effects.push(gateway::Effect::Deliver(call.request, id));
+        self.finish(call.request, took, effects);
+    }
+
+    /// Whether a request that may have run may be sent to another upstream; spends the budget.
+    fn may_repeat(&mut self, id: id::RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let is_allowed = request.route.kind.is_repeatable()
+            && request.runs < request.route.attempts
+            && request.sends < MAX_SENDS;
+        let service = request.service.clone();
+        is_allowed && self.budgets.entry(service).or_default().spend()
+    }
+
+    fn broken(&mut self, id: id::RequestId, last: Option<u64>, effects: &mut Vec<gateway::Effect>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.after = last.or(request.after);
+        if self.may_repeat(id) {
+            self.call(id, effects);
+            return;
+        }
+        self.refuse(id, refusal::Kind::UpstreamBroken, "the upstream's answer broke off", effects);
+    }
+
+    fn finish(
+        &mut self,
+        id: id::RequestId,
+        took: time::Duration,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let total = self.now.mono.saturating_sub(request.arrived);
+        let line = telemetry::Line::new("served")
+            .with("request", &request.name)
+            .with("total_ms", total.as_millis())
+            .with("call_ms", took.as_millis());
+        effects.push(gateway::Effect::Log(line));
+        metrics::counter!("gateway_served_total").increment(1);
+        metrics::histogram!("gateway_request_seconds").record(total.as_secs_f64());
+        self.forget(id, effects);
+    }
+
+    pub(super) fn cancel(&mut self, id: gateway::CallId, effects: &mut Vec<gateway::Effect>) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        self.fleet.ended(&call.instance, call.tokens);
+        effects.push(gateway::Effect::Cancel(id));
+    }
+}
+
+/// Returns how long an upstream may take until its answer, or its first event, is there.
+fn patience(request: &request::Request, budget: time::Duration) -> time::Duration {
+    if request.runs >= request.route.attempts {
+        return budget;
+    }
+    match request.route.kind {
+        table::Kind::Idempotent => request.route.target.min(budget),
+        table::Kind::Resumable => FIRST_EVENT_TIME.min(budget),
+        table::Kind::Once | table::Kind::Stream => budget,
+    }
+}
+
+fn plain_choice(candidate: place::Candidate) -> place::Choice {
+    let distance = match candidate.tier {
+        routing::Tier::Domain => 0.0,
+        routing::Tier::Region => NEAR_COST,
+        routing::Tier::Remote => FAR_COST,
+    };
+    let turns = f64::from(candidate.flying + 1);
+    let cost = PLAIN_COST * candidate.slowness * (1.0 + 0.3 * (turns - 1.0)) + distance;
+    place::Choice { instance: candidate.instance, cost, tokens: 0 }
+}
--- /dev/null
+++ b/lib/src/gateway/request.rs
@@ -0,0 +1,216 @@
+//! A request in progress at a gateway.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::batch;
+use crate::gateway;
+use crate::id;
+use crate::place;
+use crate::table;
+
+/// Most pieces of a request that are accepted.
+const MAX_PIECES: u32 = 10_000;
+
+/// A result that an upstream keeps.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Kept {
+    /// The upstream.
+    pub instance: id::InstanceId,
+    /// Name of the result.
+    pub handle: gateway::Handle,
+    /// Usual size of it.
+    pub size: crate::unit::ByteSize,
+}
+
+/// State of one piece.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Piece {
+    /// It waits for the stages before its own.
+    #[default]
+    Idle,
+    /// It waits for a call.
+    Queued,
+    /// It is worked on.
+    Flying(batch::BatchId),
+    /// Its result is there.
+    Done(Kept),
+    /// Its result was used and freed.
+    Used,
+}
+
+impl Piece {
+    fn is_done(&self) -> bool {
+        matches!(self, Self::Done(_) | Self::Used)
+    }
+}
+
+/// State of one request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The caller's id of it.
+    pub name: String,
+    /// Its route.
+    pub route: sync::Arc<table::Route>,
+    /// Service that answers.
+    pub service: id::ServiceId,
+    /// Team of the caller.
+    pub team: Option<id::TeamId>,
+    /// Credential that has to hold for as long as work starts.
+    pub credential: Option<table::Credential>,
+    /// Rank; 0 is the highest.
+    pub rank: u8,
+    /// When it arrived.
+    pub arrived: time::Duration,
+    /// When its answer should begin to be on time.
+    pub due: time::Duration,
+    /// When it has to have its final answer.
+    pub cutoff: time::Duration,
+    /// Parts of the prompt.
+    pub parts: Vec<place::Part>,
+    /// Last event that the caller has.
+    pub after: Option<u64>,
+    /// Key that stages without inputs work on.
+    pub key: Option<String>,
+    /// Pieces of each stage.
+    pub stages: Vec<Vec<Piece>>,
+    /// Times that pieces were made again.
+    pub remakes: u32,
+    /// Call that answers.
+    pub call: Option<gateway::CallId>,
+    /// Upstreams that were asked for the answer.
+    pub tried: collections::BTreeSet<id::InstanceId>,
+    /// Upstreams that may have run the request.
+    pub runs: u32,
+    /// Calls that were made for the answer.
+    pub sends: u32,
+    /// Whether any upstream may have run it.
+    pub may_have_run: bool,
+    /// Whether the caller has the beginning of the answer.
+    pub has_begun: bool,
+}
+
+impl Request {
+    /// Makes the state of a request that has just arrived.
+    ///
+    /// # Errors
+    /// Returns what is wrong with the pieces that the caller names.
+    pub fn new(
+        now: time::Duration,
+        arrival: &gateway::Arrival,
+        route: &sync::Arc<table::Route>,
+        team: Option<&table::Team>,
+        service: id::ServiceId,
+    ) -> Result<Self, String> {
+        let stages = read_pieces(route, arrival)?;
+        let allowed = arrival.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
+        Ok(Self {
+            name: arrival.name.clone(),
+            route: sync::Arc::clone(route),
+            service,
+            team: team.map(|team| team.name.clone()),
+            credential: team.and(arrival.credential.clone()),
+            rank: team.and_then(|team| team.rank).unwrap_or(route.rank),
+            arrived: now,
+            due: now + route.target,
+            cutoff: now + allowed,
+            parts: arrival.parts.clone(),
+            after: arrival.after,
+            key: arrival.key.clone(),
+            stages,
+            remakes: 0,
+            call: None,
+            tried: collections::BTreeSet::new(),
+            runs: 0,
+            sends: 0,
+            may_have_run: false,
+            has_begun: false,
+        })
+    }
+
+    /// Whether all pieces of a stage have results, or had them until these were used.
+    pub fn is_stage_done(&self, stage: usize) -> bool {
+        self.stages[stage].iter().all(Piece::is_done)
+    }
+
+    /// Returns the stages whose pieces can be queued now.
+    pub fn ready_stages(&self) -> Vec<usize> {
+        (0..self.stages.len())
+            .filter(|stage| self.stages[*stage].contains(&Piece::Idle))
+            .filter(|stage| {
+                self.route.stages[*stage].after.iter().all(|before| self.is_stage_done(*before))
+            })
+            .collect()
+    }
+
+    /// Returns the results of all pieces of the given stages, in their order.
+    pub fn results_of(&self, stages: impl Iterator<Item = usize>) -> Vec<Kept> {
+        stages.flat_map(|stage| self.stages[stage].iter()).filter_map(kept).cloned().collect()
+    }
+
+    /// Returns the results that upstreams still keep.
+    pub fn results(&self) -> Vec<Kept> {
+        self.results_of(0..self.stages.len())
+    }
+
+    /// Marks the results of a stage as used and returns them.
+    pub fn use_up(&mut self, stage: usize) -> Vec<Kept> {
+        let used = self.results_of(std::iter::once(stage));
+        for piece in &mut self.stages[stage] {
+            if matches!(piece, Piece::Done(_)) {
+                *piece = Piece::Used;
+            }
+        }
+        used
+    }
+
+    /// Makes the pieces of a stage wait again, with all stages before it whose results were used.
+    /// Returns the results that are given up.
+    pub fn reset_stage(&mut self, stage: usize) -> Vec<Kept> {
+        let given_up = self.results_of(std::iter::once(stage));
+        for piece in &mut self.stages[stage] {
+            if piece.is_done() {
+                *piece = Piece::Idle;
+            }
+        }
+        let route = sync::Arc::clone(&self.route);
+        for before in &route.stages[stage].after {
+            if self.stages[*before].contains(&Piece::Used) {
+                let _ = self.reset_stage(*before);
+            }
+        }
+        given_up
+    }
+}
+
+fn kept(piece: &Piece) -> Option<&Kept> {
+    match piece {
+        Piece::Done(kept) => Some(kept),
+        _ => None,
+    }
+}
+
+fn read_pieces(
+    route: &table::Route,
+    arrival: &gateway::Arrival,
+) -> Result<Vec<Vec<Piece>>, String> {
+    if route.stages.is_empty() {
+        return Ok(Vec::new());
+    }
+    if arrival.pieces.len() != route.stages.len() {
+        return Err(format!(
+            "the request names pieces of {} stages; the route has {}",
+            arrival.pieces.len(),
+            route.stages.len()
+        ));
+    }
+    if arrival.pieces.iter().any(|count| *count > MAX_PIECES) {
+        return Err(format!("a stage has more than {MAX_PIECES} pieces; send fewer"));
+    }
+    if arrival.key.is_none() {
+        return Err("the key of the pieces is missing; send it".to_owned());
+    }
+    let pieces = arrival.pieces.iter().map(|count| vec![Piece::Idle; *count as usize]);
+    Ok(pieces.collect())
+}
--- /dev/null
+++ b/lib/src/gateway_shell.rs
@@ -0,0 +1,440 @@
+//! Shell of a gateway: sockets, timers and bodies around the reducer in [`crate::gateway`].
+
+use std::collections;
+use std::io;
+use std::net;
+use std::path;
+use std::sync;
+use std::time;
+
+use tokio::sync::{mpsc, watch};
+
+use crate::clock;
+use crate::clock::Clock as _;
+use crate::dialect;
+use crate::fleet;
+use crate::gateway;
+use crate::gateway_calls;
+use crate::gateway_http;
+use crate::http;
+use crate::id;
+use crate::table;
+use crate::telemetry;
+use crate::unit;
+use crate::upstream_pool;
+
+/// Pause between two ticks, in which results to free are collected as well.
+const TICK: time::Duration = time::Duration::from_millis(20);
+/// Time that the store has to answer a read.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_800);
+/// Pause after a read that failed.
+const READ_RETRY: time::Duration = time::Duration::from_millis(300);
+/// Messages that wait for the loop.
+const QUEUE: usize = 4_096;
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Pause between two looks for connections that have rested too long.
+const PRUNE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub struct Settings {
+    /// The instance.
+    pub instance: id::InstanceId,
+    /// Address for callers.
+    pub listen: net::SocketAddr,
+    /// Address for the balancer's health checks.
+    pub probe_listen: net::SocketAddr,
+    /// Address under which metrics are served at `/metrics`.
+    pub metrics_listen: net::SocketAddr,
+    /// Failure domain of the instance.
+    pub domain: id::DomainId,
+    /// Region of each failure domain.
+    pub regions: collections::BTreeMap<id::DomainId, id::RegionId>,
+    /// Address of the platform's store.
+    pub store: net::SocketAddr,
+    /// Time after which a credential that was taken away must not be acted on, in milliseconds;
+    /// without it, what was known last stays in use while the store is away.
+    #[serde(default)]
+    pub revocation_ms: Option<unit::Millis>,
+    /// Repeats allowed as a share of the requests to a service.
+    #[serde(default = "default_retries")]
+    pub retry_share: unit::Share,
+    /// Pause between two reads of the store, in milliseconds.
+    #[serde(default = "default_poll")]
+    pub poll_ms: unit::Millis,
+    /// Time for which new connections are still taken after a stop was asked for, in milliseconds.
+    #[serde(default = "default_notice")]
+    pub notice_ms: unit::Millis,
+    /// Time after which a stop no longer waits for requests in progress, in milliseconds.
+    #[serde(default = "default_stop")]
+    pub stop_ms: unit::Millis,
+}
+
+fn default_retries() -> unit::Share {
+    unit::Share(0.1)
+}
+
+fn default_poll() -> unit::Millis {
+    unit::Millis(900)
+}
+
+fn default_notice() -> unit::Millis {
+    unit::Millis(3_500)
+}
+
+fn default_stop() -> unit::Millis {
+    unit::Millis(7_600)
+}
+
+/// Signals from outside.
+#[derive(Clone, Debug)]
+pub struct Signals {
+    /// Turns true when the process is to stop.
+    pub stop: watch::Receiver<bool>,
+    /// Counts the requests to read the settings again.
+    pub reload: watch::Receiver<u64>,
+}
+
+/// A request that the shell holds.
+struct Open {
+    origin: gateway_calls::Origin,
+}
+
+struct Shell<D> {
+    reducer: gateway::Gateway,
+    clock: clock::SystemClock,
+    caller: gateway_calls::Caller<D>,
+    open: collections::BTreeMap<id::RequestId, Open>,
+    calls: collections::BTreeMap<gateway::CallId, tokio::task::AbortHandle>,
+    batches: collections::BTreeMap<crate::batch::BatchId, tokio::task::AbortHandle>,
+    answers: collections::BTreeMap<gateway::CallId, gateway_calls::Answer>,
+    effects: Vec<gateway::Effect>,
+    ready: watch::Sender<bool>,
+    limits: watch::Sender<table::Limits>,
+    writer: LogWriter,
+}
+
+/// Where log lines of decisions go.
+pub type LogWriter = fn(&telemetry::Line);
+
+/// Runs a gateway until it is asked to stop and its requests have ended.
+///
+/// # Errors
+/// Fails if one of its addresses cannot be listened on.
+pub async fn run<D: dialect::Dialect, S: dialect::Source>(
+    settings: Settings,
+    dialect: D,
+    source: S,
+    mut signals: Signals,
+    file: Option<path::PathBuf>,
+) -> io::Result<()> {
+    telemetry::install();
+    let listener = http::listen(settings.listen).await?;
+    let probes = http::listen(settings.probe_listen).await?;
+    let metrics = http::listen(settings.metrics_listen).await?;
+    let (messages, mut incoming) = mpsc::channel(QUEUE);
+    let (reports, mut reported) = mpsc::channel(QUEUE);
+    let (reads, mut read) = mpsc::channel(16);
+    let (ready, is_ready) = watch::channel(false);
+    let (limits, limits_seen) = watch::channel(table::Limits::default());
+    let (closing, closing_seen) = watch::channel(false);
+    let (stopped, stopped_seen) = watch::channel(false);
+    log_start(&settings);
+    let clock = clock::SystemClock::new();
+    let callers = gateway_http::Callers {
+        dialect: dialect.clone(),
+        messages,
+        serial: sync::Arc::new(sync::atomic::AtomicU64::new(1)),
+        limits: limits_seen,
+        stopping: signals.stop.clone(),
+    };
+    let mut served = tokio::spawn(http::serve(listener, callers, closing_seen));
+    let probe = gateway_http::Probes { ready: is_ready, metrics_path: METRICS_PATH };
+    tokio::spawn(http::serve(probes, probe.clone(), stopped_seen.clone()));
+    tokio::spawn(http::serve(metrics, probe, stopped_seen));
+    tokio::spawn(poll_table(source.clone(), clock, settings.poll_ms.duration(), reads.clone()));
+    tokio::spawn(poll_fleet(source, settings.poll_ms.duration(), reads));
+
+    let mut shell = Shell {
+        reducer: gateway::Gateway::new(terms(&settings), fastrand::u64(..)),
+        clock,
+        caller: gateway_calls::Caller { dialect, pool: upstream_pool::Pool::default(), reports },
+        open: collections::BTreeMap::new(),
+        calls: collections::BTreeMap::new(),
+        batches: collections::BTreeMap::new(),
+        answers: collections::BTreeMap::new(),
+        effects: Vec::new(),
+        ready,
+        limits,
+        writer: |line| log::info!("{line}"),
+    };
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut prune = tokio::time::interval(PRUNE_INTERVAL);
+    prune.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stopping = None;
+    loop {
+        tokio::select! {
+            biased;
+            Some(event) = read.recv() => shell.step(event),
+            Some(report) = reported.recv() => shell.report(report),
+            Some(message) = incoming.recv() => shell.message(message),
+            _ = tick.tick() => {
+                shell.step(gateway::Event::Tick);
+                shell.publish();
+            }
+            _ = prune.tick() => shell.caller.pool.prune(),
+            changed = signals.reload.changed() => {
+                if changed.is_ok() {
+                    reload(&settings, file.as_deref());
+                }
+            }
+            _ = signals.stop.wait_for(|stop| *stop), if stopping.is_none() => {
+                log::info!("event=stop_requested open={}", shell.reducer.open_count());
+                stopping = Some(time::Instant::now());
+                shell.step(gateway::Event::Drain);
+                shell.publish();
+            }
+            _ = &mut served => break,
+        }
+        if let Some(since) = stopping {
+            if since.elapsed() >= settings.notice_ms.duration() {
+                closing.send_replace(true);
+            }
+            if since.elapsed() >= settings.stop_ms.duration() {
+                break;
+            }
+        }
+    }
+    log::info!("event=stopped open={}", shell.reducer.open_count());
+    stopped.send_replace(true);
+    Ok(())
+}
+
+fn log_start(settings: &Settings) {
+    let line = telemetry::Line::new("start")
+        .with("role", "gateway")
+        .with("instance", &settings.instance)
+        .with("listen", settings.listen)
+        .with("domain", &settings.domain)
+        .with("version", env!("CARGO_PKG_VERSION"));
+    log::info!("{line}");
+}
+
+/// Reads the settings again. Addresses cannot change while the process runs; a change of theirs is
+/// told, so that operators see that it needs a restart.
+fn reload(settings: &Settings, file: Option<&path::Path>) {
+    let Some(file) = file else { return };
+    match crate::settings::read::<Settings>(file, &[]) {
+        Err(e) => log::warn!("event=reload_failed error={:?}", e.to_string()),
+        Ok(new) => {
+            let is_same = serde_json::to_value(&new).ok() == serde_json::to_value(settings).ok();
+            log::info!("event=reloaded changed={}", !is_same);
+        }
+    }
+}
+
+fn terms(settings: &Settings) -> gateway::Terms {
+    gateway::Terms {
+        domain: settings.domain.clone(),
+        regions: settings.regions.clone(),
+        revocation: settings.revocation_ms.map(unit::Millis::duration),
+        retries: settings.retry_share.0,
+    }
+}
+
+impl<D: dialect::Dialect> Shell<D> {
+    fn message(&mut self, message: gateway_http::Message) {
+        match message {
+            gateway_http::Message::Arrive(incoming) => {
+                let gateway_http::Incoming { request, arrival, head, body, reply } = *incoming;
+                let reply = gateway_http::Reply::Open(reply);
+                let slot = sync::Arc::new(sync::Mutex::new(Some(reply)));
+                let origin = gateway_calls::Origin { head, body, slot };
+                self.open.insert(request, Open { origin });
+                self.step(gateway::Event::Arrive(request, arrival));
+            }
+            gateway_http::Message::Gone(request) => {
+                self.step(gateway::Event::Gone(request));
+                self.open.remove(&request);
+            }
+        }
+    }
+
+    fn report(&mut self, report: gateway_calls::Report) {
+        match report {
+            gateway_calls::Report::Answer(call, answer) => {
+                if self.calls.contains_key(&call) {
+                    self.answers.insert(call, answer);
+                }
+            }
+            gateway_calls::Report::Event(event) => {
+                let ended = match &event {
+                    gateway::Event::Ended { call, .. } => self.calls.remove(call).map(|_| *call),
+                    gateway::Event::BatchEnded { batch, .. } => {
+                        self.batches.remove(batch);
+                        None
+                    }
+                    gateway::Event::Gone(request) => {
+                        self.open.remove(request);
+                        None
+                    }
+                    _ => None,
+                };
+                self.step(event);
+                if let Some(call) = ended {
+                    self.answers.remove(&call);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, event: gateway::Event) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.reducer.step(self.clock.now(), event, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(effect);
+        }
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, effect: gateway::Effect) {
+        match effect {
+            gateway::Effect::Send(send) => {
+                let Some(open) = self.open.get(&send.request) else { return };
+                let call = send.call;
+                let work = self.caller.clone().call(*send, open.origin.clone());
+                self.calls.insert(call, tokio::spawn(work).abort_handle());
+            }
+            gateway::Effect::Cancel(call) => {
+                if let Some(task) = self.calls.remove(&call) {
+                    task.abort();
+                }
+            }
+            gateway::Effect::Run(run) => {
+                let batch = run.batch;
+                let task = tokio::spawn(self.caller.clone().run(*run));
+                self.batches.insert(batch, task.abort_handle());
+            }
+            gateway::Effect::CancelBatch(batch) => {
+                if let Some(task) = self.batches.remove(&batch) {
+                    task.abort();
+                }
+            }
+            gateway::Effect::Free { instance, address, handles } => {
+                tokio::spawn(self.caller.clone().free(instance, address, handles));
+            }
+            gateway::Effect::Deliver(request, call) => self.deliver(request, call),
+            gateway::Effect::Refuse { request, refusal, pause } => {
+                let response = gateway_http::refuse(&self.caller.dialect, &refusal, pause);
+                self.answer(request, response);
+            }
+            gateway::Effect::Forget(request) => drop(self.open.remove(&request)),
+            gateway::Effect::Log(line) => (self.writer)(&line),
+        }
+    }
+
+    fn deliver(&mut self, request: id::RequestId, call: gateway::CallId) {
+        let Some(answer) = self.answers.remove(&call) else { return };
+        let mut response = hyper::Response::new(http::Body::full(answer.body));
+        if let Ok(status) = hyper::StatusCode::from_u16(answer.status) {
+            *response.status_mut() = status;
+        }
+        *response.headers_mut() = answer.headers;
+        self.answer(request, response);
+    }
+
+    fn answer(&mut self, request: id::RequestId, response: hyper::Response<http::Body>) {
+        let Some(open) = self.open.remove(&request) else { return };
+        if let Some(gateway_http::Reply::Open(reply)) = gateway_http::take(&open.origin.slot) {
+            // Fails only if the caller has just gone away.
+            let _ = reply.send(response);
+        }
+    }
+
+    /// Tells the balancer's and callers' handlers what has changed.
+    fn publish(&mut self) {
+        let is_ready = self.reducer.is_ready(self.clock.now());
+        let changed =
+            self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
+        if changed {
+            let age = self.reducer.table_age(self.clock.now()).unwrap_or_default();
+            let version = self.reducer.version();
+            log::info!(
+                "event=readiness ready={is_ready} table={version} age_ms={}",
+                age.as_millis()
+            );
+        }
+        let limits = self.reducer.limits();
+        self.limits.send_if_modified(|known| std::mem::replace(known, limits) != limits);
+    }
+}
+
+/// Logs the loss and the return of a dependency once each.
+struct Watcher {
+    name: &'static str,
+    lost: bool,
+}
+
+impl Watcher {
+    fn note<T>(&mut self, result: &Result<T, dialect::SourceError>) {
+        match result {
+            Ok(_) if self.lost => log::info!("event=store_regained read={}", self.name),
+            Err(e) if !self.lost => {
+                log::warn!("event=store_lost read={} error={:?}", self.name, e.to_string());
+            }
+            _ => {}
+        }
+        self.lost = result.is_err();
+        let outcome = if self.lost { "failed" } else { "ok" };
+        metrics::counter!("gateway_store_reads_total", "read" => self.name, "outcome" => outcome)
+            .increment(1);
+    }
+}
+
+async fn within_read<T>(
+    work: impl Future<Output = Result<T, dialect::SourceError>>,
+) -> Result<T, dialect::SourceError> {
+    http::within(READ_TIMEOUT, work).await.unwrap_or(Err(dialect::SourceError::Unreachable))
+}
+
+async fn poll_table<S: dialect::Source>(
+    source: S,
+    clock: clock::SystemClock,
+    pause: time::Duration,
+    events: mpsc::Sender<gateway::Event>,
+) {
+    let mut watcher = Watcher { name: "table", lost: false };
+    loop {
+        let asked = clock.now();
+        let result = within_read(source.table()).await;
+        watcher.note(&result);
+        let next = if result.is_ok() { pause } else { READ_RETRY };
+        if let Ok(table) = result
+            && events.send(gateway::Event::Table { asked, table }).await.is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(next).await;
+    }
+}
+
+async fn poll_fleet<S: dialect::Source>(
+    source: S,
+    pause: time::Duration,
+    events: mpsc::Sender<gateway::Event>,
+) {
+    let mut watcher = Watcher { name: "fleet", lost: false };
+    loop {
+        let result: Result<Vec<fleet::Listed>, _> = within_read(source.fleet()).await;
+        watcher.note(&result);
+        let next = if result.is_ok() { pause } else { READ_RETRY };
+        if let Ok(list) = result
+            && events.send(gateway::Event::Listed(list)).await.is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(next).await;
+    }
+}
