--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -10,26 +10,26 @@
 
 use crate::fleet;
 use crate::id;
-use crate::routing;
+use crate::roster;
 use crate::table;
 use crate::unit;
 
 /// Slowness relative to the best upstream from which one is left alone while others work.
 const SLOW_RATIO: f64 = 2.0;
-/// Part of an upstream's memory for results that one gateway fills.
-const ROOM_SHARE: f64 = 0.9;
 /// Time given to a request for each rank that it is below the highest.
 const RANK_DELAY: time::Duration = time::Duration::from_millis(150);
 
-/// One piece of one stage of a request.
+/// Pieces of one stage of one request.
+#[derive(Clone, Copy, Debug, Default, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
+pub struct GroupId(pub u64);
+
+/// One piece of a group.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
-#[display("{request}/{stage}/{piece}")]
+#[display("{group}/{piece}")]
 pub struct PieceId {
-    /// The request.
-    pub request: id::RequestId,
-    /// Index of the stage in the route.
-    pub stage: usize,
-    /// Index of the piece in the stage.
+    /// The group.
+    pub group: GroupId,
+    /// Index of the piece in its stage.
     pub piece: u32,
 }
 
@@ -46,7 +46,7 @@
     pub size: unit::ByteSize,
 }
 
-/// Place in the queue; requests that can be on time sort first.
+/// Place in the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Place {
     due: time::Duration,
@@ -68,58 +68,52 @@
     pub expected: time::Duration,
 }
 
-/// Pieces that wait, by service.
+/// Pieces that wait, by pool.
 #[derive(Debug, Default)]
 pub struct Queues {
-    queues: collections::BTreeMap<id::ServiceId, collections::BTreeMap<Place, Waiting>>,
-    seed: u64,
+    queues: collections::BTreeMap<roster::PoolId, collections::BTreeMap<Place, Waiting>>,
 }
 
 impl Queues {
-    /// Makes empty queues; gateways with different seeds prefer different upstreams.
-    pub fn new(seed: u64) -> Self {
-        Self { queues: collections::BTreeMap::new(), seed }
-    }
-
     /// Adds a piece.
-    pub fn push(&mut self, service: &id::ServiceId, waiting: Waiting) {
-        self.queues.entry(service.clone()).or_default().insert(place(&waiting), waiting);
+    pub fn push(&mut self, pool: &roster::PoolId, waiting: Waiting) {
+        self.queues.entry(pool.clone()).or_default().insert(place(&waiting), waiting);
     }
 
-    /// Removes all pieces of a request.
-    pub fn remove_request(&mut self, request: id::RequestId) {
-        for queue in self.queues.values_mut() {
-            queue.retain(|_, waiting| waiting.id.request != request);
+    /// Removes all pieces of a group.
+    pub fn remove_group(&mut self, pool: &roster::PoolId, group: GroupId) {
+        if let Some(queue) = self.queues.get_mut(pool) {
+            queue.retain(|_, waiting| waiting.id.group != group);
         }
     }
 
-    /// Returns the number of pieces that wait for a service.
-    pub fn len(&self, service: &id::ServiceId) -> usize {
-        self.queues.get(service).map_or(0, collections::BTreeMap::len)
+    /// Returns the number of pieces that wait for a pool.
+    pub fn len(&self, pool: &roster::PoolId) -> usize {
+        self.queues.get(pool).map_or(0, collections::BTreeMap::len)
     }
 
-    /// Returns the services for which pieces wait.
-    pub fn services(&self) -> Vec<id::ServiceId> {
+    /// Returns the pools for which pieces wait.
+    pub fn pools(&self) -> Vec<roster::PoolId> {
         let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
-        waiting.map(|(service, _)| service.clone()).collect()
+        waiting.map(|(pool, _)| pool.clone()).collect()
     }
 
-    /// Returns the next call to make for a service, if an upstream is free for one.
+    /// Returns the next call to make for a pool, if an upstream is free for one.
     pub fn dispatch(
         &mut self,
         now: time::Duration,
-        service: &id::ServiceId,
+        pool: &roster::PoolId,
         terms: &table::Batching,
         fleet: &fleet::Fleet,
     ) -> Option<Dispatch> {
-        let queue = self.queues.get_mut(service)?;
+        let queue = self.queues.get_mut(pool)?;
         if queue.is_empty() {
             return None;
         }
-        let (instance, upstream) = pick(now, service, fleet, self.seed)?;
-        let limit = (terms.room.0 as f64 * ROOM_SHARE) as u64;
-        let room = limit.saturating_sub(upstream.held.0);
-        let pieces = take(now, queue, terms, room, upstream.held.0 == 0);
+        let (instance, upstream) = pick(now, pool, fleet)?;
+        let held = upstream.held(now).0;
+        let room = upstream.room(terms.room).0.saturating_sub(held);
+        let pieces = take(now, queue, terms, room, held == 0);
         if pieces.is_empty() {
             return None;
         }
@@ -133,6 +127,7 @@
 }
 
 /// Takes pieces for one call: those that are due first, but after the others once they are late.
+/// Pieces for whose results there is no room stay.
 fn take(
     now: time::Duration,
     queue: &mut collections::BTreeMap<Place, Waiting>,
@@ -140,10 +135,8 @@
     room: u64,
     is_empty: bool,
 ) -> Vec<Waiting> {
-    let on_time = Place {
-        due: now + terms.per_call,
-        id: PieceId { request: id::RequestId(0), stage: 0, piece: 0 },
-    };
+    let first = PieceId { group: GroupId(0), piece: 0 };
+    let on_time = Place { due: now + terms.per_call, id: first };
     let order: Vec<Place> =
         queue.range(on_time..).chain(queue.range(..on_time)).map(|(place, _)| *place).collect();
     let mut pieces = Vec::new();
@@ -155,7 +148,7 @@
         let size = queue[&place].size.0;
         let is_first = is_empty && pieces.is_empty();
         if used + size > room && !is_first {
-            break;
+            continue;
         }
         used += size;
         pieces.extend(queue.remove(&place));
@@ -163,24 +156,17 @@
     pieces
 }
 
-/// Picks a free upstream: the one with the least work of others, then the nearest.
+/// Picks a free upstream of the pool: the one with the least work of others, then the one that
+/// keeps the fewest results.
 fn pick<'a>(
     now: time::Duration,
-    service: &'a id::ServiceId,
+    pool: &'a roster::PoolId,
     fleet: &'a fleet::Fleet,
-    seed: u64,
 ) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
-    let usable: Vec<_> = fleet.of(service).filter(|(_, up)| up.is_usable(now)).collect();
-    let nearest = usable.iter().map(|(_, up)| up.tier).min()?;
-    // Results must not cross regions while the own one has an upstream.
-    let reach = nearest.max(routing::Tier::Region);
-    let within: Vec<_> = usable.into_iter().filter(|(_, up)| up.tier <= reach).collect();
-    let best = within.iter().map(|(_, up)| up.slowness(now)).min_by(f64::total_cmp)?;
-    within
+    let usable: Vec<_> = fleet.pool(pool).filter(|(_, up)| up.is_usable(now)).collect();
+    let best = usable.iter().map(|(_, up)| up.slowness(now)).min_by(f64::total_cmp)?;
+    usable
         .into_iter()
         .filter(|(_, up)| up.flying == 0 && up.slowness(now) <= best * SLOW_RATIO)
-        .min_by_key(|(instance, up)| {
-            let name = instance.as_str().as_bytes();
-            (up.foreign(now), up.tier, xxhash_rust::xxh3::xxh3_64_with_seed(name, seed))
-        })
+        .min_by_key(|(_, up)| (up.foreign(now), up.held(now).0))
 }
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -7,6 +7,7 @@
 use crate::fleet;
 use crate::gateway;
 use crate::refusal;
+use crate::roster;
 use crate::table;
 
 /// What the head of an upstream's answer says.
@@ -103,6 +104,18 @@
     /// Reads the routing table in force.
     fn table(&self) -> impl Future<Output = Result<sync::Arc<table::Table>, SourceError>> + Send;
 
+    /// Announces a gateway for a while; called again and again while it lives.
+    fn announce(
+        &self,
+        peer: &roster::Peer,
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Takes the announcement back.
+    fn withdraw(&self) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Reads which gateways are announced.
+    fn peers(&self) -> impl Future<Output = Result<Vec<roster::Peer>, SourceError>> + Send;
+
     /// Reads the list of upstreams.
     fn fleet(&self) -> impl Future<Output = Result<Vec<fleet::Listed>, SourceError>> + Send;
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -7,8 +7,10 @@
 use std::net;
 use std::time;
 
+use crate::gateway;
 use crate::id;
 use crate::outlier;
+use crate::roster;
 use crate::routing;
 use crate::unit;
 
@@ -23,6 +25,10 @@
 const SLOW_MEMORY: time::Duration = time::Duration::from_secs(3);
 /// Age up to which a reported load is believed.
 const LOAD_AGE: time::Duration = time::Duration::from_millis(300);
+/// Factor by which the room of an upstream is taken to be less than what it held when it was full.
+const ROOM_SHRINK: f64 = 0.9;
+/// Factor by which that room is taken to be more with each list.
+const ROOM_GROWTH: f64 = 1.15;
 /// Ejection of upstreams that fail in a row.
 const EJECTION: outlier::Rule = outlier::Rule {
     failures: 2,
@@ -73,8 +79,6 @@
     pub tokens: u64,
     /// Its failures and ejections.
     pub health: outlier::Health,
-    /// Bytes of results that it keeps for this gateway.
-    pub held: unit::ByteSize,
     /// Moment until which it is left alone because it had no room.
     pub full_until: time::Duration,
     load: Load,
@@ -82,6 +86,16 @@
     slowness: f64,
     timed: time::Duration,
     missing: Option<time::Duration>,
+    kept: collections::BTreeMap<gateway::Handle, Kept>,
+    expected: unit::ByteSize,
+    room: Option<f64>,
+}
+
+/// A result that an upstream keeps.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    size: unit::ByteSize,
+    until: time::Duration,
 }
 
 impl Upstream {
@@ -92,16 +106,62 @@
             flying: 0,
             tokens: 0,
             health: outlier::Health::default(),
-            held: unit::ByteSize(0),
             full_until: time::Duration::ZERO,
             load: Load::default(),
             reported: time::Duration::ZERO,
             slowness: 1.0,
             timed: time::Duration::ZERO,
             missing: None,
+            kept: collections::BTreeMap::new(),
+            expected: unit::ByteSize(0),
+            room: None,
+        }
+    }
+
+    /// Returns the memory that results of this gateway's calls take, those in flight included.
+    pub fn held(&self, now: time::Duration) -> unit::ByteSize {
+        let kept = self.kept.values().filter(|kept| kept.until > now);
+        unit::ByteSize(kept.map(|kept| kept.size.0).sum::<u64>() + self.expected.0)
+    }
+
+    /// Returns the memory for results that this gateway may fill, of `total`.
+    pub fn room(&self, total: unit::ByteSize) -> unit::ByteSize {
+        unit::ByteSize(self.room.map_or(total.0, |room| room as u64).min(total.0))
+    }
+
+    /// Takes note of the results that a call in flight will leave.
+    pub fn expect_results(&mut self, size: unit::ByteSize) {
+        self.expected.0 += size.0;
+    }
+
+    /// Takes note that a call ended whose results were expected.
+    pub fn settle_results(&mut self, size: unit::ByteSize) {
+        self.expected.0 = self.expected.0.saturating_sub(size.0);
+    }
+
+    /// Takes note of a result that is kept until a moment, unless it is freed.
+    pub fn keep(&mut self, handle: gateway::Handle, size: unit::ByteSize, until: time::Duration) {
+        self.kept.insert(handle, Kept { size, until });
+    }
+
+    /// Takes note that a result was freed.
+    pub fn release(&mut self, handle: &gateway::Handle) {
+        self.kept.remove(handle);
+    }
+
+    /// Forgets results whose time is over, and finds out again how much room there is.
+    fn age_results(&mut self, now: time::Duration) {
+        self.kept.retain(|_, kept| kept.until > now);
+        if let Some(room) = &mut self.room {
+            *room *= ROOM_GROWTH;
         }
     }
 
+    /// Takes note that the upstream had no room beside what it held.
+    pub fn note_full(&mut self, now: time::Duration) {
+        self.room = Some(self.held(now).0 as f64 * ROOM_SHRINK);
+    }
+
     /// Returns the ratio of the time that its calls take to the time that they should take. Without
     /// new calls it goes back to 1, so that a slow upstream is tried again.
     pub fn slowness(&self, now: time::Duration) -> f64 {
@@ -189,6 +249,9 @@
             self.take(listed, &mut change);
         }
         self.drop_missing(now, &present, &mut change);
+        for upstream in self.upstreams.values_mut() {
+            upstream.age_results(now);
+        }
         change
     }
 
@@ -272,6 +335,24 @@
             .filter(move |(_, up)| up.listed.service == *service && !up.listed.leaving)
     }
 
+    /// Returns the upstreams of a pool that do not leave.
+    pub fn pool<'a>(
+        &'a self,
+        pool: &'a roster::PoolId,
+    ) -> impl Iterator<Item = (&'a id::InstanceId, &'a Upstream)> + 'a {
+        self.of(&pool.service)
+            .filter(|(_, up)| self.regions.get(&up.listed.domain) == Some(&pool.region))
+    }
+
+    /// Returns the own region and then the others.
+    pub fn regions(&self) -> Vec<id::RegionId> {
+        let own = self.regions.get(&self.domain).cloned();
+        let mut all: Vec<_> = own.iter().cloned().collect();
+        let others: collections::BTreeSet<_> = self.regions.values().cloned().collect();
+        all.extend(others.into_iter().filter(|region| Some(region) != own.as_ref()));
+        all
+    }
+
     /// Takes note of a call that was sent.
     pub fn sent(&mut self, instance: &id::InstanceId, tokens: u64) {
         if let Some(up) = self.upstreams.get_mut(instance) {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -5,7 +5,9 @@
 //! [`crate::gateway_shell`] feeds one [`Event`] at a time to [`Gateway::step`] and carries out the
 //! [`Effect`]s in their order.
 
+mod batches;
 mod calls;
+mod groups;
 mod request;
 mod stages;
 
@@ -19,10 +21,12 @@
 use crate::clock;
 use crate::fleet;
 use crate::freshness;
+use crate::handoff;
 use crate::id;
 use crate::place;
 use crate::refusal;
 use crate::retry;
+use crate::roster;
 use crate::table;
 use crate::telemetry;
 
@@ -30,8 +34,23 @@
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallId(pub u64);
 
+/// Number of a handover of pieces that another gateway waits for.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
 /// Name of a result that an upstream keeps.
-#[derive(Clone, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Debug,
+    derive_more::Display,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[serde(transparent)]
 pub struct Handle(pub String);
 
 /// What decisions on a request depend on.
@@ -102,7 +121,7 @@
 }
 
 /// What a piece works on.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum Source {
     /// The caller's key.
     Key(String),
@@ -228,6 +247,23 @@
         /// Load that the upstream reported.
         load: Option<fleet::Load>,
     },
+    /// The store gave the list of gateways that are alive.
+    Peers(Vec<roster::Peer>),
+    /// Another gateway hands pieces over.
+    TakeOver(Ticket, Box<handoff::Pieces>),
+    /// The other gateway does not wait for them any more.
+    Withdrawn(Ticket),
+    /// Another gateway gives results up.
+    Released(handoff::Release),
+    /// What became of a group that was handed over; nothing if its holder was lost.
+    HandedBack(batch::GroupId, Option<handoff::Outcomes>),
+    /// Whether a gateway is alive.
+    Probed {
+        /// The gateway.
+        peer: id::InstanceId,
+        /// Whether it answered.
+        is_alive: bool,
+    },
     /// The process is to stop.
     Drain,
     /// Time passed.
@@ -243,8 +279,35 @@
     Cancel(CallId),
     /// Send a batch to an upstream.
     Run(Box<Run>),
-    /// Drop a call with a batch.
-    CancelBatch(batch::BatchId),
+    /// Hand a group over to another gateway.
+    HandOver {
+        /// The group.
+        group: batch::GroupId,
+        /// Address of the other gateway.
+        address: net::SocketAddr,
+        /// The pieces.
+        message: Box<handoff::Pieces>,
+        /// Time after which the answer is not waited for any more.
+        patience: time::Duration,
+    },
+    /// Drop a handover.
+    Withdraw(batch::GroupId),
+    /// Answer a handover of another gateway.
+    HandBack(Ticket, handoff::Outcomes),
+    /// Give results up through another gateway.
+    Release {
+        /// Address of the other gateway.
+        address: net::SocketAddr,
+        /// The results.
+        message: handoff::Release,
+    },
+    /// Ask another gateway whether it is alive.
+    Probe {
+        /// The gateway.
+        peer: id::InstanceId,
+        /// Its address.
+        address: net::SocketAddr,
+    },
     /// Tell an upstream that results are not needed any more.
     Free {
         /// The upstream.
@@ -274,6 +337,8 @@
 /// Settings of a gateway's decisions.
 #[derive(Clone, Debug)]
 pub struct Terms {
+    /// The gateway itself.
+    pub instance: id::InstanceId,
     /// Failure domain of the gateway.
     pub domain: id::DomainId,
     /// Regions of all failure domains.
@@ -284,6 +349,16 @@
     pub retries: f64,
 }
 
+impl Terms {
+    /// Returns the own region; a failure domain without one is a region of its own.
+    fn region(&self) -> id::RegionId {
+        let region = self.regions.get(&self.domain).cloned();
+        region.unwrap_or_else(|| {
+            self.domain.as_str().parse().expect("names of domains and regions have one form")
+        })
+    }
+}
+
 /// State of a gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -298,7 +373,11 @@
     requests: collections::BTreeMap<id::RequestId, request::Request>,
     cutoffs: collections::BTreeSet<(time::Duration, id::RequestId)>,
     calls: collections::BTreeMap<CallId, calls::Call>,
-    batches: collections::BTreeMap<batch::BatchId, stages::Flight>,
+    groups: collections::BTreeMap<batch::GroupId, groups::Group>,
+    tickets: collections::BTreeMap<Ticket, batch::GroupId>,
+    batches: collections::BTreeMap<batch::BatchId, batches::Flight>,
+    roster: roster::Roster,
+    holders: collections::BTreeMap<id::InstanceId, groups::Holder>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
     budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
     draining: bool,
@@ -310,7 +389,7 @@
 impl Gateway {
     /// Makes a gateway that knows nothing yet.
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let mut rng = fastrand::Rng::with_seed(seed);
+        let rng = fastrand::Rng::with_seed(seed);
         Self {
             table: sync::Arc::default(),
             has_table: false,
@@ -318,11 +397,15 @@
             fleet: fleet::Fleet::new(terms.domain.clone(), terms.regions.clone()),
             placement: place::Placement::default(),
             admission: admission::Admission::default(),
-            queues: batch::Queues::new(rng.u64(..)),
+            queues: batch::Queues::default(),
             requests: collections::BTreeMap::new(),
             cutoffs: collections::BTreeSet::new(),
             calls: collections::BTreeMap::new(),
+            groups: collections::BTreeMap::new(),
+            tickets: collections::BTreeMap::new(),
             batches: collections::BTreeMap::new(),
+            roster: roster::Roster::default(),
+            holders: collections::BTreeMap::new(),
             freed: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
             draining: false,
@@ -347,6 +430,12 @@
             Event::BatchEnded { batch, outcome, load } => {
                 self.batch_ended(batch, outcome, load, effects);
             }
+            Event::Peers(peers) => self.meet(peers, effects),
+            Event::TakeOver(ticket, message) => self.take_over(ticket, *message, effects),
+            Event::Withdrawn(ticket) => self.withdrawn(ticket),
+            Event::Released(message) => self.released(message, effects),
+            Event::HandedBack(group, outcomes) => self.handed_back(group, outcomes, effects),
+            Event::Probed { peer, is_alive } => self.probed(&peer, is_alive, effects),
             Event::Drain => self.draining = true,
             Event::Tick => self.tick(effects),
         }
@@ -422,6 +511,15 @@
         }
     }
 
+    fn meet(&mut self, peers: Vec<roster::Peer>, effects: &mut Vec<Effect>) {
+        let (came, went) = self.roster.update(peers);
+        for (event, instances) in [("peer_came", came), ("peer_went", went)] {
+            for instance in instances {
+                effects.push(Effect::Log(telemetry::Line::new(event).with("peer", instance)));
+            }
+        }
+    }
+
     fn arrive(&mut self, id: id::RequestId, arrival: Arrival, effects: &mut Vec<Effect>) {
         metrics::counter!("gateway_requests_total").increment(1);
         match self.admit(&arrival) {
@@ -468,8 +566,10 @@
         let Some(service) = route.pick_service(draw) else {
             return Err(reject(Kind::NoUpstream, "the route names no service"));
         };
+        let region = self.region_for(route);
+        let now = self.now.mono;
         let request =
-            request::Request::new(self.now.mono, arrival, route, team.as_ref(), service.clone())
+            request::Request::new(now, arrival, route, team.as_ref(), service.clone(), region)
                 .map_err(|message| reject(Kind::BadRequest, message))?;
         if self.fleet.of(service).next().is_none() {
             return Err(reject(Kind::NoUpstream, "no upstream of the service is known"));
@@ -481,6 +581,21 @@
         Ok(request)
     }
 
+    /// Returns the region in which all stages of a route can be done: the own one if possible.
+    fn region_for(&self, route: &table::Route) -> id::RegionId {
+        let now = self.now.mono;
+        let regions = self.fleet.regions();
+        let can_serve = |region: &&id::RegionId| {
+            route.stages.iter().all(|stage| {
+                let service = stage.service.clone();
+                let pool = roster::PoolId { service, region: (*region).clone() };
+                self.fleet.pool(&pool).any(|(_, up)| !up.health.is_ejected(now))
+            })
+        };
+        let found = regions.iter().find(can_serve).or(regions.first());
+        found.cloned().unwrap_or_else(|| self.terms.region())
+    }
+
     fn authenticate(
         &self,
         table: &table::Table,
@@ -520,6 +635,7 @@
                 effects,
             );
         }
+        self.probe_holders(effects);
         self.flush_freed(effects);
     }
 
@@ -558,10 +674,7 @@
         if let Some(call) = request.call {
             self.cancel(call, effects);
         }
-        if !request.stages.is_empty() {
-            self.queues.remove_request(id);
-            self.abandon_batches(effects);
-        }
+        self.drop_groups(&request, effects);
         for result in request.results() {
             self.free(result);
         }
--- /dev/null
+++ b/lib/src/gateway/batches.rs
@@ -0,0 +1,245 @@
+//! Calls with batches of pieces: what goes into them, and what follows from how they end.
+
+use std::time;
+
+use crate::batch;
+use crate::fleet;
+use crate::gateway;
+use crate::handoff;
+use crate::id;
+use crate::table;
+use crate::telemetry;
+use crate::unit;
+
+/// Longest time that a call may wait at an upstream for its turn, beside its own time.
+const TURN_TIME: time::Duration = time::Duration::from_millis(400);
+/// Pause before an upstream without room or places is asked again.
+const FULL_PAUSE: time::Duration = time::Duration::from_millis(60);
+
+/// A call with a batch in flight.
+#[derive(Debug)]
+pub struct Flight {
+    instance: id::InstanceId,
+    pieces: Vec<batch::Waiting>,
+    sent: time::Duration,
+    expected: time::Duration,
+    retention: time::Duration,
+    foreign: u32,
+    size: unit::ByteSize,
+}
+
+impl gateway::Gateway {
+    /// Makes all calls with batches for which pieces wait and upstreams are free.
+    pub(super) fn dispatch(&mut self, effects: &mut Vec<gateway::Effect>) {
+        let table = std::sync::Arc::clone(&self.table);
+        for id in self.queues.pools() {
+            let Some(pool) = table.services.get(&id.service) else { continue };
+            let Some(terms) = &pool.batching else { continue };
+            while let Some(next) = self.queues.dispatch(self.now.mono, &id, terms, &self.fleet) {
+                self.send_batch(next, pool, terms, effects);
+            }
+        }
+    }
+
+    fn send_batch(
+        &mut self,
+        next: batch::Dispatch,
+        pool: &table::Pool,
+        terms: &table::Batching,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let id = batch::BatchId(self.next_serial());
+        let now = self.now.mono;
+        let (items, pieces): (Vec<_>, Vec<_>) = next
+            .pieces
+            .into_iter()
+            .filter_map(|waiting| Some((self.item(&waiting.id)?, waiting)))
+            .unzip();
+        let Some(upstream) = self.fleet.get_mut(&next.instance) else { return };
+        if pieces.is_empty() {
+            return;
+        }
+        let size = unit::ByteSize(pieces.iter().map(|waiting| waiting.size.0).sum());
+        upstream.expect_results(size);
+        let foreign = upstream.foreign(now);
+        let address = upstream.listed.address;
+        let slowness = upstream.slowness(now);
+        self.fleet.sent(&next.instance, 0);
+        let patience = next.expected.mul_f64(2.0 * slowness.max(1.0)) + TURN_TIME;
+        let line = telemetry::Line::new("batch")
+            .with("batch", id)
+            .with("upstream", &next.instance)
+            .with("service", upstream_service(&self.fleet, &next.instance))
+            .with("pieces", pieces.len())
+            .with("expected_ms", next.expected.as_millis())
+            .with("foreign", foreign)
+            .with("requests", names_of(&items));
+        effects.push(gateway::Effect::Log(line));
+        metrics::histogram!("gateway_batch_pieces").record(items.len() as f64);
+        effects.push(gateway::Effect::Run(Box::new(gateway::Run {
+            batch: id,
+            instance: next.instance.clone(),
+            address,
+            connections: pool.connections,
+            items,
+            patience,
+        })));
+        let flight = Flight {
+            instance: next.instance,
+            pieces,
+            sent: now,
+            expected: next.expected,
+            retention: terms.retention,
+            foreign,
+            size,
+        };
+        self.batches.insert(id, flight);
+    }
+
+    /// Returns what an upstream has to know of a piece, if it is still wanted.
+    fn item(&self, piece: &batch::PieceId) -> Option<gateway::Item> {
+        let group = self.groups.get(&piece.group)?;
+        Some(gateway::Item {
+            name: group.name.clone(),
+            stage: group.stage,
+            piece: piece.piece,
+            budget: group.cutoff.saturating_sub(self.now.mono),
+            source: group.source.clone(),
+        })
+    }
+
+    pub(super) fn batch_ended(
+        &mut self,
+        id: batch::BatchId,
+        outcome: gateway::BatchOutcome,
+        load: Option<fleet::Load>,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let Some(flight) = self.batches.remove(&id) else { return };
+        let now = self.now.mono;
+        self.fleet.ended(&flight.instance, 0);
+        if let Some(upstream) = self.fleet.get_mut(&flight.instance) {
+            upstream.settle_results(flight.size);
+        }
+        if let Some(load) = load {
+            self.fleet.report(now, &flight.instance, load);
+        }
+        let took = now.saturating_sub(flight.sent);
+        let line = telemetry::Line::new("batch_ended")
+            .with("batch", id)
+            .with("upstream", &flight.instance)
+            .with("outcome", outcome_name(&outcome))
+            .with("took_ms", took.as_millis());
+        effects.push(gateway::Effect::Log(line));
+        metrics::histogram!("gateway_batch_seconds").record(took.as_secs_f64());
+        match outcome {
+            gateway::BatchOutcome::Done(outcomes) if outcomes.len() == flight.pieces.len() => {
+                let expected = flight.expected.as_secs_f64().max(0.001);
+                let ratio = (flight.foreign == 0).then(|| took.as_secs_f64() / expected);
+                self.fleet.succeeded(now, &flight.instance, ratio);
+                for (waiting, outcome) in flight.pieces.iter().zip(outcomes) {
+                    self.piece_ended(&flight, waiting, outcome);
+                }
+            }
+            gateway::BatchOutcome::Full => {
+                if let Some(upstream) = self.fleet.get_mut(&flight.instance) {
+                    upstream.full_until = now + FULL_PAUSE;
+                }
+                self.pieces_failed(&flight);
+            }
+            _ => {
+                self.note_failure(&flight.instance, effects);
+                self.pieces_failed(&flight);
+            }
+        }
+        self.close_groups(&flight, effects);
+    }
+
+    fn pieces_failed(&mut self, flight: &Flight) {
+        for waiting in &flight.pieces {
+            self.piece_failed(waiting.id);
+        }
+    }
+
+    fn close_groups(&mut self, flight: &Flight, effects: &mut Vec<gateway::Effect>) {
+        let mut groups: Vec<_> = flight.pieces.iter().map(|waiting| waiting.id.group).collect();
+        groups.sort_unstable();
+        groups.dedup();
+        for group in groups {
+            self.close_group(group, effects);
+        }
+    }
+
+    /// Takes note of a failure of an upstream.
+    pub(super) fn note_failure(
+        &mut self,
+        instance: &id::InstanceId,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        if self.fleet.failed(self.now.mono, instance) {
+            let line = telemetry::Line::new("upstream_ejected").with("upstream", instance);
+            effects.push(gateway::Effect::Log(line));
+        }
+    }
+
+    fn piece_ended(
+        &mut self,
+        flight: &Flight,
+        waiting: &batch::Waiting,
+        outcome: gateway::PieceOutcome,
+    ) {
+        let now = self.now.mono;
+        let piece = waiting.id;
+        match outcome {
+            gateway::PieceOutcome::Done(handle) => {
+                let instance = flight.instance.clone();
+                if let Some(upstream) = self.fleet.get_mut(&instance) {
+                    upstream.keep(handle.clone(), waiting.size, now + flight.retention);
+                }
+                let Some(group) = self.groups.get_mut(&piece.group) else {
+                    self.free_handle(instance, handle, waiting.size);
+                    return;
+                };
+                let outcome = handoff::Outcome::Done { instance, handle };
+                group.pieces.insert(piece.piece, Some(outcome));
+            }
+            gateway::PieceOutcome::InputGone => {
+                if let Some(group) = self.groups.get_mut(&piece.group) {
+                    group.pieces.insert(piece.piece, Some(handoff::Outcome::InputGone));
+                }
+            }
+            gateway::PieceOutcome::Late => {
+                if let Some(group) = self.groups.get_mut(&piece.group) {
+                    group.pieces.insert(piece.piece, Some(handoff::Outcome::Failed));
+                }
+            }
+            gateway::PieceOutcome::NoRoom => {
+                if let Some(upstream) = self.fleet.get_mut(&flight.instance) {
+                    upstream.note_full(now);
+                    upstream.full_until = now + FULL_PAUSE;
+                }
+                self.requeue(piece);
+            }
+            gateway::PieceOutcome::Failed => self.piece_failed(piece),
+        }
+    }
+}
+
+fn upstream_service(fleet: &fleet::Fleet, instance: &id::InstanceId) -> String {
+    fleet.get(instance).map(|up| up.listed.service.to_string()).unwrap_or_default()
+}
+
+fn outcome_name(outcome: &gateway::BatchOutcome) -> &'static str {
+    match outcome {
+        gateway::BatchOutcome::Done(_) => "done",
+        gateway::BatchOutcome::Full => "full",
+        gateway::BatchOutcome::Elsewhere => "elsewhere",
+        gateway::BatchOutcome::Broken => "broken",
+    }
+}
+
+fn names_of(items: &[gateway::Item]) -> String {
+    let mut names: Vec<&str> = items.iter().map(|item| item.name.as_str()).collect();
+    names.dedup();
+    names.join(",")
+}
--- /dev/null
+++ b/lib/src/gateway/groups.rs
@@ -0,0 +1,374 @@
+//! Groups of pieces: made in this gateway's own batches, or handed over to the gateway that forms
+//! the batches of their pool.
+
+use std::collections;
+use std::time;
+
+use crate::batch;
+use crate::gateway;
+use crate::gateway::request;
+use crate::handoff;
+use crate::id;
+use crate::roster;
+use crate::telemetry;
+use crate::unit;
+
+/// Times that pieces of one group may fail before it is given back.
+const MAX_FAILURES: u32 = 6;
+/// Silence of a gateway that holds pieces, after which it is asked whether it is alive.
+const SILENCE: time::Duration = time::Duration::from_millis(250);
+
+/// Who waits for a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Owner {
+    /// A request of this gateway.
+    Request(id::RequestId),
+    /// Another gateway.
+    Peer(gateway::Ticket),
+}
+
+/// Pieces of one stage of one request.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Who waits for it.
+    pub owner: Owner,
+    /// The caller's id of the request.
+    pub name: String,
+    /// Upstreams that make it.
+    pub pool: roster::PoolId,
+    /// Index of the stage.
+    pub stage: usize,
+    /// Moment by which it should be done if the request is to be on time.
+    pub due: time::Duration,
+    /// Moment at which the request's time is over.
+    pub cutoff: time::Duration,
+    /// Rank of the request; 0 is the highest.
+    pub rank: u8,
+    /// Usual size of one result.
+    pub size: unit::ByteSize,
+    /// What the pieces work on.
+    pub source: gateway::Source,
+    /// The pieces, with their outcomes once they have them.
+    pub pieces: collections::BTreeMap<u32, Option<handoff::Outcome>>,
+    /// Times that pieces failed.
+    pub failures: u32,
+    /// Gateway that it was handed over to.
+    pub handed: Option<id::InstanceId>,
+}
+
+/// What is known of a gateway that holds groups of this one.
+#[derive(Debug, Default)]
+pub struct Holder {
+    heard: time::Duration,
+    is_probed: bool,
+}
+
+impl gateway::Gateway {
+    /// Has a group made.
+    pub(super) fn open_group(
+        &mut self,
+        id: batch::GroupId,
+        group: Group,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let batcher = self.roster.batcher(self.now.mono, &group.pool, &self.terms.regions);
+        let peer = batcher.filter(|peer| peer.instance != self.terms.instance).cloned();
+        self.groups.insert(id, group);
+        match peer {
+            Some(peer) => self.hand_over(id, &peer, effects),
+            None => self.enqueue(id),
+        }
+    }
+
+    fn hand_over(
+        &mut self,
+        id: batch::GroupId,
+        peer: &roster::Peer,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let now = self.now.mono;
+        let Some(group) = self.groups.get_mut(&id) else { return };
+        group.handed = Some(peer.instance.clone());
+        let holder = self.holders.entry(peer.instance.clone()).or_default();
+        holder.heard = holder.heard.max(now.saturating_sub(SILENCE / 2));
+        let due_ms = i64::try_from(group.due.as_millis()).unwrap_or(i64::MAX)
+            - i64::try_from(now.as_millis()).unwrap_or(i64::MAX);
+        let budget = group.cutoff.saturating_sub(now);
+        let message = handoff::Pieces {
+            version: handoff::VERSION,
+            name: group.name.clone(),
+            service: group.pool.service.clone(),
+            region: group.pool.region.clone(),
+            stage: group.stage,
+            pieces: group.pieces.keys().copied().collect(),
+            due_ms,
+            budget_ms: budget.into(),
+            rank: group.rank,
+            size: group.size,
+            source: group.source.clone(),
+        };
+        let line = telemetry::Line::new("hand_over")
+            .with("request", &group.name)
+            .with("group", id)
+            .with("stage", group.stage)
+            .with("pieces", group.pieces.len())
+            .with("peer", &peer.instance);
+        effects.push(gateway::Effect::Log(line));
+        effects.push(gateway::Effect::HandOver {
+            group: id,
+            address: peer.address,
+            message: Box::new(message),
+            patience: budget,
+        });
+    }
+
+    fn enqueue(&mut self, id: batch::GroupId) {
+        let Some(group) = self.groups.get_mut(&id) else { return };
+        group.handed = None;
+        for (piece, outcome) in &group.pieces {
+            if outcome.is_none() {
+                let piece = batch::PieceId { group: id, piece: *piece };
+                self.queues.push(&group.pool, group.waiting(piece));
+            }
+        }
+    }
+
+    /// Takes in pieces that another gateway hands over.
+    pub(super) fn take_over(
+        &mut self,
+        ticket: gateway::Ticket,
+        message: handoff::Pieces,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let now = self.now.mono;
+        let late = time::Duration::from_millis(message.due_ms.unsigned_abs());
+        let due = if message.due_ms < 0 { now.saturating_sub(late) } else { now + late };
+        let id = batch::GroupId(self.next_serial());
+        let line = telemetry::Line::new("take_over")
+            .with("request", &message.name)
+            .with("group", id)
+            .with("stage", message.stage)
+            .with("pieces", message.pieces.len());
+        effects.push(gateway::Effect::Log(line));
+        let group = Group {
+            owner: Owner::Peer(ticket),
+            name: message.name,
+            pool: roster::PoolId { service: message.service, region: message.region },
+            stage: message.stage,
+            due,
+            cutoff: now + message.budget_ms.duration(),
+            rank: message.rank,
+            size: message.size,
+            source: message.source,
+            pieces: message.pieces.into_iter().map(|piece| (piece, None)).collect(),
+            failures: 0,
+            handed: None,
+        };
+        self.tickets.insert(ticket, id);
+        self.groups.insert(id, group);
+        self.enqueue(id);
+    }
+
+    /// Drops the pieces that another gateway does not wait for any more.
+    pub(super) fn withdrawn(&mut self, ticket: gateway::Ticket) {
+        if let Some(id) = self.tickets.remove(&ticket) {
+            self.drop_group(id);
+        }
+    }
+
+    fn drop_group(&mut self, id: batch::GroupId) -> Option<Group> {
+        let group = self.groups.remove(&id)?;
+        self.queues.remove_group(&group.pool, id);
+        self.free_outcomes(&group);
+        Some(group)
+    }
+
+    /// Drops all groups of a request.
+    pub(super) fn drop_groups(
+        &mut self,
+        request: &request::Request,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        for id in request.groups() {
+            let dropped = self.drop_group(id);
+            if dropped.is_some_and(|group| group.handed.is_some()) {
+                effects.push(gateway::Effect::Withdraw(id));
+            }
+        }
+    }
+
+    /// Takes in what became of a group that was handed over; nothing if its holder was lost.
+    pub(super) fn handed_back(
+        &mut self,
+        id: batch::GroupId,
+        outcomes: Option<handoff::Outcomes>,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let Some(group) = self.groups.get_mut(&id) else { return };
+        let Some(peer) = group.handed.take() else { return };
+        match outcomes {
+            Some(outcomes) if outcomes.pieces.len() == group.pieces.len() => {
+                for (piece, outcome) in group.pieces.values_mut().zip(outcomes.pieces) {
+                    *piece = Some(outcome);
+                }
+                let holder = self.holders.entry(peer).or_default();
+                holder.heard = self.now.mono;
+                self.close_group(id, effects);
+            }
+            _ => {
+                self.lose_peer(&peer, effects);
+                self.enqueue(id);
+            }
+        }
+    }
+
+    /// Takes note that a gateway does not answer, and makes what it holds here.
+    fn lose_peer(&mut self, peer: &id::InstanceId, effects: &mut Vec<gateway::Effect>) {
+        self.roster.suspect(self.now.mono, peer);
+        self.holders.remove(peer);
+        let held: Vec<_> = self
+            .groups
+            .iter()
+            .filter(|(_, group)| group.handed.as_ref() == Some(peer))
+            .map(|(id, _)| *id)
+            .collect();
+        let line =
+            telemetry::Line::new("peer_lost").with("peer", peer).with("groups", held.len());
+        effects.push(gateway::Effect::Log(line));
+        for id in held {
+            effects.push(gateway::Effect::Withdraw(id));
+            self.enqueue(id);
+        }
+    }
+
+    /// Asks silent gateways that hold pieces whether they are alive.
+    pub(super) fn probe_holders(&mut self, effects: &mut Vec<gateway::Effect>) {
+        let now = self.now.mono;
+        let holding: collections::BTreeSet<_> =
+            self.groups.values().filter_map(|group| group.handed.clone()).collect();
+        for peer in holding {
+            let Some(address) = self.roster.get(&peer).map(|peer| peer.address) else {
+                self.lose_peer(&peer, effects);
+                continue;
+            };
+            let holder = self.holders.entry(peer.clone()).or_default();
+            if !holder.is_probed && now.saturating_sub(holder.heard) > SILENCE {
+                holder.is_probed = true;
+                effects.push(gateway::Effect::Probe { peer, address });
+            }
+        }
+    }
+
+    /// Takes in whether a gateway is alive.
+    pub(super) fn probed(
+        &mut self,
+        peer: &id::InstanceId,
+        is_alive: bool,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        if !is_alive {
+            self.lose_peer(peer, effects);
+            return;
+        }
+        let holder = self.holders.entry(peer.clone()).or_default();
+        holder.is_probed = false;
+        holder.heard = self.now.mono;
+    }
+
+    /// Notes a piece that failed; it is made again, unless its group failed too often.
+    pub(super) fn piece_failed(&mut self, piece: batch::PieceId) {
+        let now = self.now.mono;
+        let Some(group) = self.groups.get_mut(&piece.group) else { return };
+        group.failures += 1;
+        if group.failures > MAX_FAILURES || group.cutoff <= now {
+            group.pieces.insert(piece.piece, Some(handoff::Outcome::Failed));
+        } else {
+            self.queues.push(&group.pool, group.waiting(piece));
+        }
+    }
+
+    /// Makes a piece wait again for which there was no room.
+    pub(super) fn requeue(&mut self, piece: batch::PieceId) {
+        if let Some(group) = self.groups.get(&piece.group) {
+            self.queues.push(&group.pool, group.waiting(piece));
+        }
+    }
+
+    /// Frees one result.
+    pub(super) fn free_handle(
+        &mut self,
+        instance: id::InstanceId,
+        handle: gateway::Handle,
+        size: unit::ByteSize,
+    ) {
+        self.free(request::Kept { instance, handle, size });
+    }
+
+    /// Gives a group to its owner once all its pieces have outcomes.
+    pub(super) fn close_group(&mut self, id: batch::GroupId, effects: &mut Vec<gateway::Effect>) {
+        if self.groups.get(&id).is_none_or(|group| group.pieces.values().any(Option::is_none)) {
+            return;
+        }
+        let Some(group) = self.groups.remove(&id) else { return };
+        match group.owner {
+            Owner::Request(request) => self.stage_made(request, &group, effects),
+            Owner::Peer(ticket) => {
+                self.tickets.remove(&ticket);
+                let pieces = group.pieces.into_values().flatten().collect();
+                effects.push(gateway::Effect::HandBack(ticket, handoff::Outcomes { pieces }));
+            }
+        }
+    }
+
+    /// Frees a result: at its upstream, through the gateway that keeps count of its memory.
+    pub(super) fn free(&mut self, kept: request::Kept) {
+        self.freed.entry(kept.instance).or_default().push(kept.handle);
+    }
+
+    pub(super) fn flush_freed(&mut self, effects: &mut Vec<gateway::Effect>) {
+        for (instance, handles) in std::mem::take(&mut self.freed) {
+            let Some(upstream) = self.fleet.get_mut(&instance) else { continue };
+            let listed = &upstream.listed;
+            let pool = self.terms.regions.get(&listed.domain).map(|region| roster::PoolId {
+                service: listed.service.clone(),
+                region: region.clone(),
+            });
+            let upstream_address = listed.address;
+            for handle in &handles {
+                upstream.release(handle);
+            }
+            let batcher = pool
+                .and_then(|pool| self.roster.batcher(self.now.mono, &pool, &self.terms.regions))
+                .filter(|peer| peer.instance != self.terms.instance);
+            if let Some(peer) = batcher {
+                let message = handoff::Release { version: handoff::VERSION, instance, handles };
+                effects.push(gateway::Effect::Release { address: peer.address, message });
+            } else {
+                let address = upstream_address;
+                effects.push(gateway::Effect::Free { instance, address, handles });
+            }
+        }
+    }
+
+    /// Frees results on behalf of another gateway.
+    pub(super) fn released(
+        &mut self,
+        message: handoff::Release,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let Some(upstream) = self.fleet.get_mut(&message.instance) else { return };
+        for handle in &message.handles {
+            upstream.release(handle);
+        }
+        let address = upstream.listed.address;
+        let handoff::Release { instance, handles, .. } = message;
+        effects.push(gateway::Effect::Free { instance, address, handles });
+    }
+}
+
+impl Group {
+    /// Returns the entry of a piece in a queue.
+    fn waiting(&self, id: batch::PieceId) -> batch::Waiting {
+        batch::Waiting { id, due: self.due, rank: self.rank, size: self.size }
+    }
+}
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -10,6 +10,8 @@
 use crate::place;
 use crate::table;
 
+/// Size from which a result is heavy: it fills a good part of an upstream's memory.
+const HEAVY_BYTES: u64 = 500_000;
 /// Most pieces of a request that are accepted.
 const MAX_PIECES: u32 = 10_000;
 
@@ -30,10 +32,8 @@
     /// It waits for the stages before its own.
     #[default]
     Idle,
-    /// It waits for a call.
-    Queued,
-    /// It is worked on.
-    Flying(batch::BatchId),
+    /// It is being made.
+    Asked(batch::GroupId),
     /// Its result is there.
     Done(Kept),
     /// Its result was used and freed.
@@ -55,6 +55,8 @@
     pub route: sync::Arc<table::Route>,
     /// Service that answers.
     pub service: id::ServiceId,
+    /// Region in which its stages are done.
+    pub region: id::RegionId,
     /// Team of the caller.
     pub team: Option<id::TeamId>,
     /// Credential that has to hold for as long as work starts.
@@ -102,6 +104,7 @@
         route: &sync::Arc<table::Route>,
         team: Option<&table::Team>,
         service: id::ServiceId,
+        region: id::RegionId,
     ) -> Result<Self, String> {
         let stages = read_pieces(route, arrival)?;
         let allowed = arrival.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
@@ -109,6 +112,7 @@
             name: arrival.name.clone(),
             route: sync::Arc::clone(route),
             service,
+            region,
             team: team.map(|team| team.name.clone()),
             credential: team.and(arrival.credential.clone()),
             rank: team.and_then(|team| team.rank).unwrap_or(route.rank),
@@ -134,21 +138,41 @@
         self.stages[stage].iter().all(Piece::is_done)
     }
 
-    /// Returns the stages whose pieces can be queued now.
+    /// Returns the stages whose pieces can be made now. A final stage with heavy results waits until
+    /// the other final stages can be made as well, so that its results do not lie about meanwhile.
     pub fn ready_stages(&self) -> Vec<usize> {
+        let is_open = |stage: &usize| self.are_inputs_done(*stage);
+        let others_open = self.route.final_stages().all(|stage| is_open(&stage));
         (0..self.stages.len())
             .filter(|stage| self.stages[*stage].contains(&Piece::Idle))
-            .filter(|stage| {
-                self.route.stages[*stage].after.iter().all(|before| self.is_stage_done(*before))
-            })
+            .filter(is_open)
+            .filter(|stage| others_open || !self.is_heavy_final(*stage))
             .collect()
     }
 
+    fn are_inputs_done(&self, stage: usize) -> bool {
+        self.route.stages[stage].after.iter().all(|before| self.is_stage_done(*before))
+    }
+
+    fn is_heavy_final(&self, stage: usize) -> bool {
+        self.route.stages[stage].size.0 >= HEAVY_BYTES
+            && self.route.final_stages().any(|last| last == stage)
+    }
+
     /// Returns the results of all pieces of the given stages, in their order.
     pub fn results_of(&self, stages: impl Iterator<Item = usize>) -> Vec<Kept> {
         stages.flat_map(|stage| self.stages[stage].iter()).filter_map(kept).cloned().collect()
     }
 
+    /// Returns the groups in which pieces are being made.
+    pub fn groups(&self) -> collections::BTreeSet<batch::GroupId> {
+        let asked = self.stages.iter().flatten().filter_map(|piece| match piece {
+            Piece::Asked(group) => Some(*group),
+            _ => None,
+        });
+        asked.collect()
+    }
+
     /// Returns the results that upstreams still keep.
     pub fn results(&self) -> Vec<Kept> {
         self.results_of(0..self.stages.len())
@@ -165,19 +189,31 @@
         used
     }
 
-    /// Makes the pieces of a stage wait again, with all stages before it whose results were used.
-    /// Returns the results that are given up.
-    pub fn reset_stage(&mut self, stage: usize) -> Vec<Kept> {
-        let given_up = self.results_of(std::iter::once(stage));
+    /// Makes those pieces of a stage wait again whose results are lost, or all of them if none is
+    /// known to be; stages before it follow where their results were used. Returns the results that
+    /// are given up.
+    pub fn reset_stage(
+        &mut self,
+        stage: usize,
+        is_lost: &impl Fn(&id::InstanceId) -> bool,
+    ) -> Vec<Kept> {
+        let knows = self.stages[stage].iter().filter_map(kept).any(|kept| is_lost(&kept.instance));
+        let mut given_up = Vec::new();
         for piece in &mut self.stages[stage] {
-            if piece.is_done() {
+            let gives_up = match &piece {
+                Piece::Done(kept) => !knows || is_lost(&kept.instance),
+                Piece::Used => true,
+                Piece::Idle | Piece::Asked(_) => false,
+            };
+            if gives_up {
+                given_up.extend(kept(piece).cloned());
                 *piece = Piece::Idle;
             }
         }
         let route = sync::Arc::clone(&self.route);
         for before in &route.stages[stage].after {
             if self.stages[*before].contains(&Piece::Used) {
-                let _ = self.reset_stage(*before);
+                given_up.extend(self.reset_stage(*before, is_lost));
             }
         }
         given_up
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -47,6 +47,8 @@
     pub dialect: D,
     /// Connections to upstreams.
     pub pool: upstream_pool::Pool,
+    /// Connections to other gateways.
+    pub peers: upstream_pool::Pool,
     /// Way to the loop.
     pub reports: mpsc::Sender<Report>,
 }
@@ -65,7 +67,8 @@
 type Ended = (gateway::Outcome, Option<fleet::Load>);
 
 impl<D: dialect::Dialect> Caller<D> {
-    async fn report(&self, event: gateway::Event) {
+    /// Tells the loop of an event.
+    pub async fn report(&self, event: gateway::Event) {
         // Fails only while the process ends.
         let _ = self.reports.send(Report::Event(event)).await;
     }
@@ -344,7 +347,7 @@
 }
 
 /// Reads the short body of an answer that is not passed on, so that its connection can be reused.
-async fn give_back_empty(
+pub async fn give_back_empty(
     response: hyper::Response<hyper::body::Incoming>,
     lease: upstream_pool::Lease,
 ) {
--- /dev/null
+++ b/lib/src/gateway_peers.rs
@@ -0,0 +1,207 @@
+//! Gateways among themselves: pieces handed over, results given up, and signs of life.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::batch;
+use crate::dialect;
+use crate::gateway;
+use crate::gateway_calls;
+use crate::handoff;
+use crate::http;
+use crate::id;
+
+/// Path of the sign of life.
+const ALIVE_PATH: &str = "/handoff/alive";
+/// Time that a gateway has to give a sign of life.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// Time that a gateway has to take in results that are given up.
+const RELEASE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Largest message, in bytes.
+const MAX_MESSAGE_BYTES: u64 = 4 << 20;
+/// Time that a message has to arrive whole.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Connections to another gateway, which states no bound.
+const CONNECTIONS: u32 = u32::MAX;
+/// Media type of the messages.
+const MEDIA: &str = "application/vnd.msgpack";
+
+/// What other gateways ask of the loop.
+#[derive(Debug)]
+pub enum Message {
+    /// Pieces to make.
+    TakeOver(gateway::Ticket, Box<handoff::Pieces>, oneshot::Sender<handoff::Outcomes>),
+    /// The other gateway does not wait any more.
+    Withdrawn(gateway::Ticket),
+    /// Results that are given up.
+    Released(handoff::Release),
+}
+
+/// Answers other gateways.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    /// Way to the loop.
+    pub messages: mpsc::Sender<Message>,
+    /// Numbers of handovers.
+    pub serial: sync::Arc<sync::atomic::AtomicU64>,
+}
+
+/// Tells the loop when the other gateway stopped waiting.
+struct Presence {
+    ticket: gateway::Ticket,
+    messages: mpsc::Sender<Message>,
+    is_answered: bool,
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            // If the loop is that busy, the pieces are made in vain.
+            let _ = self.messages.try_send(Message::Withdrawn(self.ticket));
+        }
+    }
+}
+
+fn plain(status: u16, text: &'static str) -> hyper::Response<http::Body> {
+    http::respond(status, "text/plain", text)
+}
+
+fn decode<T: serde::de::DeserializeOwned>(
+    body: &[u8],
+    version: impl Fn(&T) -> u16,
+) -> Result<T, hyper::Response<http::Body>> {
+    match rmp_serde::from_slice::<T>(body) {
+        Ok(message) if version(&message) == handoff::VERSION => Ok(message),
+        Ok(_) => Err(plain(400, "unknown version; finish the upgrade of all gateways")),
+        Err(_) => Err(plain(400, "the message cannot be read; send MessagePack of this version")),
+    }
+}
+
+impl http::Handler for Desk {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        let path = request.uri().path().to_owned();
+        if path == ALIVE_PATH {
+            return plain(200, "");
+        }
+        let Ok(body) = http::read_body(request.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await
+        else {
+            return plain(400, "the message did not arrive whole; send it again");
+        };
+        let answered = match path.as_str() {
+            handoff::PIECES_PATH => self.take_over(&body).await,
+            handoff::RELEASE_PATH => self.release(&body).await,
+            _ => Err(plain(404, "no such path between gateways; compare their versions")),
+        };
+        answered.unwrap_or_else(|refusal| refusal)
+    }
+}
+
+impl Desk {
+    async fn take_over(
+        &self,
+        body: &[u8],
+    ) -> Result<hyper::Response<http::Body>, hyper::Response<http::Body>> {
+        let message: handoff::Pieces = decode(body, |m: &handoff::Pieces| m.version)?;
+        let ticket = self.serial.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let ticket = gateway::Ticket(ticket);
+        let (reply, outcomes) = oneshot::channel();
+        let gone = || plain(503, "this gateway is shutting down; make the pieces elsewhere");
+        let message = Message::TakeOver(ticket, Box::new(message), reply);
+        self.messages.send(message).await.map_err(|_| gone())?;
+        let messages = self.messages.clone();
+        let mut presence = Presence { ticket, messages, is_answered: false };
+        let outcomes = outcomes.await.map_err(|_| gone())?;
+        presence.is_answered = true;
+        let body = rmp_serde::to_vec(&outcomes).expect("outcomes have a plain form");
+        Ok(http::respond(200, MEDIA, body))
+    }
+
+    async fn release(
+        &self,
+        body: &[u8],
+    ) -> Result<hyper::Response<http::Body>, hyper::Response<http::Body>> {
+        let message: handoff::Release = decode(body, |m: &handoff::Release| m.version)?;
+        let gone = || plain(503, "this gateway is shutting down; free the results elsewhere");
+        self.messages.send(Message::Released(message)).await.map_err(|_| gone())?;
+        Ok(plain(200, ""))
+    }
+}
+
+fn post(
+    address: net::SocketAddr,
+    path: &'static str,
+    message: &impl serde::Serialize,
+) -> hyper::Request<http::Body> {
+    let body = rmp_serde::to_vec(message).expect("messages have a plain form");
+    hyper::Request::post(path)
+        .header(hyper::header::HOST, address.to_string())
+        .header(hyper::header::CONTENT_TYPE, MEDIA)
+        .body(http::Body::full(body))
+        .expect("paths and addresses are valid")
+}
+
+impl<D: dialect::Dialect> gateway_calls::Caller<D> {
+    /// Hands pieces over to another gateway and waits for their outcomes.
+    pub async fn hand_over(
+        self,
+        group: batch::GroupId,
+        address: net::SocketAddr,
+        message: handoff::Pieces,
+        patience: time::Duration,
+    ) {
+        let work = self.try_hand_over(address, &message);
+        let outcomes = http::within(patience, work).await.flatten();
+        self.report(gateway::Event::HandedBack(group, outcomes)).await;
+    }
+
+    async fn try_hand_over(
+        &self,
+        address: net::SocketAddr,
+        message: &handoff::Pieces,
+    ) -> Option<handoff::Outcomes> {
+        let request = post(address, handoff::PIECES_PATH, message);
+        let (response, lease) = self.peers.send(address, CONNECTIONS, request).await.ok()?;
+        if response.status() != 200 {
+            return None;
+        }
+        let body = http::read_body(response.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await;
+        let outcomes = rmp_serde::from_slice(&body.ok()?).ok()?;
+        lease.give_back();
+        Some(outcomes)
+    }
+
+    /// Gives results up through another gateway, or directly if that fails.
+    pub async fn release(self, address: net::SocketAddr, message: handoff::Release) {
+        let request = post(address, handoff::RELEASE_PATH, &message);
+        let sent = self.peers.send(address, CONNECTIONS, request);
+        match http::within(RELEASE_TIMEOUT, sent).await {
+            Some(Ok((response, lease))) if response.status() == 200 => {
+                gateway_calls::give_back_empty(response, lease).await;
+            }
+            _ => self.report(gateway::Event::Released(message)).await,
+        }
+    }
+
+    /// Asks another gateway whether it is alive.
+    pub async fn probe(self, peer: id::InstanceId, address: net::SocketAddr) {
+        let request = hyper::Request::get(ALIVE_PATH)
+            .header(hyper::header::HOST, address.to_string())
+            .body(http::Body::full(""))
+            .expect("paths and addresses are valid");
+        let sent = self.peers.send(address, CONNECTIONS, request);
+        let is_alive = match http::within(PROBE_TIMEOUT, sent).await {
+            Some(Ok((response, lease))) => {
+                gateway_calls::give_back_empty(response, lease).await;
+                true
+            }
+            _ => false,
+        };
+        self.report(gateway::Event::Probed { peer, is_alive }).await;
+    }
+}
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -7,7 +7,7 @@
 use std::sync;
 use std::time;
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::clock;
 use crate::clock::Clock as _;
@@ -16,8 +16,11 @@
 use crate::gateway;
 use crate::gateway_calls;
 use crate::gateway_http;
+use crate::gateway_peers;
+use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::roster;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -27,6 +30,8 @@
 const TICK: time::Duration = time::Duration::from_millis(20);
 /// Time that the store has to answer a read.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_800);
+/// Pause between two announcements of this gateway.
+const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// Pause after a read that failed.
 const READ_RETRY: time::Duration = time::Duration::from_millis(300);
 /// Messages that wait for the loop.
@@ -47,6 +52,8 @@
     pub probe_listen: net::SocketAddr,
     /// Address under which metrics are served at `/metrics`.
     pub metrics_listen: net::SocketAddr,
+    /// Address for other gateways.
+    pub peer_listen: net::SocketAddr,
     /// Failure domain of the instance.
     pub domain: id::DomainId,
     /// Region of each failure domain.
@@ -63,6 +70,9 @@
     /// Pause between two reads of the store, in milliseconds.
     #[serde(default = "default_poll")]
     pub poll_ms: unit::Millis,
+    /// Share of the batches that this gateway forms, relative to others.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
     /// Time for which new connections are still taken after a stop was asked for, in milliseconds.
     #[serde(default = "default_notice")]
     pub notice_ms: unit::Millis,
@@ -75,6 +85,10 @@
     unit::Share(0.1)
 }
 
+fn default_weight() -> u32 {
+    100
+}
+
 fn default_poll() -> unit::Millis {
     unit::Millis(900)
 }
@@ -107,7 +121,8 @@
     caller: gateway_calls::Caller<D>,
     open: collections::BTreeMap<id::RequestId, Open>,
     calls: collections::BTreeMap<gateway::CallId, tokio::task::AbortHandle>,
-    batches: collections::BTreeMap<crate::batch::BatchId, tokio::task::AbortHandle>,
+    handovers: collections::BTreeMap<crate::batch::GroupId, tokio::task::AbortHandle>,
+    tickets: collections::BTreeMap<gateway::Ticket, oneshot::Sender<handoff::Outcomes>>,
     answers: collections::BTreeMap<gateway::CallId, gateway_calls::Answer>,
     effects: Vec<gateway::Effect>,
     ready: watch::Sender<bool>,
@@ -133,6 +148,8 @@
     let listener = http::listen(settings.listen).await?;
     let probes = http::listen(settings.probe_listen).await?;
     let metrics = http::listen(settings.metrics_listen).await?;
+    let peers = http::listen(settings.peer_listen).await?;
+    let (asks, mut asked) = mpsc::channel(QUEUE);
     let (messages, mut incoming) = mpsc::channel(QUEUE);
     let (reports, mut reported) = mpsc::channel(QUEUE);
     let (reads, mut read) = mpsc::channel(16);
@@ -153,16 +170,33 @@
     let probe = gateway_http::Probes { ready: is_ready, metrics_path: METRICS_PATH };
     tokio::spawn(http::serve(probes, probe.clone(), stopped_seen.clone()));
     tokio::spawn(http::serve(metrics, probe, stopped_seen));
+    let serial = sync::Arc::new(sync::atomic::AtomicU64::new(1));
+    let desk = gateway_peers::Desk { messages: asks, serial };
+    tokio::spawn(http::serve(peers, desk, stopped.subscribe()));
+    let me = roster::Peer {
+        instance: settings.instance.clone(),
+        address: settings.peer_listen,
+        domain: settings.domain.clone(),
+        weight: settings.weight,
+    };
+    let announced = tokio::spawn(announce(source.clone(), me));
+    tokio::spawn(poll_peers(source.clone(), reads.clone()));
     tokio::spawn(poll_table(source.clone(), clock, settings.poll_ms.duration(), reads.clone()));
-    tokio::spawn(poll_fleet(source, settings.poll_ms.duration(), reads));
+    tokio::spawn(poll_fleet(source.clone(), settings.poll_ms.duration(), reads));
 
     let mut shell = Shell {
         reducer: gateway::Gateway::new(terms(&settings), fastrand::u64(..)),
         clock,
-        caller: gateway_calls::Caller { dialect, pool: upstream_pool::Pool::default(), reports },
+        caller: gateway_calls::Caller {
+            dialect,
+            pool: upstream_pool::Pool::default(),
+            peers: upstream_pool::Pool::default(),
+            reports,
+        },
         open: collections::BTreeMap::new(),
         calls: collections::BTreeMap::new(),
-        batches: collections::BTreeMap::new(),
+        handovers: collections::BTreeMap::new(),
+        tickets: collections::BTreeMap::new(),
         answers: collections::BTreeMap::new(),
         effects: Vec::new(),
         ready,
@@ -179,6 +213,7 @@
             biased;
             Some(event) = read.recv() => shell.step(event),
             Some(report) = reported.recv() => shell.report(report),
+            Some(message) = asked.recv() => shell.ask(message),
             Some(message) = incoming.recv() => shell.message(message),
             _ = tick.tick() => {
                 shell.step(gateway::Event::Tick);
@@ -195,6 +230,8 @@
                 stopping = Some(time::Instant::now());
                 shell.step(gateway::Event::Drain);
                 shell.publish();
+                announced.abort();
+                tokio::spawn(withdraw(source.clone()));
             }
             _ = &mut served => break,
         }
@@ -237,6 +274,7 @@
 
 fn terms(settings: &Settings) -> gateway::Terms {
     gateway::Terms {
+        instance: settings.instance.clone(),
         domain: settings.domain.clone(),
         regions: settings.regions.clone(),
         revocation: settings.revocation_ms.map(unit::Millis::duration),
@@ -262,6 +300,22 @@
         }
     }
 
+    fn ask(&mut self, message: gateway_peers::Message) {
+        match message {
+            gateway_peers::Message::TakeOver(ticket, pieces, reply) => {
+                self.tickets.insert(ticket, reply);
+                self.step(gateway::Event::TakeOver(ticket, pieces));
+            }
+            gateway_peers::Message::Withdrawn(ticket) => {
+                self.tickets.remove(&ticket);
+                self.step(gateway::Event::Withdrawn(ticket));
+            }
+            gateway_peers::Message::Released(message) => {
+                self.step(gateway::Event::Released(message));
+            }
+        }
+    }
+
     fn report(&mut self, report: gateway_calls::Report) {
         match report {
             gateway_calls::Report::Answer(call, answer) => {
@@ -272,8 +326,8 @@
             gateway_calls::Report::Event(event) => {
                 let ended = match &event {
                     gateway::Event::Ended { call, .. } => self.calls.remove(call).map(|_| *call),
-                    gateway::Event::BatchEnded { batch, .. } => {
-                        self.batches.remove(batch);
+                    gateway::Event::HandedBack(group, _) => {
+                        self.handovers.remove(group);
                         None
                     }
                     gateway::Event::Gone(request) => {
@@ -313,15 +367,29 @@
                 }
             }
             gateway::Effect::Run(run) => {
-                let batch = run.batch;
-                let task = tokio::spawn(self.caller.clone().run(*run));
-                self.batches.insert(batch, task.abort_handle());
+                tokio::spawn(self.caller.clone().run(*run));
+            }
+            gateway::Effect::HandOver { group, address, message, patience } => {
+                let work = self.caller.clone().hand_over(group, address, *message, patience);
+                self.handovers.insert(group, tokio::spawn(work).abort_handle());
             }
-            gateway::Effect::CancelBatch(batch) => {
-                if let Some(task) = self.batches.remove(&batch) {
+            gateway::Effect::Withdraw(group) => {
+                if let Some(task) = self.handovers.remove(&group) {
                     task.abort();
                 }
             }
+            gateway::Effect::HandBack(ticket, outcomes) => {
+                if let Some(reply) = self.tickets.remove(&ticket) {
+                    // Fails only if the other gateway has just stopped waiting.
+                    let _ = reply.send(outcomes);
+                }
+            }
+            gateway::Effect::Release { address, message } => {
+                tokio::spawn(self.caller.clone().release(address, message));
+            }
+            gateway::Effect::Probe { peer, address } => {
+                tokio::spawn(self.caller.clone().probe(peer, address));
+            }
             gateway::Effect::Free { instance, address, handles } => {
                 tokio::spawn(self.caller.clone().free(instance, address, handles));
             }
@@ -438,3 +506,33 @@
         tokio::time::sleep(next).await;
     }
 }
+
+/// Announces this gateway again and again.
+async fn announce<S: dialect::Source>(source: S, me: roster::Peer) {
+    let mut watcher = Watcher { name: "announce", lost: false };
+    loop {
+        let result = within_read(source.announce(&me)).await;
+        watcher.note(&result);
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+async fn withdraw<S: dialect::Source>(source: S) {
+    if let Err(e) = within_read(source.withdraw()).await {
+        log::info!("event=withdraw_failed error={:?}", e.to_string());
+    }
+}
+
+async fn poll_peers<S: dialect::Source>(source: S, events: mpsc::Sender<gateway::Event>) {
+    let mut watcher = Watcher { name: "peers", lost: false };
+    loop {
+        let result = within_read(source.peers()).await;
+        watcher.note(&result);
+        if let Ok(peers) = result
+            && events.send(gateway::Event::Peers(peers)).await.is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/lib/src/handoff.rs
@@ -0,0 +1,74 @@
+//! Messages between gateways about pieces: one hands pieces of a stage over, the other has them
+//! made in its batches.
+
+use crate::gateway;
+use crate::id;
+use crate::unit;
+
+/// Version of the messages; a gateway refuses others.
+pub const VERSION: u16 = 1;
+/// Path under which pieces are handed over.
+pub const PIECES_PATH: &str = "/handoff/pieces";
+/// Path under which results are given up.
+pub const RELEASE_PATH: &str = "/handoff/release";
+
+/// Pieces of one stage of one request.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Pieces {
+    /// Version of the message.
+    pub version: u16,
+    /// The caller's id of the request.
+    pub name: String,
+    /// Service that does the stage.
+    pub service: id::ServiceId,
+    /// Region whose upstreams do it.
+    pub region: id::RegionId,
+    /// Index of the stage.
+    pub stage: usize,
+    /// Indexes of the pieces.
+    pub pieces: Vec<u32>,
+    /// Time until the stage should be done, less than zero if it is late, in milliseconds.
+    pub due_ms: i64,
+    /// Time that is left for the request.
+    pub budget_ms: unit::Millis,
+    /// Rank of the request; 0 is the highest.
+    pub rank: u8,
+    /// Usual size of one result.
+    pub size: unit::ByteSize,
+    /// What the pieces work on.
+    pub source: gateway::Source,
+}
+
+/// Outcomes of pieces, in the order in which they were handed over.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Outcomes {
+    /// One for each piece.
+    pub pieces: Vec<Outcome>,
+}
+
+/// Outcome of one piece.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Outcome {
+    /// An upstream keeps the result.
+    Done {
+        /// The upstream.
+        instance: id::InstanceId,
+        /// Name of the result.
+        handle: gateway::Handle,
+    },
+    /// An input is gone.
+    InputGone,
+    /// It was not made in time, or failed too often.
+    Failed,
+}
+
+/// Results that are not needed any more.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Release {
+    /// Version of the message.
+    pub version: u16,
+    /// Upstream that keeps them.
+    pub instance: id::InstanceId,
+    /// Their names.
+    pub handles: Vec<gateway::Handle>,
+}
