batch: whole groups in one call, begun ones first

Cause: late pieces of begun requests starved behind others while their results filled memory. Change: lots by group; begun ones first, then on time, then late; heavy lots are not split.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -16,6 +16,8 @@
 
 /// Slowness relative to the best upstream from which one is left alone while others work.
 const SLOW_RATIO: f64 = 2.0;
+/// Size from which a result is heavy: it fills a good part of an upstream's memory.
+pub const HEAVY_BYTES: u64 = 500_000;
 /// Time given to a request for each rank that it is below the highest.
 const RANK_DELAY: time::Duration = time::Duration::from_millis(150);
 
@@ -46,13 +48,6 @@
     pub size: unit::ByteSize,
 }
 
-/// Place in the queue.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Place {
-    due: time::Duration,
-    id: PieceId,
-}
-
 /// Number of a call with a batch.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
 pub struct BatchId(pub u64);
@@ -68,28 +63,54 @@
     pub expected: time::Duration,
 }
 
+/// Pieces of one group that wait.
+#[derive(Clone, Debug, Default)]
+struct Lot {
+    pieces: collections::BTreeMap<u32, Waiting>,
+    is_begun: bool,
+}
+
+/// Order in which lots are taken: first those of which a part was made already, because its results
+/// take up memory for nothing meanwhile; then those that can be on time; then the late ones.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Class {
+    Begun,
+    OnTime,
+    Late,
+}
+
 /// Pieces that wait, by pool.
 #[derive(Debug, Default)]
 pub struct Queues {
-    queues: collections::BTreeMap<roster::PoolId, collections::BTreeMap<Place, Waiting>>,
+    queues: collections::BTreeMap<roster::PoolId, collections::BTreeMap<GroupId, Lot>>,
 }
 
 impl Queues {
     /// Adds a piece.
     pub fn push(&mut self, pool: &roster::PoolId, waiting: Waiting) {
-        self.queues.entry(pool.clone()).or_default().insert(place(&waiting), waiting);
+        let queue = self.queues.entry(pool.clone()).or_default();
+        let lot = queue.entry(waiting.id.group).or_default();
+        lot.pieces.insert(waiting.id.piece, waiting);
+    }
+
+    /// Adds a piece of a group that was begun.
+    pub fn push_again(&mut self, pool: &roster::PoolId, waiting: Waiting) {
+        self.push(pool, waiting);
+        let queue = self.queues.entry(pool.clone()).or_default();
+        queue.entry(waiting.id.group).or_default().is_begun = true;
     }
 
     /// Removes all pieces of a group.
     pub fn remove_group(&mut self, pool: &roster::PoolId, group: GroupId) {
         if let Some(queue) = self.queues.get_mut(pool) {
-            queue.retain(|_, waiting| waiting.id.group != group);
+            queue.remove(&group);
         }
     }
 
     /// Returns the number of pieces that wait for a pool.
     pub fn len(&self, pool: &roster::PoolId) -> usize {
-        self.queues.get(pool).map_or(0, collections::BTreeMap::len)
+        let queue = self.queues.get(pool);
+        queue.map_or(0, |queue| queue.values().map(|lot| lot.pieces.len()).sum())
     }
 
     /// Returns the pools for which pieces wait.
@@ -113,7 +134,8 @@
         let (instance, upstream) = pick(now, pool, fleet)?;
         let held = upstream.held(now).0;
         let room = upstream.room(terms.room).0.saturating_sub(held);
-        let pieces = take(now, queue, terms, room, held == 0);
+        let pieces = Taker { room, places: terms.size, is_empty: held == 0 }
+            .take(queue, |lot| class(now, lot, terms));
         if pieces.is_empty() {
             return None;
         }
@@ -122,38 +144,76 @@
     }
 }
 
-fn place(waiting: &Waiting) -> Place {
-    Place { due: waiting.due + RANK_DELAY * u32::from(waiting.rank), id: waiting.id }
+fn class(now: time::Duration, lot: &Lot, terms: &table::Batching) -> Class {
+    let due = lot.pieces.values().next().map_or(time::Duration::ZERO, |waiting| waiting.due);
+    if lot.is_begun {
+        Class::Begun
+    } else if due >= now + terms.duration(lot.pieces.len()) {
+        Class::OnTime
+    } else {
+        Class::Late
+    }
 }
 
-/// Takes pieces for one call: those that are due first, but after the others once they are late.
-/// Pieces for whose results there is no room stay.
-fn take(
-    now: time::Duration,
-    queue: &mut collections::BTreeMap<Place, Waiting>,
-    terms: &table::Batching,
+/// Space of one call.
+struct Taker {
     room: u64,
+    places: usize,
     is_empty: bool,
-) -> Vec<Waiting> {
-    let first = PieceId { group: GroupId(0), piece: 0 };
-    let on_time = Place { due: now + terms.per_call, id: first };
-    let order: Vec<Place> =
-        queue.range(on_time..).chain(queue.range(..on_time)).map(|(place, _)| *place).collect();
-    let mut pieces = Vec::new();
-    let mut used = 0;
-    for place in order {
-        if pieces.len() >= terms.size {
-            break;
+}
+
+impl Taker {
+    /// Takes lots in their order for as long as there are places and room.
+    fn take(
+        mut self,
+        queue: &mut collections::BTreeMap<GroupId, Lot>,
+        class: impl Fn(&Lot) -> Class,
+    ) -> Vec<Waiting> {
+        let mut order: Vec<_> = queue
+            .iter()
+            .filter_map(|(group, lot)| {
+                let first = lot.pieces.values().next()?;
+                let due = first.due + RANK_DELAY * u32::from(first.rank);
+                Some((class(lot), due, *group))
+            })
+            .collect();
+        order.sort_unstable();
+        let mut taken = Vec::new();
+        for (_, _, group) in order {
+            if self.places == 0 {
+                break;
+            }
+            let Some(lot) = queue.get_mut(&group) else { continue };
+            self.take_lot(lot, &mut taken);
+            if lot.pieces.is_empty() {
+                queue.remove(&group);
+            }
+        }
+        taken
+    }
+
+    fn take_lot(&mut self, lot: &mut Lot, taken: &mut Vec<Waiting>) {
+        let size = lot.pieces.values().next().map_or(0, |waiting| waiting.size.0);
+        let fitting = self.room.checked_div(size).unwrap_or(u64::MAX);
+        let mut count = usize::try_from(fitting).unwrap_or(usize::MAX);
+        if self.is_empty && taken.is_empty() {
+            count = count.max(1);
+        }
+        count = count.min(self.places);
+        // A part of a heavy lot would only wait for the rest.
+        let is_heavy = size >= HEAVY_BYTES;
+        let may_split = !is_heavy || lot.is_begun || taken.is_empty() && self.is_empty;
+        if count < lot.pieces.len() && !may_split {
+            return;
         }
-        let size = queue[&place].size.0;
-        let is_first = is_empty && pieces.is_empty();
-        if used + size > room && !is_first {
-            continue;
+        for _ in 0..count {
+            let Some((_, waiting)) = lot.pieces.pop_first() else { break };
+            self.places -= 1;
+            self.room = self.room.saturating_sub(size);
+            taken.push(waiting);
         }
-        used += size;
-        pieces.extend(queue.remove(&place));
+        lot.is_begun = true;
     }
-    pieces
 }
 
 /// Picks a free upstream of the pool: the one with the least work of others, then the one that
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -283,14 +283,14 @@
         if group.failures > MAX_FAILURES || group.cutoff <= now {
             group.pieces.insert(piece.piece, Some(handoff::Outcome::Failed));
         } else {
-            self.queues.push(&group.pool, group.waiting(piece));
+            self.queues.push_again(&group.pool, group.waiting(piece));
         }
     }
 
     /// Makes a piece wait again for which there was no room.
     pub(super) fn requeue(&mut self, piece: batch::PieceId) {
         if let Some(group) = self.groups.get(&piece.group) {
-            self.queues.push(&group.pool, group.waiting(piece));
+            self.queues.push_again(&group.pool, group.waiting(piece));
         }
     }
 
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -10,8 +10,6 @@
 use crate::place;
 use crate::table;
 
-/// Size from which a result is heavy: it fills a good part of an upstream's memory.
-const HEAVY_BYTES: u64 = 500_000;
 /// Most pieces of a request that are accepted.
 const MAX_PIECES: u32 = 10_000;
 
@@ -155,7 +153,7 @@
     }
 
     fn is_heavy_final(&self, stage: usize) -> bool {
-        self.route.stages[stage].size.0 >= HEAVY_BYTES
+        self.route.stages[stage].size.0 >= batch::HEAVY_BYTES
             && self.route.final_stages().any(|last| last == stage)
     }
 
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -15,9 +15,9 @@
 /// Prompt tokens that an engine reads in a millisecond, until more is known of it.
 const READ_RATE: f64 = 70.0;
 /// Milliseconds that each running generation adds to the time for a new one.
-const SHARE_COST: f64 = 4.0;
+const SHARE_COST: f64 = 2.0;
 /// Milliseconds that stand against an engine that gateways would not all pick for these parts.
-const STRANGER_COST: f64 = 25.0;
+const STRANGER_COST: f64 = 80.0;
 /// Time for which parts are expected to stay in a cache.
 const CACHE_TIME: time::Duration = time::Duration::from_secs(10);
 /// Most parts remembered for one engine.
