admission: refuse what cannot be on time, by the wait of each pool

Cause: in bursts all work was taken in, so most of it was late and results of early stages expired. Change: batchers tell their expected wait beside outcomes; a gateway estimates the finish and refuses what would wait long, with a time to return.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -1,29 +1,37 @@
 //! Decides which requests are taken in while more work waits than can be done in time.
 //!
-//! Load pattern: bursts bring twice the work that the slowest pool of stages can carry for seconds.
-//! A request that cannot be answered before its time is over is refused at once and told when there
-//! will be room, so that it neither waits in vain nor takes the place of one that can be served.
+//! Load pattern: bursts bring twice the work that the slowest pool of stages can carry, for seconds.
+//! If all of it is taken in, every request is late, and results of early stages expire before the
+//! later ones have their turn. So a request is taken in while it can be on time; beyond that, only
+//! as many as can be served late without waiting long, callers that came back first among them. All
+//! others are refused at once and told when there will be room.
 
 use std::time;
 
 use crate::refusal;
 
-/// Weight of a new estimate in the pause that refused callers are given.
-const SMOOTHING: f64 = 0.2;
 /// Shortest pause that a refused caller is given.
-const LEAST_PAUSE: time::Duration = time::Duration::from_millis(100);
+pub const LEAST_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Longest pause that a refused caller is given.
-const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(5);
+const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(4);
+/// Part of its time within which a late answer has to be expected.
+const LATE_SHARE: f64 = 0.35;
+/// Part of its time within which a caller that came back has to be served.
+const RETURN_SHARE: f64 = 0.9;
 
 /// Work that stands before a request, and the time it has.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
-    /// Time until its answer is expected to begin.
+    /// Time until its answer is expected to begin, if it goes before late requests.
     pub estimate: time::Duration,
+    /// Time until its answer is expected to begin, if it goes after late requests.
+    pub late: time::Duration,
     /// Time within which it should begin.
     pub target: time::Duration,
     /// Time that the caller and the route allow.
     pub budget: time::Duration,
+    /// Whether the caller was refused before and came back.
+    pub is_return: bool,
 }
 
 /// A refusal with the time after which the caller may come back.
@@ -35,35 +43,24 @@
     pub pause: Option<time::Duration>,
 }
 
-/// State of the admission.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Admission {
-    excess: f64,
-}
-
-impl Admission {
-    /// Takes a request in, or refuses it.
-    ///
-    /// # Errors
-    /// Returns the refusal of a request that could not be answered in time.
-    pub fn check(&mut self, _now: time::Duration, load: &Load) -> Result<(), Rejection> {
-        let excess = load.estimate.saturating_sub(load.target).as_secs_f64();
-        self.excess += (excess - self.excess) * SMOOTHING;
-        if load.estimate < load.budget {
-            return Ok(());
-        }
-        let message = format!(
-            "an answer is expected after {} ms; {} ms are left",
-            load.estimate.as_millis(),
-            load.budget.as_millis()
-        );
-        let kind = refusal::Kind::Overloaded;
-        let refusal = refusal::Refusal::new(kind, refusal::Ran::No, message);
-        Err(Rejection { refusal, pause: Some(self.pause(_now)) })
-    }
-
-    /// Returns when a refused caller may come back.
-    pub fn pause(&self, _now: time::Duration) -> time::Duration {
-        time::Duration::from_secs_f64(self.excess.max(0.0)).clamp(LEAST_PAUSE, LONGEST_PAUSE)
+/// Takes a request in, or refuses it.
+///
+/// # Errors
+/// Returns the refusal of a request that could not be answered in time.
+pub fn check(load: &Load) -> Result<(), Rejection> {
+    let share = if load.is_return { RETURN_SHARE } else { LATE_SHARE };
+    let is_prompt = load.estimate <= load.target && load.estimate < load.budget;
+    if is_prompt || load.late < load.budget.mul_f64(share) {
+        return Ok(());
     }
+    let message = format!(
+        "an answer is expected after {} ms, or {} ms behind late ones; {} ms are left",
+        load.estimate.as_millis(),
+        load.late.as_millis(),
+        load.budget.as_millis()
+    );
+    let kind = refusal::Kind::Overloaded;
+    let refusal = refusal::Refusal::new(kind, refusal::Ran::No, message);
+    let excess = load.late.saturating_sub(load.budget.mul_f64(LATE_SHARE));
+    Err(Rejection { refusal, pause: Some(excess.clamp(LEAST_PAUSE, LONGEST_PAUSE)) })
 }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -79,6 +79,18 @@
     Late,
 }
 
+/// Time that new pieces are expected to wait for a call in a pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Wait {
+    /// For a piece that can be on time.
+    pub prompt: time::Duration,
+    /// For one that is late already.
+    pub late: time::Duration,
+}
+
+/// Time for which a heavy result is kept until the run has begun.
+const HEAVY_TIME: time::Duration = time::Duration::from_millis(650);
+
 /// Pieces that wait, by pool.
 #[derive(Debug, Default)]
 pub struct Queues {
@@ -113,6 +125,35 @@
         queue.map_or(0, |queue| queue.values().map(|lot| lot.pieces.len()).sum())
     }
 
+    /// Returns the time that new pieces are expected to wait.
+    pub fn wait(
+        &self,
+        now: time::Duration,
+        pool: &roster::PoolId,
+        terms: &table::Batching,
+        fleet: &fleet::Fleet,
+    ) -> Wait {
+        let (mut prompt, mut late) = (Demand::default(), Demand::default());
+        for lot in self.queues.get(pool).into_iter().flat_map(collections::BTreeMap::values) {
+            match class(now, lot, terms) {
+                Class::Late => late.add(lot),
+                Class::Begun | Class::OnTime => prompt.add(lot),
+            }
+        }
+        let usable: Vec<_> = fleet.pool(pool).filter(|(_, up)| up.is_usable(now)).collect();
+        let speed: f64 = usable.iter().map(|(_, up)| 1.0 / up.slowness(now).max(0.5)).sum();
+        let speed = speed.max(0.25);
+        let is_busy = usable.iter().all(|(_, up)| up.flying > 0);
+        let turn = terms.duration(terms.size).as_secs_f64() / speed;
+        let own = if is_busy { turn / 2.0 } else { 0.0 };
+        let prompt = own + prompt.time(terms, speed);
+        let late = prompt + late.time(terms, speed);
+        Wait {
+            prompt: time::Duration::from_secs_f64(prompt),
+            late: time::Duration::from_secs_f64(late),
+        }
+    }
+
     /// Returns the pools for which pieces wait.
     pub fn pools(&self) -> Vec<roster::PoolId> {
         let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
@@ -144,6 +185,30 @@
     }
 }
 
+/// Work that waits in one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    pieces: usize,
+    heavy: u64,
+}
+
+impl Demand {
+    fn add(&mut self, lot: &Lot) {
+        self.pieces += lot.pieces.len();
+        let sizes = lot.pieces.values().map(|waiting| waiting.size.0);
+        self.heavy += sizes.filter(|size| *size >= HEAVY_BYTES).sum::<u64>();
+    }
+
+    /// Returns the seconds until the work has been sent out: bounded by full calls, or by the
+    /// memory for heavy results.
+    fn time(self, terms: &table::Batching, speed: f64) -> f64 {
+        let calls = self.pieces as f64 / terms.size as f64;
+        let by_calls = calls * terms.duration(terms.size).as_secs_f64() / speed;
+        let turns = self.heavy as f64 / (terms.room.0.max(1) as f64 * speed);
+        by_calls.max(turns * HEAVY_TIME.as_secs_f64())
+    }
+}
+
 fn class(now: time::Duration, lot: &Lot, terms: &table::Batching) -> Class {
     let due = lot.pieces.values().next().map_or(time::Duration::ZERO, |waiting| waiting.due);
     if lot.is_begun {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -368,7 +368,6 @@
     freshness: freshness::Freshness,
     fleet: fleet::Fleet,
     placement: place::Placement,
-    admission: admission::Admission,
     queues: batch::Queues,
     requests: collections::BTreeMap<id::RequestId, request::Request>,
     cutoffs: collections::BTreeSet<(time::Duration, id::RequestId)>,
@@ -378,6 +377,8 @@
     batches: collections::BTreeMap<batch::BatchId, batches::Flight>,
     roster: roster::Roster,
     holders: collections::BTreeMap<id::InstanceId, groups::Holder>,
+    waits: collections::BTreeMap<roster::PoolId, (time::Duration, batch::Wait)>,
+    longest: collections::BTreeMap<String, time::Duration>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
     budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
     draining: bool,
@@ -396,7 +397,6 @@
             freshness: freshness::Freshness::new(terms.revocation),
             fleet: fleet::Fleet::new(terms.domain.clone(), terms.regions.clone()),
             placement: place::Placement::default(),
-            admission: admission::Admission::default(),
             queues: batch::Queues::default(),
             requests: collections::BTreeMap::new(),
             cutoffs: collections::BTreeSet::new(),
@@ -406,6 +406,8 @@
             batches: collections::BTreeMap::new(),
             roster: roster::Roster::default(),
             holders: collections::BTreeMap::new(),
+            waits: collections::BTreeMap::new(),
+            longest: collections::BTreeMap::new(),
             freed: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
             draining: false,
@@ -575,7 +577,7 @@
             return Err(reject(Kind::NoUpstream, "no upstream of the service is known"));
         }
         let load = self.load_of(&request);
-        self.admission.check(self.now.mono, &load)?;
+        admission::check(&load)?;
         let share = self.terms.retries;
         self.budgets.entry(service.clone()).or_default().earn(share);
         Ok(request)
@@ -650,7 +652,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
         let refusal = refusal::Refusal::new(kind, ran, message);
-        let pause = (ran == refusal::Ran::No).then(|| self.admission.pause(self.now.mono));
+        let pause = (ran == refusal::Ran::No).then_some(admission::LEAST_PAUSE);
         log_refusal(&request.name, &refusal, pause, effects);
         if !request.has_begun {
             effects.push(Effect::Refuse { request: id, refusal, pause });
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -211,8 +211,10 @@
                 for (piece, outcome) in group.pieces.values_mut().zip(outcomes.pieces) {
                     *piece = Some(outcome);
                 }
+                let pool = group.pool.clone();
                 let holder = self.holders.entry(peer).or_default();
                 holder.heard = self.now.mono;
+                self.waits.insert(pool, (self.now.mono, outcomes.wait));
                 self.close_group(id, effects);
             }
             _ => {
@@ -315,7 +317,9 @@
             Owner::Peer(ticket) => {
                 self.tickets.remove(&ticket);
                 let pieces = group.pieces.into_values().flatten().collect();
-                effects.push(gateway::Effect::HandBack(ticket, handoff::Outcomes { pieces }));
+                let wait = self.own_wait(&group.pool);
+                let outcomes = handoff::Outcomes { pieces, wait };
+                effects.push(gateway::Effect::HandBack(ticket, outcomes));
             }
         }
     }
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -15,6 +15,10 @@
 
 /// Time that the run itself is expected to take until its answer begins.
 const RUN_TIME: time::Duration = time::Duration::from_millis(250);
+/// Age up to which another gateway's word on its queue is believed.
+const WAIT_AGE: time::Duration = time::Duration::from_millis(1_000);
+/// Part of the time that callers of a route begin with, below which one has come back.
+const RETURN_SHARE: f64 = 0.93;
 /// Times that pieces of one request are made again before it is given up.
 const MAX_REMAKES: u32 = 8;
 
@@ -111,6 +115,11 @@
                 }
             };
         }
+        if input_gone && request.due < self.now.mono {
+            let message = "results of a stage were gone before the next one had its turn";
+            self.refuse(id, refusal::Kind::DeadlineExceeded, message, effects);
+            return;
+        }
         if input_gone {
             let before = request.route.stages[group.stage].after.clone();
             self.remake(id, &before, effects);
@@ -189,38 +198,69 @@
     }
 
     /// Returns how much work stands before a request that has just arrived.
-    pub(super) fn load_of(&self, request: &request::Request) -> admission::Load {
-        let mut ends = vec![time::Duration::ZERO; request.stages.len()];
+    pub(super) fn load_of(&mut self, request: &request::Request) -> admission::Load {
+        let mut prompt = vec![time::Duration::ZERO; request.stages.len()];
+        let mut late = prompt.clone();
         for stage in 0..request.stages.len() {
             let terms = &request.route.stages[stage];
-            let start = terms.after.iter().map(|before| ends[*before]).max().unwrap_or_default();
+            let pieces = request.stages[stage].len();
             let service = terms.service.clone();
             let pool = roster::PoolId { service, region: request.region.clone() };
-            ends[stage] = start + self.stage_time(&pool, request.stages[stage].len());
+            let (wait, work) = self.stage_time(&pool, pieces);
+            let start = |ends: &[time::Duration]| {
+                terms.after.iter().map(|before| ends[*before]).max().unwrap_or_default()
+            };
+            prompt[stage] = start(&prompt) + wait.prompt + work;
+            late[stage] = start(&late) + wait.late + work;
         }
-        let stages = ends.into_iter().max().unwrap_or_default();
         let run = if request.stages.is_empty() { time::Duration::ZERO } else { RUN_TIME };
+        let budget = request.cutoff.saturating_sub(request.arrived);
         admission::Load {
-            estimate: stages + run,
+            estimate: prompt.into_iter().max().unwrap_or_default() + run,
+            late: late.into_iter().max().unwrap_or_default() + run,
             target: request.route.target,
-            budget: request.cutoff.saturating_sub(request.arrived),
+            budget,
+            is_return: self.is_return(&request.route, budget),
         }
     }
 
-    /// Returns the time that so many more pieces are expected to take in a pool.
-    fn stage_time(&self, pool: &roster::PoolId, pieces: usize) -> time::Duration {
+    /// Whether a caller comes back: it has less time left than callers of its route begin with.
+    fn is_return(&mut self, route: &table::Route, budget: time::Duration) -> bool {
+        let longest = self.longest.entry(route.name.clone()).or_default();
+        *longest = budget.max(*longest);
+        budget < longest.mul_f64(RETURN_SHARE)
+    }
+
+    /// Returns the time that pieces are expected to wait in a pool, and to take there.
+    fn stage_time(
+        &self,
+        pool: &roster::PoolId,
+        pieces: usize,
+    ) -> (batch::Wait, time::Duration) {
         let service = self.table.services.get(&pool.service);
         let Some(terms) = service.and_then(|service| service.batching) else {
-            return time::Duration::ZERO;
+            return (batch::Wait::default(), time::Duration::ZERO);
         };
         if pieces == 0 {
-            return time::Duration::ZERO;
+            return (batch::Wait::default(), time::Duration::ZERO);
         }
-        let now = self.now.mono;
-        let usable = self.fleet.pool(pool).filter(|(_, up)| up.is_usable(now)).count().max(1);
-        let rounds = (self.queues.len(pool) + pieces) / (terms.size * usable);
-        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
-        terms.duration(terms.size) * rounds + terms.duration(pieces.min(terms.size))
+        let own = self.own_wait(pool);
+        let told = self.waits.get(pool).filter(|(told, _)| {
+            self.now.mono.saturating_sub(*told) < WAIT_AGE
+        });
+        let told = told.map(|(_, wait)| *wait).unwrap_or_default();
+        let wait =
+            batch::Wait { prompt: own.prompt.max(told.prompt), late: own.late.max(told.late) };
+        (wait, terms.duration(pieces.min(terms.size)))
+    }
+
+    /// Returns the time that pieces wait in this gateway's own queue.
+    pub(super) fn own_wait(&self, pool: &roster::PoolId) -> batch::Wait {
+        let service = self.table.services.get(&pool.service);
+        let Some(terms) = service.and_then(|service| service.batching) else {
+            return batch::Wait::default();
+        };
+        self.queues.wait(self.now.mono, pool, &terms, &self.fleet)
     }
 }
 
--- a/lib/src/handoff.rs
+++ b/lib/src/handoff.rs
@@ -1,6 +1,7 @@
 //! Messages between gateways about pieces: one hands pieces of a stage over, the other has them
 //! made in its batches.
 
+use crate::batch;
 use crate::gateway;
 use crate::id;
 use crate::unit;
@@ -44,6 +45,8 @@
 pub struct Outcomes {
     /// One for each piece.
     pub pieces: Vec<Outcome>,
+    /// Time that new pieces are expected to wait in the pool.
+    pub wait: batch::Wait,
 }
 
 /// Outcome of one piece.
