gateway: count work taken in as work ahead; learn the bias of estimates

Cause: estimates were 0.4 s to 2 s short, as requests in earlier stages were not counted. Change: gateways pledge pieces to come with each handover; estimates are scaled by what came of earlier ones.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -14,10 +14,10 @@
 pub const LEAST_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Longest pause that a refused caller is given.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(4);
-/// Part of its time within which a late answer has to be expected.
-const LATE_SHARE: f64 = 0.35;
+/// Time by which an answer may be expected to be late.
+const LATE_TIME: time::Duration = time::Duration::from_millis(300);
 /// Part of its time within which a caller that came back has to be served.
-const RETURN_SHARE: f64 = 0.9;
+const RETURN_SHARE: f64 = 0.6;
 
 /// Work that stands before a request, and the time it has.
 #[derive(Clone, Copy, Debug)]
@@ -48,9 +48,12 @@
 /// # Errors
 /// Returns the refusal of a request that could not be answered in time.
 pub fn check(load: &Load) -> Result<(), Rejection> {
-    let share = if load.is_return { RETURN_SHARE } else { LATE_SHARE };
     let is_prompt = load.estimate <= load.target && load.estimate < load.budget;
-    if is_prompt || load.late < load.budget.mul_f64(share) {
+    let limit = match load.is_return {
+        true => load.budget.mul_f64(RETURN_SHARE),
+        false => (load.target + LATE_TIME).min(load.budget.mul_f64(RETURN_SHARE)),
+    };
+    if is_prompt || load.late < limit {
         return Ok(());
     }
     let message = format!(
@@ -61,6 +64,6 @@
     );
     let kind = refusal::Kind::Overloaded;
     let refusal = refusal::Refusal::new(kind, refusal::Ran::No, message);
-    let excess = load.late.saturating_sub(load.budget.mul_f64(LATE_SHARE));
+    let excess = load.late.saturating_sub(load.target);
     Err(Rejection { refusal, pause: Some(excess.clamp(LEAST_PAUSE, LONGEST_PAUSE)) })
 }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -88,6 +88,10 @@
     pub late: time::Duration,
 }
 
+/// Time by which a piece may be behind its due time and still count as on time: the stages after it
+/// may go faster than expected.
+const GRACE: time::Duration = time::Duration::from_millis(300);
+
 /// Time for which a heavy result is kept until the run has begun.
 const HEAVY_TIME: time::Duration = time::Duration::from_millis(650);
 
@@ -125,15 +129,18 @@
         queue.map_or(0, |queue| queue.values().map(|lot| lot.pieces.len()).sum())
     }
 
-    /// Returns the time that new pieces are expected to wait.
+    /// Returns the time until new pieces are expected to have their turn. `pledged` is the number of
+    /// pieces of requests that were taken in already and will come to the pool later.
     pub fn wait(
         &self,
         now: time::Duration,
         pool: &roster::PoolId,
         terms: &table::Batching,
         fleet: &fleet::Fleet,
+        pledged: usize,
     ) -> Wait {
-        let (mut prompt, mut late) = (Demand::default(), Demand::default());
+        let mut prompt = Demand { pieces: pledged, heavy: 0 };
+        let mut late = Demand::default();
         for lot in self.queues.get(pool).into_iter().flat_map(collections::BTreeMap::values) {
             match class(now, lot, terms) {
                 Class::Late => late.add(lot),
@@ -213,7 +220,7 @@
     let due = lot.pieces.values().next().map_or(time::Duration::ZERO, |waiting| waiting.due);
     if lot.is_begun {
         Class::Begun
-    } else if due >= now + terms.duration(lot.pieces.len()) {
+    } else if due + GRACE >= now + terms.duration(lot.pieces.len()) {
         Class::OnTime
     } else {
         Class::Late
@@ -269,6 +276,8 @@
         let is_heavy = size >= HEAVY_BYTES;
         let may_split = !is_heavy || lot.is_begun || taken.is_empty() && self.is_empty;
         if count < lot.pieces.len() && !may_split {
+            // No other heavy lot may take the room that this one waits for.
+            self.room = 0;
             return;
         }
         for _ in 0..count {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -378,6 +378,8 @@
     roster: roster::Roster,
     holders: collections::BTreeMap<id::InstanceId, groups::Holder>,
     waits: collections::BTreeMap<roster::PoolId, (time::Duration, batch::Wait)>,
+    pledges: collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, usize)>,
+    biases: collections::BTreeMap<String, f64>,
     longest: collections::BTreeMap<String, time::Duration>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
     budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
@@ -407,6 +409,8 @@
             roster: roster::Roster::default(),
             holders: collections::BTreeMap::new(),
             waits: collections::BTreeMap::new(),
+            pledges: collections::BTreeMap::new(),
+            biases: collections::BTreeMap::new(),
             longest: collections::BTreeMap::new(),
             freed: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
@@ -525,8 +529,8 @@
     fn arrive(&mut self, id: id::RequestId, arrival: Arrival, effects: &mut Vec<Effect>) {
         metrics::counter!("gateway_requests_total").increment(1);
         match self.admit(&arrival) {
-            Ok(request) => {
-                self.log_arrival(&request, effects);
+            Ok((request, load)) => {
+                self.log_arrival(&request, &load, effects);
                 self.cutoffs.insert((request.cutoff, id));
                 self.requests.insert(id, request);
                 self.advance(id, effects);
@@ -539,17 +543,27 @@
         }
     }
 
-    fn log_arrival(&self, request: &request::Request, effects: &mut Vec<Effect>) {
+    fn log_arrival(
+        &self,
+        request: &request::Request,
+        load: &admission::Load,
+        effects: &mut Vec<Effect>,
+    ) {
         let line = telemetry::Line::new("arrive")
             .with("request", &request.name)
             .with("route", &request.route.name)
             .with("table", self.table.version)
-            .with("budget_ms", (request.cutoff - request.arrived).as_millis());
+            .with("region", &request.region)
+            .with("estimate_ms", load.estimate.as_millis())
+            .with("late_ms", load.late.as_millis())
+            .with("target_ms", load.target.as_millis())
+            .with("budget_ms", load.budget.as_millis())
+            .with("return", load.is_return);
         effects.push(Effect::Log(line));
     }
 
     /// Decides whether a request is taken in.
-    fn admit(&mut self, arrival: &Arrival) -> Result<request::Request, admission::Rejection> {
+    fn admit(&mut self, arrival: &Arrival) -> Result<(request::Request, admission::Load), admission::Rejection> {
         use refusal::Kind;
         if !self.has_table {
             return Err(reject(Kind::NotReady, "no configuration is known yet"));
@@ -578,9 +592,10 @@
         }
         let load = self.load_of(&request);
         admission::check(&load)?;
+        let request = request::Request { estimate: load.estimate, ..request };
         let share = self.terms.retries;
         self.budgets.entry(service.clone()).or_default().earn(share);
-        Ok(request)
+        Ok((request, load))
     }
 
     /// Returns the region in which all stages of a route can be done: the own one if possible.
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -217,6 +217,10 @@
             .with("first_ms", took.as_millis())
             .with("total_ms", self.now.mono.saturating_sub(request.arrived).as_millis());
         effects.push(gateway::Effect::Log(line));
+        let (route, estimate) = (request.route.name.clone(), request.estimate);
+        let actual = self.now.mono.saturating_sub(request.arrived);
+        self.learn_bias(&route, estimate, actual);
+        let Some(request) = self.requests.get(&request_id) else { return };
         metrics::histogram!("gateway_first_event_seconds")
             .record(self.now.mono.saturating_sub(request.arrived).as_secs_f64());
         for kept in used {
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -15,6 +15,8 @@
 
 /// Times that pieces of one group may fail before it is given back.
 const MAX_FAILURES: u32 = 6;
+/// Age up to which another gateway's word on pieces to come is believed.
+const PLEDGE_AGE: time::Duration = time::Duration::from_millis(1_000);
 /// Silence of a gateway that holds pieces, after which it is asked whether it is alive.
 const SILENCE: time::Duration = time::Duration::from_millis(250);
 
@@ -87,6 +89,8 @@
         effects: &mut Vec<gateway::Effect>,
     ) {
         let now = self.now.mono;
+        let Some(pool) = self.groups.get(&id).map(|group| group.pool.clone()) else { return };
+        let pledged = u32::try_from(self.pledged_here(&pool)).unwrap_or(u32::MAX);
         let Some(group) = self.groups.get_mut(&id) else { return };
         group.handed = Some(peer.instance.clone());
         let holder = self.holders.entry(peer.instance.clone()).or_default();
@@ -96,6 +100,8 @@
         let budget = group.cutoff.saturating_sub(now);
         let message = handoff::Pieces {
             version: handoff::VERSION,
+            from: self.terms.instance.clone(),
+            pledged,
             name: group.name.clone(),
             service: group.pool.service.clone(),
             region: group.pool.region.clone(),
@@ -164,11 +170,28 @@
             failures: 0,
             handed: None,
         };
+        let pledge = (group.pool.clone(), message.from);
+        self.pledges.insert(pledge, (now, message.pledged as usize));
         self.tickets.insert(ticket, id);
         self.groups.insert(id, group);
         self.enqueue(id);
     }
 
+    /// Returns the pieces of own requests that will come to a pool later.
+    pub(super) fn pledged_here(&self, pool: &roster::PoolId) -> usize {
+        let requests = self.requests.values().filter(|request| request.region == pool.region);
+        requests.map(|request| request.pledged(&pool.service)).sum()
+    }
+
+    /// Returns the pieces of all gateways' requests that will come to a pool later.
+    pub(super) fn pledged(&self, pool: &roster::PoolId) -> usize {
+        let now = self.now.mono;
+        let others = self.pledges.iter().filter(|((pledged, _), (told, _))| {
+            pledged == pool && now.saturating_sub(*told) < PLEDGE_AGE
+        });
+        others.map(|(_, (_, pieces))| pieces).sum::<usize>() + self.pledged_here(pool)
+    }
+
     /// Drops the pieces that another gateway does not wait for any more.
     pub(super) fn withdrawn(&mut self, ticket: gateway::Ticket) {
         if let Some(id) = self.tickets.remove(&ticket) {
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -65,6 +65,8 @@
     pub arrived: time::Duration,
     /// When its answer should begin to be on time.
     pub due: time::Duration,
+    /// Time until its answer was expected to begin when it was taken in.
+    pub estimate: time::Duration,
     /// When it has to have its final answer.
     pub cutoff: time::Duration,
     /// Parts of the prompt.
@@ -116,6 +118,7 @@
             rank: team.and_then(|team| team.rank).unwrap_or(route.rank),
             arrived: now,
             due: now + route.target,
+            estimate: time::Duration::ZERO,
             cutoff: now + allowed,
             parts: arrival.parts.clone(),
             after: arrival.after,
@@ -137,17 +140,23 @@
     }
 
     /// Returns the stages whose pieces can be made now. A final stage with heavy results waits until
-    /// the other final stages can be made as well, so that its results do not lie about meanwhile.
+    /// the last stages before the other final ones are being made, so that its results do not lie
+    /// about for long.
     pub fn ready_stages(&self) -> Vec<usize> {
-        let is_open = |stage: &usize| self.are_inputs_done(*stage);
-        let others_open = self.route.final_stages().all(|stage| is_open(&stage));
+        let is_near = self.route.final_stages().all(|stage| {
+            self.route.stages[stage].after.iter().all(|before| self.is_stage_asked(*before))
+        });
         (0..self.stages.len())
             .filter(|stage| self.stages[*stage].contains(&Piece::Idle))
-            .filter(is_open)
-            .filter(|stage| others_open || !self.is_heavy_final(*stage))
+            .filter(|stage| self.are_inputs_done(*stage))
+            .filter(|stage| is_near || !self.is_heavy_final(*stage))
             .collect()
     }
 
+    fn is_stage_asked(&self, stage: usize) -> bool {
+        !self.stages[stage].contains(&Piece::Idle)
+    }
+
     fn are_inputs_done(&self, stage: usize) -> bool {
         self.route.stages[stage].after.iter().all(|before| self.is_stage_done(*before))
     }
@@ -162,6 +171,15 @@
         stages.flat_map(|stage| self.stages[stage].iter()).filter_map(kept).cloned().collect()
     }
 
+    /// Returns the number of pieces that will go to a service later.
+    pub fn pledged(&self, service: &id::ServiceId) -> usize {
+        let stages = self.route.stages.iter().zip(&self.stages);
+        let of_service = stages.filter(|(stage, _)| stage.service == *service);
+        of_service
+            .map(|(_, pieces)| pieces.iter().filter(|piece| **piece == Piece::Idle).count())
+            .sum()
+    }
+
     /// Returns the groups in which pieces are being made.
     pub fn groups(&self) -> collections::BTreeSet<batch::GroupId> {
         let asked = self.stages.iter().flatten().filter_map(|piece| match piece {
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -17,6 +17,12 @@
 const RUN_TIME: time::Duration = time::Duration::from_millis(250);
 /// Age up to which another gateway's word on its queue is believed.
 const WAIT_AGE: time::Duration = time::Duration::from_millis(1_000);
+/// Weight of a new sample in the bias of a route's estimates.
+const BIAS_SMOOTHING: f64 = 0.1;
+/// Least bias of estimates.
+const LEAST_BIAS: f64 = 0.8;
+/// Largest bias of estimates.
+const LARGEST_BIAS: f64 = 2.0;
 /// Part of the time that callers of a route begin with, below which one has come back.
 const RETURN_SHARE: f64 = 0.93;
 /// Times that pieces of one request are made again before it is given up.
@@ -31,8 +37,14 @@
         }
         self.free_used(id);
         let Some(request) = self.requests.get(&id) else { return };
-        for stage in request.ready_stages() {
-            self.make_stage(id, stage, effects);
+        // A stage that is being made can make a heavy one ready.
+        let mut ready = request.ready_stages();
+        while !ready.is_empty() {
+            for stage in ready {
+                self.make_stage(id, stage, effects);
+            }
+            let Some(request) = self.requests.get(&id) else { return };
+            ready = request.ready_stages();
         }
         let Some(request) = self.requests.get(&id) else { return };
         if (0..request.stages.len()).all(|stage| request.is_stage_done(stage)) {
@@ -207,23 +219,45 @@
             let service = terms.service.clone();
             let pool = roster::PoolId { service, region: request.region.clone() };
             let (wait, work) = self.stage_time(&pool, pieces);
+            // What stands before it in the pool is worked off while its earlier stages are done.
             let start = |ends: &[time::Duration]| {
                 terms.after.iter().map(|before| ends[*before]).max().unwrap_or_default()
             };
-            prompt[stage] = start(&prompt) + wait.prompt + work;
-            late[stage] = start(&late) + wait.late + work;
+            prompt[stage] = start(&prompt).max(wait.prompt) + work;
+            late[stage] = start(&late).max(wait.late) + work;
         }
         let run = if request.stages.is_empty() { time::Duration::ZERO } else { RUN_TIME };
         let budget = request.cutoff.saturating_sub(request.arrived);
+        let bias = self.biases.get(&request.route.name).copied().unwrap_or(1.0);
+        let whole = |ends: Vec<time::Duration>| {
+            (ends.into_iter().max().unwrap_or_default() + run).mul_f64(bias)
+        };
         admission::Load {
-            estimate: prompt.into_iter().max().unwrap_or_default() + run,
-            late: late.into_iter().max().unwrap_or_default() + run,
+            estimate: whole(prompt),
+            late: whole(late),
             target: request.route.target,
             budget,
             is_return: self.is_return(&request.route, budget),
         }
     }
 
+    /// Learns from a request that begins to be answered how estimates of its route compare with what
+    /// comes of them.
+    pub(super) fn learn_bias(
+        &mut self,
+        route: &str,
+        estimate: time::Duration,
+        actual: time::Duration,
+    ) {
+        if estimate.is_zero() {
+            return;
+        }
+        let bias = self.biases.entry(route.to_owned()).or_insert(1.0);
+        let ratio = *bias * actual.as_secs_f64() / estimate.as_secs_f64();
+        *bias += (ratio - *bias) * BIAS_SMOOTHING;
+        *bias = bias.clamp(LEAST_BIAS, LARGEST_BIAS);
+    }
+
     /// Whether a caller comes back: it has less time left than callers of its route begin with.
     fn is_return(&mut self, route: &table::Route, budget: time::Duration) -> bool {
         let longest = self.longest.entry(route.name.clone()).or_default();
@@ -251,7 +285,9 @@
         let told = told.map(|(_, wait)| *wait).unwrap_or_default();
         let wait =
             batch::Wait { prompt: own.prompt.max(told.prompt), late: own.late.max(told.late) };
-        (wait, terms.duration(pieces.min(terms.size)))
+        // Pieces share their call with others, and wait for a call to end before.
+        let shared = pieces.max(terms.size / 2).min(terms.size);
+        (wait, terms.duration(shared) + terms.per_call / 3)
     }
 
     /// Returns the time that pieces wait in this gateway's own queue.
@@ -260,7 +296,8 @@
         let Some(terms) = service.and_then(|service| service.batching) else {
             return batch::Wait::default();
         };
-        self.queues.wait(self.now.mono, pool, &terms, &self.fleet)
+        let pledged = self.pledged(pool);
+        self.queues.wait(self.now.mono, pool, &terms, &self.fleet, pledged)
     }
 }
 
--- a/lib/src/handoff.rs
+++ b/lib/src/handoff.rs
@@ -18,6 +18,10 @@
 pub struct Pieces {
     /// Version of the message.
     pub version: u16,
+    /// Gateway that hands them over.
+    pub from: id::InstanceId,
+    /// Pieces of other requests that the gateway will hand over for the same pool.
+    pub pledged: u32,
     /// The caller's id of the request.
     pub name: String,
     /// Service that does the stage.
