gateway: late requests yield in estimates; requests move to the region with room

Cause: callers that came back were taken in late and counted as work ahead, so new ones were refused. Change: a returning caller's due time counts from its first try; pieces of late requests are not pledged; a request that would be late in its own region goes whole to one where it is on time.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -30,6 +30,9 @@
 use crate::table;
 use crate::telemetry;
 
+/// Time that it costs to do the stages of a request in another region.
+const REGION_TIME: time::Duration = time::Duration::from_millis(250);
+
 /// Number of a call to an upstream.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallId(pub u64);
@@ -582,35 +585,61 @@
         let Some(service) = route.pick_service(draw) else {
             return Err(reject(Kind::NoUpstream, "the route names no service"));
         };
-        let region = self.region_for(route);
+        let regions = self.regions_for(route);
         let now = self.now.mono;
-        let request =
+        let region = regions.first().cloned().unwrap_or_else(|| self.terms.region());
+        let mut request =
             request::Request::new(now, arrival, route, team.as_ref(), service.clone(), region)
                 .map_err(|message| reject(Kind::BadRequest, message))?;
         if self.fleet.of(service).next().is_none() {
             return Err(reject(Kind::NoUpstream, "no upstream of the service is known"));
         }
-        let load = self.load_of(&request);
+        let spent = self.spent(route, request.cutoff.saturating_sub(now));
+        request.due = request.due.saturating_sub(spent);
+        let load = self.settle_region(&mut request, &regions);
         admission::check(&load)?;
-        let request = request::Request { estimate: load.estimate, ..request };
+        request.estimate = load.estimate;
         let share = self.terms.retries;
         self.budgets.entry(service.clone()).or_default().earn(share);
         Ok((request, load))
     }
 
-    /// Returns the region in which all stages of a route can be done: the own one if possible.
-    fn region_for(&self, route: &table::Route) -> id::RegionId {
+    /// Returns the regions in which all stages of a route can be done: the own one first.
+    fn regions_for(&self, route: &table::Route) -> Vec<id::RegionId> {
         let now = self.now.mono;
-        let regions = self.fleet.regions();
-        let can_serve = |region: &&id::RegionId| {
+        let can_serve = |region: &id::RegionId| {
             route.stages.iter().all(|stage| {
                 let service = stage.service.clone();
-                let pool = roster::PoolId { service, region: (*region).clone() };
+                let pool = roster::PoolId { service, region: region.clone() };
                 self.fleet.pool(&pool).any(|(_, up)| !up.health.is_ejected(now))
             })
         };
-        let found = regions.iter().find(can_serve).or(regions.first());
-        found.cloned().unwrap_or_else(|| self.terms.region())
+        self.fleet.regions().into_iter().filter(can_serve).collect()
+    }
+
+    /// Moves a request to another region if it would be late in its own one and would not be there.
+    fn settle_region(
+        &mut self,
+        request: &mut request::Request,
+        regions: &[id::RegionId],
+    ) -> admission::Load {
+        let own = self.load_of(request, &request.region.clone());
+        if request.stages.is_empty() || own.estimate <= own.target {
+            return own;
+        }
+        let mut best = own;
+        for region in regions {
+            let mut load = self.load_of(request, region);
+            if *region != request.region {
+                load.estimate += REGION_TIME;
+                load.late += REGION_TIME;
+            }
+            if load.estimate < best.estimate {
+                best = load;
+                request.region = region.clone();
+            }
+        }
+        best
     }
 
     fn authenticate(
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -180,7 +180,7 @@
     /// Returns the pieces of own requests that will come to a pool later.
     pub(super) fn pledged_here(&self, pool: &roster::PoolId) -> usize {
         let requests = self.requests.values().filter(|request| request.region == pool.region);
-        requests.map(|request| request.pledged(&pool.service)).sum()
+        requests.map(|request| request.pledged(self.now.mono, &pool.service)).sum()
     }
 
     /// Returns the pieces of all gateways' requests that will come to a pool later.
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -171,8 +171,11 @@
         stages.flat_map(|stage| self.stages[stage].iter()).filter_map(kept).cloned().collect()
     }
 
-    /// Returns the number of pieces that will go to a service later.
-    pub fn pledged(&self, service: &id::ServiceId) -> usize {
+    /// Returns the number of pieces that will go to a service later, before those of late requests.
+    pub fn pledged(&self, now: time::Duration, service: &id::ServiceId) -> usize {
+        if self.due <= now {
+            return 0;
+        }
         let stages = self.route.stages.iter().zip(&self.stages);
         let of_service = stages.filter(|(stage, _)| stage.service == *service);
         of_service
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -210,14 +210,18 @@
     }
 
     /// Returns how much work stands before a request that has just arrived.
-    pub(super) fn load_of(&mut self, request: &request::Request) -> admission::Load {
+    pub(super) fn load_of(
+        &mut self,
+        request: &request::Request,
+        region: &id::RegionId,
+    ) -> admission::Load {
         let mut prompt = vec![time::Duration::ZERO; request.stages.len()];
         let mut late = prompt.clone();
         for stage in 0..request.stages.len() {
             let terms = &request.route.stages[stage];
             let pieces = request.stages[stage].len();
             let service = terms.service.clone();
-            let pool = roster::PoolId { service, region: request.region.clone() };
+            let pool = roster::PoolId { service, region: region.clone() };
             let (wait, work) = self.stage_time(&pool, pieces);
             // What stands before it in the pool is worked off while its earlier stages are done.
             let start = |ends: &[time::Duration]| {
@@ -237,7 +241,7 @@
             late: whole(late),
             target: request.route.target,
             budget,
-            is_return: self.is_return(&request.route, budget),
+            is_return: !self.spent(&request.route, budget).is_zero(),
         }
     }
 
@@ -258,11 +262,12 @@
         *bias = bias.clamp(LEAST_BIAS, LARGEST_BIAS);
     }
 
-    /// Whether a caller comes back: it has less time left than callers of its route begin with.
-    fn is_return(&mut self, route: &table::Route, budget: time::Duration) -> bool {
+    /// Returns the time that a caller spent on an earlier try, zero if this is its first: callers of
+    /// a route begin with the same time, and one that comes back has less left.
+    pub(super) fn spent(&mut self, route: &table::Route, budget: time::Duration) -> time::Duration {
         let longest = self.longest.entry(route.name.clone()).or_default();
         *longest = budget.max(*longest);
-        budget < longest.mul_f64(RETURN_SHARE)
+        if budget < longest.mul_f64(RETURN_SHARE) { *longest - budget } else { time::Duration::ZERO }
     }
 
     /// Returns the time that pieces are expected to wait in a pool, and to take there.
