gateway: free final results at the first event; learn only from prompt requests

Cause: results of resumable streams filled the pools' memory until the stream's end, so calls were half full while all upstreams were busy; the bias of estimates was learned from late requests. Ruled out: freeing at the answer's head (it comes with the first event). Change: all final results are freed at the first event and made again for a resume; the wait counts memory.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -92,8 +92,8 @@
 /// may go faster than expected.
 const GRACE: time::Duration = time::Duration::from_millis(300);
 
-/// Time for which a heavy result is kept until the run has begun.
-const HEAVY_TIME: time::Duration = time::Duration::from_millis(650);
+/// Time for which a result is usually kept until what needs it has it.
+const KEEP_TIME: time::Duration = time::Duration::from_millis(650);
 
 /// Pieces that wait, by pool.
 #[derive(Debug, Default)]
@@ -139,7 +139,7 @@
         fleet: &fleet::Fleet,
         pledged: usize,
     ) -> Wait {
-        let mut prompt = Demand { pieces: pledged, heavy: 0 };
+        let mut prompt = Demand { pieces: pledged, bytes: 0 };
         let mut late = Demand::default();
         for lot in self.queues.get(pool).into_iter().flat_map(collections::BTreeMap::values) {
             match class(now, lot, terms) {
@@ -196,23 +196,22 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
     pieces: usize,
-    heavy: u64,
+    bytes: u64,
 }
 
 impl Demand {
     fn add(&mut self, lot: &Lot) {
         self.pieces += lot.pieces.len();
-        let sizes = lot.pieces.values().map(|waiting| waiting.size.0);
-        self.heavy += sizes.filter(|size| *size >= HEAVY_BYTES).sum::<u64>();
+        self.bytes += lot.pieces.values().map(|waiting| waiting.size.0).sum::<u64>();
     }
 
     /// Returns the seconds until the work has been sent out: bounded by full calls, or by the
-    /// memory for heavy results.
+    /// memory for results.
     fn time(self, terms: &table::Batching, speed: f64) -> f64 {
         let calls = self.pieces as f64 / terms.size as f64;
         let by_calls = calls * terms.duration(terms.size).as_secs_f64() / speed;
-        let turns = self.heavy as f64 / (terms.room.0.max(1) as f64 * speed);
-        by_calls.max(turns * HEAVY_TIME.as_secs_f64())
+        let turns = self.bytes as f64 / (terms.room.0.max(1) as f64 * speed);
+        by_calls.max(turns * KEEP_TIME.as_secs_f64())
     }
 }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -598,7 +598,10 @@
         request.due = request.due.saturating_sub(spent);
         let load = self.settle_region(&mut request, &regions);
         admission::check(&load)?;
-        request.estimate = load.estimate;
+        // Late requests yield to others, so that nothing can be learned from the time they take.
+        if !load.is_return && load.estimate <= load.target {
+            request.estimate = load.estimate;
+        }
         let share = self.terms.retries;
         self.budgets.entry(service.clone()).or_default().earn(share);
         Ok((request, load))
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -204,11 +204,7 @@
         }
         let Some(request) = self.requests.get_mut(&request_id) else { return };
         request.has_begun = true;
-        // A resumable stream needs them again if it has to go on elsewhere.
-        let finals: Vec<_> = match request.route.kind {
-            table::Kind::Resumable => Vec::new(),
-            _ => request.route.final_stages().collect(),
-        };
+        let finals: Vec<_> = request.route.final_stages().collect();
         let used: Vec<_> = finals.into_iter().flat_map(|stage| request.use_up(stage)).collect();
         let line = telemetry::Line::new("begun")
             .with("request", &request.name)
@@ -335,12 +331,21 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.after = last.or(request.after);
         if self.may_repeat(id) {
-            self.call(id, effects);
+            self.resume(id, effects);
             return;
         }
         self.refuse(id, refusal::Kind::UpstreamBroken, "the upstream's answer broke off", effects);
     }
 
+    /// Sends a request again; results that it needs and that were freed are made again first.
+    fn resume(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.has_used_results() {
+            self.remake_results(id, effects);
+        }
+        self.advance(id, effects);
+    }
+
     fn finish(
         &mut self,
         id: id::RequestId,
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -192,6 +192,11 @@
         asked.collect()
     }
 
+    /// Whether results that the run itself needs were freed.
+    pub fn has_used_results(&self) -> bool {
+        self.route.final_stages().any(|stage| self.stages[stage].contains(&Piece::Used))
+    }
+
     /// Returns the results that upstreams still keep.
     pub fn results(&self) -> Vec<Kept> {
         self.results_of(0..self.stages.len())
