gateway: callers' patience before the first event; tell returns from short deadlines

Cause: callers abandon a stream before its first event long before their deadline, so late work was taken in that nobody waited for; deadlines of first tries differ by 15 percent and were taken for returns. Change: a route's patience bounds the wait for the first event; a return has less than 0.84 of the longest time.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -19,7 +19,7 @@
 /// Size from which a result is heavy: it fills a good part of an upstream's memory.
 pub const HEAVY_BYTES: u64 = 500_000;
 /// Time given to a request for each rank that it is below the highest.
-const RANK_DELAY: time::Duration = time::Duration::from_millis(150);
+const RANK_DELAY: time::Duration = time::Duration::from_millis(400);
 
 /// Pieces of one stage of one request.
 #[derive(Clone, Copy, Debug, Default, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
@@ -70,6 +70,12 @@
     is_begun: bool,
 }
 
+impl Lot {
+    fn rank(&self) -> u8 {
+        self.pieces.values().next().map_or(u8::MAX, |waiting| waiting.rank)
+    }
+}
+
 /// Order in which lots are taken: first those of which a part was made already, because its results
 /// take up memory for nothing meanwhile; then those that can be on time; then the late ones.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -79,11 +85,22 @@
     Late,
 }
 
+/// Ranks that are told apart; all lower ones count as the last.
+pub const RANKS: usize = 4;
+
+/// Returns the index of a rank among those that are told apart.
+pub fn rank_index(rank: u8) -> usize {
+    usize::from(rank).min(RANKS - 1)
+}
+
+/// Numbers of pieces by rank.
+pub type Pieces = [usize; RANKS];
+
 /// Time that new pieces are expected to wait for a call in a pool.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Wait {
-    /// For a piece that can be on time.
-    pub prompt: time::Duration,
+    /// For a piece that can be on time, by rank.
+    pub prompt: [time::Duration; RANKS],
     /// For one that is late already.
     pub late: time::Duration,
 }
@@ -137,14 +154,15 @@
         pool: &roster::PoolId,
         terms: &table::Batching,
         fleet: &fleet::Fleet,
-        pledged: usize,
+        pledged: &Pieces,
     ) -> Wait {
-        let mut prompt = Demand { pieces: pledged, bytes: 0 };
+        let mut prompt = pledged.map(|pieces| Demand { pieces, bytes: 0 });
         let mut late = Demand::default();
         for lot in self.queues.get(pool).into_iter().flat_map(collections::BTreeMap::values) {
             match class(now, lot, terms) {
                 Class::Late => late.add(lot),
-                Class::Begun | Class::OnTime => prompt.add(lot),
+                Class::Begun => prompt[0].add(lot),
+                Class::OnTime => prompt[rank_index(lot.rank())].add(lot),
             }
         }
         let usable: Vec<_> = fleet.pool(pool).filter(|(_, up)| up.is_usable(now)).collect();
@@ -152,13 +170,13 @@
         let speed = speed.max(0.25);
         let is_busy = usable.iter().all(|(_, up)| up.flying > 0);
         let turn = terms.duration(terms.size).as_secs_f64() / speed;
-        let own = if is_busy { turn / 2.0 } else { 0.0 };
-        let prompt = own + prompt.time(terms, speed);
-        let late = prompt + late.time(terms, speed);
-        Wait {
-            prompt: time::Duration::from_secs_f64(prompt),
-            late: time::Duration::from_secs_f64(late),
-        }
+        let mut seconds = if is_busy { turn / 2.0 } else { 0.0 };
+        let prompt = prompt.map(|demand| {
+            seconds += demand.time(terms, speed);
+            time::Duration::from_secs_f64(seconds)
+        });
+        let late = time::Duration::from_secs_f64(seconds + late.time(terms, speed));
+        Wait { prompt, late }
     }
 
     /// Returns the pools for which pieces wait.
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -381,7 +381,7 @@
     roster: roster::Roster,
     holders: collections::BTreeMap<id::InstanceId, groups::Holder>,
     waits: collections::BTreeMap<roster::PoolId, (time::Duration, batch::Wait)>,
-    pledges: collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, usize)>,
+    pledges: collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, batch::Pieces)>,
     biases: collections::BTreeMap<String, f64>,
     longest: collections::BTreeMap<String, time::Duration>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
@@ -534,7 +534,7 @@
         match self.admit(&arrival) {
             Ok((request, load)) => {
                 self.log_arrival(&request, &load, effects);
-                self.cutoffs.insert((request.cutoff, id));
+                self.cutoffs.insert((request.end(), id));
                 self.requests.insert(id, request);
                 self.advance(id, effects);
             }
@@ -719,7 +719,7 @@
     /// Forgets a request: cancels its calls, takes its pieces out of queues, frees its results.
     fn forget(&mut self, id: id::RequestId, effects: &mut Vec<Effect>) {
         let Some(request) = self.requests.remove(&id) else { return };
-        self.cutoffs.remove(&(request.cutoff, id));
+        self.cutoffs.remove(&(request.end(), id));
         if let Some(call) = request.call {
             self.cancel(call, effects);
         }
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -203,7 +203,9 @@
             upstream.tokens = upstream.tokens.saturating_sub(tokens);
         }
         let Some(request) = self.requests.get_mut(&request_id) else { return };
+        self.cutoffs.remove(&(request.end(), request_id));
         request.has_begun = true;
+        self.cutoffs.insert((request.end(), request_id));
         let finals: Vec<_> = request.route.final_stages().collect();
         let used: Vec<_> = finals.into_iter().flat_map(|stage| request.use_up(stage)).collect();
         let line = telemetry::Line::new("begun")
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -90,7 +90,7 @@
     ) {
         let now = self.now.mono;
         let Some(pool) = self.groups.get(&id).map(|group| group.pool.clone()) else { return };
-        let pledged = u32::try_from(self.pledged_here(&pool)).unwrap_or(u32::MAX);
+        let pledged = self.pledged_here(&pool);
         let Some(group) = self.groups.get_mut(&id) else { return };
         group.handed = Some(peer.instance.clone());
         let holder = self.holders.entry(peer.instance.clone()).or_default();
@@ -171,25 +171,34 @@
             handed: None,
         };
         let pledge = (group.pool.clone(), message.from);
-        self.pledges.insert(pledge, (now, message.pledged as usize));
+        self.pledges.insert(pledge, (now, message.pledged));
         self.tickets.insert(ticket, id);
         self.groups.insert(id, group);
         self.enqueue(id);
     }
 
     /// Returns the pieces of own requests that will come to a pool later.
-    pub(super) fn pledged_here(&self, pool: &roster::PoolId) -> usize {
-        let requests = self.requests.values().filter(|request| request.region == pool.region);
-        requests.map(|request| request.pledged(self.now.mono, &pool.service)).sum()
+    fn pledged_here(&self, pool: &roster::PoolId) -> batch::Pieces {
+        let mut pledged = batch::Pieces::default();
+        for request in self.requests.values().filter(|request| request.region == pool.region) {
+            let pieces = request.pledged(self.now.mono, &pool.service);
+            pledged[batch::rank_index(request.rank)] += pieces;
+        }
+        pledged
     }
 
     /// Returns the pieces of all gateways' requests that will come to a pool later.
-    pub(super) fn pledged(&self, pool: &roster::PoolId) -> usize {
+    pub(super) fn pledged(&self, pool: &roster::PoolId) -> batch::Pieces {
         let now = self.now.mono;
-        let others = self.pledges.iter().filter(|((pledged, _), (told, _))| {
-            pledged == pool && now.saturating_sub(*told) < PLEDGE_AGE
-        });
-        others.map(|(_, (_, pieces))| pieces).sum::<usize>() + self.pledged_here(pool)
+        let mut pledged = self.pledged_here(pool);
+        for ((pledged_pool, _), (told, pieces)) in &self.pledges {
+            if pledged_pool == pool && now.saturating_sub(*told) < PLEDGE_AGE {
+                for (sum, more) in pledged.iter_mut().zip(pieces) {
+                    *sum += more;
+                }
+            }
+        }
+        pledged
     }
 
     /// Drops the pieces that another gateway does not wait for any more.
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -67,6 +67,8 @@
     pub due: time::Duration,
     /// Time until its answer was expected to begin when it was taken in.
     pub estimate: time::Duration,
+    /// When its answer has to begin, as the caller gives up then.
+    pub start_by: time::Duration,
     /// When it has to have its final answer.
     pub cutoff: time::Duration,
     /// Parts of the prompt.
@@ -119,6 +121,7 @@
             arrived: now,
             due: now + route.target,
             estimate: time::Duration::ZERO,
+            start_by: now + allowed.min(route.patience),
             cutoff: now + allowed,
             parts: arrival.parts.clone(),
             after: arrival.after,
@@ -134,6 +137,11 @@
         })
     }
 
+    /// Returns the moment at which it is given up in its present state.
+    pub fn end(&self) -> time::Duration {
+        if self.has_begun { self.cutoff } else { self.start_by }
+    }
+
     /// Whether all pieces of a stage have results, or had them until these were used.
     pub fn is_stage_done(&self, stage: usize) -> bool {
         self.stages[stage].iter().all(Piece::is_done)
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -23,8 +23,11 @@
 const LEAST_BIAS: f64 = 0.8;
 /// Largest bias of estimates.
 const LARGEST_BIAS: f64 = 2.0;
-/// Part of the time that callers of a route begin with, below which one has come back.
-const RETURN_SHARE: f64 = 0.93;
+/// Part of the longest time that callers of a route allow, below which one has come back: the times
+/// that they begin with differ by less.
+const RETURN_SHARE: f64 = 0.84;
+/// Part of that time that callers begin with on average.
+const USUAL_SHARE: f64 = 0.92;
 /// Times that pieces of one request are made again before it is given up.
 const MAX_REMAKES: u32 = 8;
 
@@ -83,7 +86,7 @@
             pool: roster::PoolId { service, region: request.region.clone() },
             stage,
             due,
-            cutoff: request.cutoff,
+            cutoff: request.start_by,
             rank: request.rank,
             size,
             source,
@@ -217,6 +220,7 @@
     ) -> admission::Load {
         let mut prompt = vec![time::Duration::ZERO; request.stages.len()];
         let mut late = prompt.clone();
+        let rank = batch::rank_index(request.rank);
         for stage in 0..request.stages.len() {
             let terms = &request.route.stages[stage];
             let pieces = request.stages[stage].len();
@@ -227,11 +231,12 @@
             let start = |ends: &[time::Duration]| {
                 terms.after.iter().map(|before| ends[*before]).max().unwrap_or_default()
             };
-            prompt[stage] = start(&prompt).max(wait.prompt) + work;
+            prompt[stage] = start(&prompt).max(wait.prompt[rank]) + work;
             late[stage] = start(&late).max(wait.late) + work;
         }
         let run = if request.stages.is_empty() { time::Duration::ZERO } else { RUN_TIME };
-        let budget = request.cutoff.saturating_sub(request.arrived);
+        let budget = request.start_by.saturating_sub(request.arrived);
+        let allowed = request.cutoff.saturating_sub(request.arrived);
         let bias = self.biases.get(&request.route.name).copied().unwrap_or(1.0);
         let whole = |ends: Vec<time::Duration>| {
             (ends.into_iter().max().unwrap_or_default() + run).mul_f64(bias)
@@ -241,7 +246,7 @@
             late: whole(late),
             target: request.route.target,
             budget,
-            is_return: !self.spent(&request.route, budget).is_zero(),
+            is_return: !self.spent(&request.route, allowed).is_zero(),
         }
     }
 
@@ -267,7 +272,11 @@
     pub(super) fn spent(&mut self, route: &table::Route, budget: time::Duration) -> time::Duration {
         let longest = self.longest.entry(route.name.clone()).or_default();
         *longest = budget.max(*longest);
-        if budget < longest.mul_f64(RETURN_SHARE) { *longest - budget } else { time::Duration::ZERO }
+        if budget < longest.mul_f64(RETURN_SHARE) {
+            longest.mul_f64(USUAL_SHARE) - budget
+        } else {
+            time::Duration::ZERO
+        }
     }
 
     /// Returns the time that pieces are expected to wait in a pool, and to take there.
@@ -288,8 +297,10 @@
             self.now.mono.saturating_sub(*told) < WAIT_AGE
         });
         let told = told.map(|(_, wait)| *wait).unwrap_or_default();
-        let wait =
-            batch::Wait { prompt: own.prompt.max(told.prompt), late: own.late.max(told.late) };
+        let mut wait = batch::Wait { late: own.late.max(told.late), ..own };
+        for (time, told) in wait.prompt.iter_mut().zip(told.prompt) {
+            *time = told.max(*time);
+        }
         // Pieces share their call with others, and wait for a call to end before.
         let shared = pieces.max(terms.size / 2).min(terms.size);
         (wait, terms.duration(shared) + terms.per_call / 3)
@@ -302,7 +313,7 @@
             return batch::Wait::default();
         };
         let pledged = self.pledged(pool);
-        self.queues.wait(self.now.mono, pool, &terms, &self.fleet, pledged)
+        self.queues.wait(self.now.mono, pool, &terms, &self.fleet, &pledged)
     }
 }
 
--- a/lib/src/handoff.rs
+++ b/lib/src/handoff.rs
@@ -20,8 +20,8 @@
     pub version: u16,
     /// Gateway that hands them over.
     pub from: id::InstanceId,
-    /// Pieces of other requests that the gateway will hand over for the same pool.
-    pub pledged: u32,
+    /// Pieces of other requests that the gateway will hand over for the same pool, by rank.
+    pub pledged: batch::Pieces,
     /// The caller's id of the request.
     pub name: String,
     /// Service that does the stage.
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -104,6 +104,8 @@
     pub timeout: time::Duration,
     /// Time within which an answer is on time.
     pub target: time::Duration,
+    /// Time after which callers give up if no part of the answer has come.
+    pub patience: time::Duration,
     /// Most upstreams that may run one request.
     pub attempts: u32,
     /// Rank of its requests; 0 is the highest.
