--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -27,8 +27,10 @@
 const LOAD_AGE: time::Duration = time::Duration::from_millis(300);
 /// Factor by which the room of an upstream is taken to be less than what it held when it was full.
 const ROOM_SHRINK: f64 = 0.9;
-/// Factor by which that room is taken to be more with each list.
-const ROOM_GROWTH: f64 = 1.15;
+/// Least share of an upstream's memory that is taken for free; the rest may be held for others.
+const LEAST_ROOM: f64 = 0.4;
+/// Share of the memory by which the room is taken to be more with each list.
+const ROOM_GROWTH: f64 = 0.15;
 /// Ejection of upstreams that fail in a row.
 const EJECTION: outlier::Rule = outlier::Rule {
     failures: 2,
@@ -88,7 +90,7 @@
     missing: Option<time::Duration>,
     kept: collections::BTreeMap<gateway::Handle, Kept>,
     expected: unit::ByteSize,
-    room: Option<f64>,
+    room: f64,
 }
 
 /// A result that an upstream keeps.
@@ -114,7 +116,7 @@
             missing: None,
             kept: collections::BTreeMap::new(),
             expected: unit::ByteSize(0),
-            room: None,
+            room: 1.0,
         }
     }
 
@@ -126,7 +128,7 @@
 
     /// Returns the memory for results that this gateway may fill, of `total`.
     pub fn room(&self, total: unit::ByteSize) -> unit::ByteSize {
-        unit::ByteSize(self.room.map_or(total.0, |room| room as u64).min(total.0))
+        unit::ByteSize((total.0 as f64 * self.room) as u64)
     }
 
     /// Takes note of the results that a call in flight will leave.
@@ -152,14 +154,13 @@
     /// Forgets results whose time is over, and finds out again how much room there is.
     fn age_results(&mut self, now: time::Duration) {
         self.kept.retain(|_, kept| kept.until > now);
-        if let Some(room) = &mut self.room {
-            *room *= ROOM_GROWTH;
-        }
+        self.room = (self.room + ROOM_GROWTH).min(1.0);
     }
 
     /// Takes note that the upstream had no room beside what it held.
-    pub fn note_full(&mut self, now: time::Duration) {
-        self.room = Some(self.held(now).0 as f64 * ROOM_SHRINK);
+    pub fn note_full(&mut self, now: time::Duration, total: unit::ByteSize) {
+        let share = self.held(now).0 as f64 / total.0.max(1) as f64;
+        self.room = (share * ROOM_SHRINK).clamp(LEAST_ROOM, self.room);
     }
 
     /// Returns the ratio of the time that its calls take to the time that they should take. Without
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -24,6 +24,7 @@
     sent: time::Duration,
     expected: time::Duration,
     retention: time::Duration,
+    room: unit::ByteSize,
     foreign: u32,
     size: unit::ByteSize,
 }
@@ -90,6 +91,7 @@
             sent: now,
             expected: next.expected,
             retention: terms.retention,
+            room: terms.room,
             foreign,
             size,
         };
@@ -215,7 +217,7 @@
             }
             gateway::PieceOutcome::NoRoom => {
                 if let Some(upstream) = self.fleet.get_mut(&flight.instance) {
-                    upstream.note_full(now);
+                    upstream.note_full(now, flight.room);
                     upstream.full_until = now + FULL_PAUSE;
                 }
                 self.requeue(piece);
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -17,6 +17,9 @@
 const MAX_FAILURES: u32 = 6;
 /// Age up to which another gateway's word on pieces to come is believed.
 const PLEDGE_AGE: time::Duration = time::Duration::from_millis(1_000);
+/// Time after the end of a request for which its pieces are still waited for, so that it is the
+/// request that ends and not the gateway that is taken for lost.
+const TAKE_BACK_TIME: time::Duration = time::Duration::from_millis(1_000);
 /// Silence of a gateway that holds pieces, after which it is asked whether it is alive.
 const SILENCE: time::Duration = time::Duration::from_millis(250);
 
@@ -124,7 +127,7 @@
             group: id,
             address: peer.address,
             message: Box::new(message),
-            patience: budget,
+            patience: budget + TAKE_BACK_TIME,
         });
     }
 
