--- /dev/null
+++ b/lib/tests/test_gateway_parts.rs
@@ -0,0 +1,343 @@
+//! Parts of the gateway: batches, placement, admission, membership, leases and event streams.
+
+use std::collections;
+use std::time;
+
+use bramleyshelf_lib::{
+    admission, batch, clock, event_stream, fleet, freshness, gateway, id, place, roster, routing,
+    table, unit,
+};
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a valid name")
+}
+
+fn ms(value: u64) -> time::Duration {
+    time::Duration::from_millis(value)
+}
+
+fn regions() -> collections::BTreeMap<id::DomainId, id::RegionId> {
+    [("a", "east"), ("b", "east"), ("c", "west")]
+        .into_iter()
+        .map(|(domain, region)| (name(domain), name(region)))
+        .collect()
+}
+
+fn listed(instance: &str, domain: &str) -> fleet::Listed {
+    fleet::Listed {
+        instance: name(instance),
+        service: name("encode"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: name(domain),
+        leaving: false,
+        born: None,
+    }
+}
+
+fn fleet_of(instances: &[(&str, &str)]) -> fleet::Fleet {
+    let mut fleet = fleet::Fleet::new(name("a"), regions());
+    fleet.update(ms(0), instances.iter().map(|(i, d)| listed(i, d)).collect());
+    fleet
+}
+
+fn pool() -> roster::PoolId {
+    roster::PoolId { service: name("encode"), region: name("east") }
+}
+
+fn terms() -> table::Batching {
+    table::Batching {
+        slots: 1,
+        queue: 2,
+        size: 8,
+        per_call: ms(150),
+        per_piece: ms(16),
+        room: unit::ByteSize(40_000_000),
+        retention: ms(4_000),
+    }
+}
+
+fn push(queues: &mut batch::Queues, group: u64, pieces: u32, due: u64, size: u64) {
+    for piece in 0..pieces {
+        let id = batch::PieceId { group: batch::GroupId(group), piece };
+        let size = unit::ByteSize(size);
+        queues.push(&pool(), batch::Waiting { id, due: ms(due), rank: 0, size });
+    }
+}
+
+fn groups(dispatch: &batch::Dispatch) -> Vec<u64> {
+    dispatch.pieces.iter().map(|waiting| waiting.id.group.0).collect()
+}
+
+#[test]
+fn batch_gathers_pieces_of_many_requests_while_busy() {
+    let mut fleet = fleet_of(&[("u1", "a")]);
+    let mut queues = batch::Queues::default();
+    push(&mut queues, 1, 2, 5_000, 8_000);
+    let first = queues.dispatch(ms(0), &pool(), &terms(), &fleet).expect("an upstream is free");
+    assert_eq!(groups(&first), [1, 1]);
+    fleet.sent(&first.instance, 0);
+    for group in 2..6 {
+        push(&mut queues, group, 3, 5_000, 8_000);
+        assert!(queues.dispatch(ms(10), &pool(), &terms(), &fleet).is_none(), "it is busy");
+    }
+    fleet.ended(&first.instance, 0);
+    let next = queues.dispatch(ms(200), &pool(), &terms(), &fleet).expect("it is free again");
+    assert_eq!(next.pieces.len(), 8, "the call is full");
+}
+
+#[test]
+fn batch_takes_what_can_be_on_time_before_what_is_late() {
+    let fleet = fleet_of(&[("u1", "a")]);
+    let mut queues = batch::Queues::default();
+    push(&mut queues, 1, 4, 1_000, 8_000);
+    push(&mut queues, 2, 4, 9_000, 8_000);
+    push(&mut queues, 3, 4, 8_000, 8_000);
+    let call = queues.dispatch(ms(5_000), &pool(), &terms(), &fleet).expect("it is free");
+    assert_eq!(groups(&call), [3, 3, 3, 3, 2, 2, 2, 2], "the late group 1 yields");
+}
+
+#[test]
+fn batch_finishes_begun_groups_first() {
+    let mut fleet = fleet_of(&[("u1", "a")]);
+    let mut queues = batch::Queues::default();
+    push(&mut queues, 1, 10, 1_000, 8_000);
+    let first = queues.dispatch(ms(0), &pool(), &terms(), &fleet).expect("it is free");
+    assert_eq!(first.pieces.len(), 8);
+    fleet.sent(&first.instance, 0);
+    push(&mut queues, 2, 8, 900, 8_000);
+    fleet.ended(&first.instance, 0);
+    // By now group 1 is late; its results would lie about if it yielded.
+    let next = queues.dispatch(ms(5_000), &pool(), &terms(), &fleet).expect("it is free");
+    assert_eq!(groups(&next)[..2], [1, 1]);
+}
+
+#[test]
+fn batch_does_not_split_or_overtake_heavy_groups() {
+    let mut fleet = fleet_of(&[("u1", "a")]);
+    let upstream = fleet.get_mut(&name("u1")).expect("it is listed");
+    upstream.keep(gateway::Handle("h".into()), unit::ByteSize(30_000_000), ms(9_000));
+    let mut queues = batch::Queues::default();
+    push(&mut queues, 1, 4, 3_000, 3_000_000);
+    push(&mut queues, 2, 2, 4_000, 3_000_000);
+    push(&mut queues, 3, 2, 5_000, 8_000);
+    let call = queues.dispatch(ms(0), &pool(), &terms(), &fleet);
+    assert!(call.is_none_or(|call| groups(&call) == [3, 3]), "room is left for three only");
+}
+
+#[test]
+fn fleet_room_recovers_after_refusals() {
+    // Other gateways' results filled an upstream that held nothing for this one.
+    let mut fleet = fleet_of(&[("u1", "a")]);
+    let total = unit::ByteSize(40_000_000);
+    let upstream = fleet.get_mut(&name("u1")).expect("it is listed");
+    for _ in 0..5 {
+        upstream.note_full(ms(0), total);
+    }
+    assert!(upstream.room(total).0 >= total.0 / 3, "a few pieces still go out");
+    for second in 1..8 {
+        fleet.update(ms(second * 900), vec![listed("u1", "a")]);
+    }
+    assert_eq!(fleet.get(&name("u1")).expect("it is listed").room(total), total);
+}
+
+#[test]
+fn batch_leaves_slow_upstream_alone_for_a_while() {
+    let mut fleet = fleet_of(&[("u1", "a"), ("u2", "a")]);
+    for _ in 0..4 {
+        fleet.succeeded(ms(100), &name("u1"), Some(5.0));
+    }
+    fleet.sent(&name("u2"), 0);
+    let mut queues = batch::Queues::default();
+    push(&mut queues, 1, 1, 5_000, 8_000);
+    assert!(queues.dispatch(ms(200), &pool(), &terms(), &fleet).is_none());
+    assert!(queues.dispatch(ms(20_000), &pool(), &terms(), &fleet).is_some(), "tried again");
+}
+
+#[test]
+fn wait_counts_work_ahead_by_rank() {
+    let fleet = fleet_of(&[("u1", "a")]);
+    let mut queues = batch::Queues::default();
+    push(&mut queues, 1, 16, 60_000, 8_000);
+    let wait = queues.wait(ms(0), &pool(), &terms(), &fleet, &[0, 8, 0, 0]);
+    let call = terms().duration(8);
+    assert_eq!(wait.prompt[0], call * 2);
+    assert_eq!(wait.prompt[1], call * 3, "what is pledged at rank 1 is ahead of rank 1");
+    assert_eq!(wait.late, call * 3);
+}
+
+#[test]
+fn roster_agrees_on_batcher_and_moves_on_from_suspects() {
+    let peers: Vec<_> = ["g1", "g2", "g3"]
+        .into_iter()
+        .map(|instance| roster::Peer {
+            instance: name(instance),
+            address: "10.0.0.1:81".parse().expect("an address"),
+            domain: name("a"),
+            weight: 100,
+        })
+        .collect();
+    let mut one = roster::Roster::default();
+    let mut two = roster::Roster::default();
+    one.update(peers.clone());
+    two.update(peers.into_iter().rev().collect());
+    let first = one.batcher(ms(0), &pool(), &regions()).expect("one is alive").instance.clone();
+    assert_eq!(two.batcher(ms(0), &pool(), &regions()).expect("one is alive").instance, first);
+    one.suspect(ms(0), &first);
+    assert_ne!(one.batcher(ms(100), &pool(), &regions()).expect("two are").instance, first);
+    assert_eq!(one.batcher(ms(5_000), &pool(), &regions()).expect("all are").instance, first);
+    let west = roster::PoolId { service: name("encode"), region: name("west") };
+    assert!(one.batcher(ms(0), &west, &regions()).is_none(), "none lives there");
+}
+
+#[test]
+fn fleet_keeps_missing_upstreams_after_a_gap_only() {
+    let mut fleet = fleet_of(&[("u1", "a"), ("u2", "a")]);
+    // The store was away for five seconds; entries lapsed meanwhile.
+    let change = fleet.update(ms(5_000), vec![listed("u1", "a")]);
+    assert!(change.gone.is_empty(), "it has two seconds to come back");
+    let change = fleet.update(ms(6_000), vec![listed("u1", "a")]);
+    assert!(change.gone.is_empty());
+    let change = fleet.update(ms(7_100), vec![listed("u1", "a")]);
+    assert_eq!(change.gone, [name("u2")]);
+    // Without a gap, missing is gone.
+    let change = fleet.update(ms(8_000), vec![]);
+    assert_eq!(change.gone, [name("u1")]);
+}
+
+#[test]
+fn fleet_tells_another_life_and_leaving() {
+    let mut fleet = fleet_of(&[("u1", "a")]);
+    fleet.sent(&name("u1"), 7);
+    let reborn = fleet::Listed { born: Some(17), ..listed("u1", "a") };
+    let change = fleet.update(ms(900), vec![reborn.clone()]);
+    assert_eq!((change.gone, change.joined), (vec![name("u1")], vec![name("u1")]));
+    assert_eq!(fleet.get(&name("u1")).expect("it is listed").flying, 0);
+    let leaving = fleet::Listed { leaving: true, ..reborn };
+    let change = fleet.update(ms(1_800), vec![leaving]);
+    assert_eq!(change.leaving, [name("u1")]);
+    assert_eq!(fleet.of(&name("encode")).count(), 0, "no new work");
+}
+
+#[test]
+fn fleet_never_ejects_all() {
+    let mut fleet = fleet_of(&[("u1", "a"), ("u2", "a"), ("u3", "b")]);
+    for instance in ["u1", "u2", "u3"] {
+        for _ in 0..5 {
+            fleet.failed(ms(10), &name(instance));
+        }
+    }
+    let service = name("encode");
+    assert!(fleet.of(&service).any(|(_, up)| up.is_usable(ms(20))));
+}
+
+#[test]
+fn freshness_ends_by_whichever_clock_says_more() {
+    let start = clock::Now { mono: ms(1_000), wall: ms(50_000) };
+    let mut lease = freshness::Freshness::new(Some(ms(5_000)));
+    assert!(!lease.is_valid(start), "never confirmed");
+    lease.confirm(start);
+    assert!(lease.is_valid(start.after(ms(4_800))));
+    assert!(!lease.is_valid(start.after(ms(4_900))), "a margin is kept");
+    let frozen = clock::Now { mono: ms(1_100), wall: ms(56_000) };
+    assert!(!lease.is_valid(frozen), "the monotonic clock stood still");
+    let stepped = clock::Now { mono: ms(7_000), wall: ms(48_000) };
+    assert!(!lease.is_valid(stepped), "the wall clock was set back");
+    lease.confirm(clock::Now { mono: ms(500), wall: ms(49_500) });
+    assert_eq!(lease.age(start), Some(ms(0)), "an older read confirms nothing");
+    assert!(!lease.is_recent(start.after(ms(3_500))), "callers should go elsewhere in time");
+}
+
+fn candidate(instance: &str, flying: u32) -> place::Candidate {
+    place::Candidate {
+        instance: name(instance),
+        tier: routing::Tier::Domain,
+        flying,
+        unread: 0,
+        slowness: 1.0,
+        near: unit::ByteSize(0),
+        far: unit::ByteSize(0),
+    }
+}
+
+const PARTS: [place::Part; 3] = [
+    place::Part { id: 1, tokens: 2_500 },
+    place::Part { id: 2, tokens: 3_800 },
+    place::Part { id: 3, tokens: 2_900 },
+];
+
+#[test]
+fn place_goes_where_shared_parts_are_until_it_is_loaded() {
+    let mut placement = place::Placement::default();
+    let idle = [candidate("e1", 0), candidate("e2", 0), candidate("e3", 0)];
+    let first = placement.pick(ms(0), &PARTS, &idle).expect("there are engines").instance;
+    placement.note(ms(0), &first, &PARTS);
+    let again = placement.pick(ms(100), &PARTS, &idle).expect("there are engines");
+    assert_eq!(again.instance, first);
+    assert_eq!(again.tokens, 0, "all parts are in its cache");
+    let loaded: Vec<_> = ["e1", "e2", "e3"]
+        .into_iter()
+        .map(|e| candidate(e, if first == name(e) { 120 } else { 0 }))
+        .collect();
+    let spread = placement.pick(ms(200), &PARTS, &loaded).expect("there are engines").instance;
+    assert_ne!(spread, first, "a hot key spreads");
+    placement.forget(&first);
+    assert_eq!(placement.pick(ms(300), &PARTS, &idle).expect("there are engines").tokens, 9_200);
+}
+
+#[test]
+fn place_keeps_heavy_results_in_their_region() {
+    let placement = place::Placement::default();
+    let far = place::Candidate { far: unit::ByteSize(3_000_000), ..candidate("e1", 0) };
+    let near = candidate("e2", 40);
+    let choice = placement.pick(ms(0), &PARTS, &[far, near]).expect("there are engines");
+    assert_eq!(choice.instance, name("e2"));
+}
+
+fn load(estimate: u64, late: u64) -> admission::Load {
+    admission::Load {
+        estimate: ms(estimate),
+        late: ms(late),
+        target: ms(1_700),
+        budget: ms(6_000),
+        is_return: false,
+    }
+}
+
+#[test]
+fn admission_table() {
+    let back = |load| admission::Load { is_return: true, ..load };
+    let cases = [
+        ("on time", load(1_000, 1_000), true),
+        ("on time, though late work waits", load(1_600, 5_900), true),
+        ("nearly on time", load(1_900, 1_950), true),
+        ("late", load(2_500, 3_000), false),
+        ("late, but it came back", back(load(2_500, 3_000)), true),
+        ("hopeless, though it came back", back(load(5_000, 5_500)), false),
+    ];
+    for (case, load, taken) in cases {
+        assert_eq!(admission::check(&load).is_ok(), taken, "{case}");
+    }
+    let refused = admission::check(&load(2_500, 3_000)).expect_err("it is late");
+    assert_eq!(refused.refusal.ran.to_string(), "no");
+    assert_eq!(refused.pause, Some(ms(1_300)), "when the work ahead has gone down");
+}
+
+#[test]
+fn event_stream_passes_whole_events_only() {
+    let mut splitter = event_stream::Splitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n"), Ok(None));
+    let events = splitter.push(b"\nid: 2\ndata: b\n\nid: 3\nda").expect("in order");
+    assert_eq!(events.as_deref(), Some(&b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"[..]));
+    assert_eq!(splitter.last(), Some(2), "event 3 was cut");
+}
+
+#[test]
+fn event_stream_refuses_doubled_events() {
+    let mut splitter = event_stream::Splitter::after(Some(4));
+    assert_eq!(splitter.push(b"id: 4\ndata: x\n\n"), Err(event_stream::StreamError::Order));
+    let mut splitter = event_stream::Splitter::after(Some(4));
+    assert!(splitter.push(b"id: 5\ndata: x\n\n").expect("in order").is_some());
+}
