--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -105,10 +105,8 @@
     fn table(&self) -> impl Future<Output = Result<sync::Arc<table::Table>, SourceError>> + Send;
 
     /// Announces a gateway for a while; called again and again while it lives.
-    fn announce(
-        &self,
-        peer: &roster::Peer,
-    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+    fn announce(&self, peer: &roster::Peer)
+    -> impl Future<Output = Result<(), SourceError>> + Send;
 
     /// Takes the announcement back.
     fn withdraw(&self) -> impl Future<Output = Result<(), SourceError>> + Send;
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -381,7 +381,8 @@
     roster: roster::Roster,
     holders: collections::BTreeMap<id::InstanceId, groups::Holder>,
     waits: collections::BTreeMap<roster::PoolId, (time::Duration, batch::Wait)>,
-    pledges: collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, batch::Pieces)>,
+    pledges:
+        collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, batch::Pieces)>,
     biases: collections::BTreeMap<String, f64>,
     longest: collections::BTreeMap<String, time::Duration>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
@@ -566,7 +567,10 @@
     }
 
     /// Decides whether a request is taken in.
-    fn admit(&mut self, arrival: &Arrival) -> Result<(request::Request, admission::Load), admission::Rejection> {
+    fn admit(
+        &mut self,
+        arrival: &Arrival,
+    ) -> Result<(request::Request, admission::Load), admission::Rejection> {
         use refusal::Kind;
         if !self.has_table {
             return Err(reject(Kind::NotReady, "no configuration is known yet"));
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -269,8 +269,7 @@
             .filter(|(_, group)| group.handed.as_ref() == Some(peer))
             .map(|(id, _)| *id)
             .collect();
-        let line =
-            telemetry::Line::new("peer_lost").with("peer", peer).with("groups", held.len());
+        let line = telemetry::Line::new("peer_lost").with("peer", peer).with("groups", held.len());
         effects.push(gateway::Effect::Log(line));
         for id in held {
             effects.push(gateway::Effect::Withdraw(id));
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -55,12 +55,7 @@
         }
     }
 
-    fn make_stage(
-        &mut self,
-        id: id::RequestId,
-        stage: usize,
-        effects: &mut Vec<gateway::Effect>,
-    ) {
+    fn make_stage(&mut self, id: id::RequestId, stage: usize, effects: &mut Vec<gateway::Effect>) {
         let group = batch::GroupId(self.next_serial());
         let table = std::sync::Arc::clone(&self.table);
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -175,12 +170,7 @@
     }
 
     /// Makes results of the given stages again.
-    fn remake(
-        &mut self,
-        id: id::RequestId,
-        stages: &[usize],
-        effects: &mut Vec<gateway::Effect>,
-    ) {
+    fn remake(&mut self, id: id::RequestId, stages: &[usize], effects: &mut Vec<gateway::Effect>) {
         let now = self.now.mono;
         let fleet = &self.fleet;
         let is_lost = |instance: &id::InstanceId| {
@@ -280,11 +270,7 @@
     }
 
     /// Returns the time that pieces are expected to wait in a pool, and to take there.
-    fn stage_time(
-        &self,
-        pool: &roster::PoolId,
-        pieces: usize,
-    ) -> (batch::Wait, time::Duration) {
+    fn stage_time(&self, pool: &roster::PoolId, pieces: usize) -> (batch::Wait, time::Duration) {
         let service = self.table.services.get(&pool.service);
         let Some(terms) = service.and_then(|service| service.batching) else {
             return (batch::Wait::default(), time::Duration::ZERO);
@@ -293,9 +279,8 @@
             return (batch::Wait::default(), time::Duration::ZERO);
         }
         let own = self.own_wait(pool);
-        let told = self.waits.get(pool).filter(|(told, _)| {
-            self.now.mono.saturating_sub(*told) < WAIT_AGE
-        });
+        let told =
+            self.waits.get(pool).filter(|(told, _)| self.now.mono.saturating_sub(*told) < WAIT_AGE);
         let told = told.map(|(_, wait)| *wait).unwrap_or_default();
         let mut wait = batch::Wait { late: own.late.max(told.late), ..own };
         for (time, told) in wait.prompt.iter_mut().zip(told.prompt) {
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -208,6 +208,7 @@
     let mut prune = tokio::time::interval(PRUNE_INTERVAL);
     prune.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stopping = None;
+    let mut can_reload = true;
     loop {
         tokio::select! {
             biased;
@@ -220,8 +221,10 @@
                 shell.publish();
             }
             _ = prune.tick() => shell.caller.pool.prune(),
-            changed = signals.reload.changed() => {
-                if changed.is_ok() {
+            changed = signals.reload.changed(), if can_reload => {
+                // The signal's source is gone; it would be ready for ever.
+                can_reload = changed.is_ok();
+                if can_reload {
                     reload(&settings, file.as_deref());
                 }
             }
