cli: logs of serving processes go to standard output, bounded and never blocking

Cause: lines went to standard error with a blocking write, so a reader that stalls stalls the process.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Whether the command serves until it is stopped, and logs to standard output.
+    pub fn is_server(&self) -> bool {
+        matches!(self, Self::Entry(_) | Self::Gateway(_))
+    }
+
     /// Runs the command.
     pub async fn run(self) -> Result<(), failure::Failure> {
         match self {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -15,6 +15,6 @@
         .descr("Serves multi-stage model pipelines.")
         .version(env!("CARGO_PKG_VERSION"))
         .run();
-    logging::init(command.log_level());
-    process::block_on(command.run())
+    let logs = logging::init(command.log_level(), command.is_server());
+    process::block_on(&logs, command.run())
 }
--- a/cli/src/process.rs
+++ b/cli/src/process.rs
@@ -5,13 +5,23 @@
 use tokio::sync::watch;
 
 use crate::failure;
+use crate::logging;
 
 /// Runs a command to its end on one thread and reports its failure.
-pub fn block_on(work: impl Future<Output = Result<(), failure::Failure>>) -> process::ExitCode {
+pub fn block_on(
+    logs: &logging::Logs,
+    work: impl Future<Output = Result<(), failure::Failure>>,
+) -> process::ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("the operating system gives a process its basic resources");
+    let work = async {
+        tokio::select! {
+            result = work => result,
+            () = logs.watch() => Ok(()),
+        }
+    };
     match runtime.block_on(work) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(failure) => {
--- a/cli/src/sidecar_main.rs
+++ b/cli/src/sidecar_main.rs
@@ -21,8 +21,8 @@
         .footer("Every setting can be overridden by an environment variable BRAMLEYSHELF_FIELD.")
         .version(env!("CARGO_PKG_VERSION"))
         .run();
-    logging::init(log::LevelFilter::Info);
-    process::block_on(run(args))
+    let logs = logging::init(log::LevelFilter::Info, true);
+    process::block_on(&logs, run(args))
 }
 
 async fn run(args: settings_args::SettingsArgs) -> Result<(), failure::Failure> {
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -49,10 +49,8 @@
 /// Returns the refusal of a request that could not be answered in time.
 pub fn check(load: &Load) -> Result<(), Rejection> {
     let is_prompt = load.estimate <= load.target && load.estimate < load.budget;
-    let limit = match load.is_return {
-        true => load.budget.mul_f64(RETURN_SHARE),
-        false => (load.target + LATE_TIME).min(load.budget.mul_f64(RETURN_SHARE)),
-    };
+    let longest = load.budget.mul_f64(RETURN_SHARE);
+    let limit = if load.is_return { longest } else { longest.min(load.target + LATE_TIME) };
     if is_prompt || load.late < limit {
         return Ok(());
     }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -18,7 +18,7 @@
 /// longer gap the list may lack upstreams that have not had the time to register again.
 const LIST_GAP: time::Duration = time::Duration::from_millis(2_600);
 /// Time that missing upstreams have to register again after a gap.
-const RETURN_TIME: time::Duration = time::Duration::from_millis(2_000);
+const RETURN_TIME: time::Duration = time::Duration::from_secs(2);
 /// Weight of a new sample in the smoothed ratio of observed to expected time.
 const SMOOTHING: f64 = 0.25;
 /// Time constant with which an observed slowness is forgotten.
@@ -34,8 +34,8 @@
 /// Ejection of upstreams that fail in a row.
 const EJECTION: outlier::Rule = outlier::Rule {
     failures: 2,
-    base: time::Duration::from_millis(1_000),
-    warmup: time::Duration::from_millis(2_000),
+    base: time::Duration::from_secs(1),
+    warmup: time::Duration::from_secs(2),
 };
 /// Largest share of a service's upstreams that may be ejected at once.
 const EJECTED_SHARE: f64 = 0.67;
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -433,7 +433,7 @@
             Event::Table { asked, table } => self.adopt(asked, table, effects),
             Event::Confirmed { asked } => self.freshness.confirm(asked),
             Event::Listed(list) => self.list(list, effects),
-            Event::Arrive(request, arrival) => self.arrive(request, *arrival, effects),
+            Event::Arrive(request, arrival) => self.arrive(request, &arrival, effects),
             Event::Gone(request) => self.leave(request, effects),
             Event::Begun(call) => self.begun(call, effects),
             Event::Ended { call, outcome, load } => self.ended(call, outcome, load, effects),
@@ -530,9 +530,9 @@
         }
     }
 
-    fn arrive(&mut self, id: id::RequestId, arrival: Arrival, effects: &mut Vec<Effect>) {
+    fn arrive(&mut self, id: id::RequestId, arrival: &Arrival, effects: &mut Vec<Effect>) {
         metrics::counter!("gateway_requests_total").increment(1);
-        match self.admit(&arrival) {
+        match self.admit(arrival) {
             Ok((request, load)) => {
                 self.log_arrival(&request, &load, effects);
                 self.cutoffs.insert((request.end(), id));
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -16,10 +16,10 @@
 /// Times that pieces of one group may fail before it is given back.
 const MAX_FAILURES: u32 = 6;
 /// Age up to which another gateway's word on pieces to come is believed.
-const PLEDGE_AGE: time::Duration = time::Duration::from_millis(1_000);
+const PLEDGE_AGE: time::Duration = time::Duration::from_secs(1);
 /// Time after the end of a request for which its pieces are still waited for, so that it is the
 /// request that ends and not the gateway that is taken for lost.
-const TAKE_BACK_TIME: time::Duration = time::Duration::from_millis(1_000);
+const TAKE_BACK_TIME: time::Duration = time::Duration::from_secs(1);
 /// Silence of a gateway that holds pieces, after which it is asked whether it is alive.
 const SILENCE: time::Duration = time::Duration::from_millis(250);
 
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -16,7 +16,7 @@
 /// Time that the run itself is expected to take until its answer begins.
 const RUN_TIME: time::Duration = time::Duration::from_millis(250);
 /// Age up to which another gateway's word on its queue is believed.
-const WAIT_AGE: time::Duration = time::Duration::from_millis(1_000);
+const WAIT_AGE: time::Duration = time::Duration::from_secs(1);
 /// Weight of a new sample in the bias of a route's estimates.
 const BIAS_SMOOTHING: f64 = 0.1;
 /// Least bias of estimates.
@@ -263,7 +263,7 @@
         let longest = self.longest.entry(route.name.clone()).or_default();
         *longest = budget.max(*longest);
         if budget < longest.mul_f64(RETURN_SHARE) {
-            longest.mul_f64(USUAL_SHARE) - budget
+            longest.mul_f64(USUAL_SHARE).saturating_sub(budget)
         } else {
             time::Duration::ZERO
         }
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -18,7 +18,7 @@
 /// Largest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: u64 = 8 << 20;
 /// Time that an upstream has to acknowledge freed results.
-const FREE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const FREE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// A whole answer that is not a stream.
 #[derive(Debug)]
--- a/lib/src/gateway_http.rs
+++ b/lib/src/gateway_http.rs
@@ -215,11 +215,17 @@
 pub type Slot = sync::Arc<sync::Mutex<Option<Reply>>>;
 
 /// Takes the reply out of its place.
+///
+/// # Panics
+/// Panics if another holder of the lock panicked.
 pub fn take(slot: &Slot) -> Option<Reply> {
     slot.lock().expect("no holder panics").take()
 }
 
 /// Puts a reply back into its place.
+///
+/// # Panics
+/// Panics if another holder of the lock panicked.
 pub fn put(slot: &Slot, reply: Reply) {
     *slot.lock().expect("no holder panics") = Some(reply);
 }
--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -19,7 +19,7 @@
 /// Time that a gateway has to give a sign of life.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Time that a gateway has to take in results that are given up.
-const RELEASE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const RELEASE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Largest message, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 4 << 20;
 /// Time that a message has to arrive whole.
@@ -69,14 +69,41 @@
     http::respond(status, "text/plain", text)
 }
 
+/// Why a message of another gateway is refused.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+pub enum DeskError {
+    /// It has another version.
+    #[display("unknown version; finish the upgrade of all gateways")]
+    Version,
+    /// It is no message between gateways.
+    #[display("the message cannot be read; send MessagePack of this version")]
+    Unreadable,
+    /// There is no such path.
+    #[display("no such path between gateways; compare their versions")]
+    NoPath,
+    /// This process is about to end.
+    #[display("this gateway is shutting down; make the pieces elsewhere")]
+    Stopping,
+}
+
+impl DeskError {
+    fn status(self) -> u16 {
+        match self {
+            Self::Version | Self::Unreadable => 400,
+            Self::NoPath => 404,
+            Self::Stopping => 503,
+        }
+    }
+}
+
 fn decode<T: serde::de::DeserializeOwned>(
     body: &[u8],
     version: impl Fn(&T) -> u16,
-) -> Result<T, hyper::Response<http::Body>> {
+) -> Result<T, DeskError> {
     match rmp_serde::from_slice::<T>(body) {
         Ok(message) if version(&message) == handoff::VERSION => Ok(message),
-        Ok(_) => Err(plain(400, "unknown version; finish the upgrade of all gateways")),
-        Err(_) => Err(plain(400, "the message cannot be read; send MessagePack of this version")),
+        Ok(_) => Err(DeskError::Version),
+        Err(_) => Err(DeskError::Unreadable),
     }
 }
 
@@ -96,39 +123,31 @@
         let answered = match path.as_str() {
             handoff::PIECES_PATH => self.take_over(&body).await,
             handoff::RELEASE_PATH => self.release(&body).await,
-            _ => Err(plain(404, "no such path between gateways; compare their versions")),
+            _ => Err(DeskError::NoPath),
         };
-        answered.unwrap_or_else(|refusal| refusal)
+        answered.unwrap_or_else(|e| http::respond(e.status(), "text/plain", e.to_string()))
     }
 }
 
 impl Desk {
-    async fn take_over(
-        &self,
-        body: &[u8],
-    ) -> Result<hyper::Response<http::Body>, hyper::Response<http::Body>> {
+    async fn take_over(&self, body: &[u8]) -> Result<hyper::Response<http::Body>, DeskError> {
         let message: handoff::Pieces = decode(body, |m: &handoff::Pieces| m.version)?;
         let ticket = self.serial.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let ticket = gateway::Ticket(ticket);
         let (reply, outcomes) = oneshot::channel();
-        let gone = || plain(503, "this gateway is shutting down; make the pieces elsewhere");
         let message = Message::TakeOver(ticket, Box::new(message), reply);
-        self.messages.send(message).await.map_err(|_| gone())?;
+        self.messages.send(message).await.map_err(|_| DeskError::Stopping)?;
         let messages = self.messages.clone();
         let mut presence = Presence { ticket, messages, is_answered: false };
-        let outcomes = outcomes.await.map_err(|_| gone())?;
+        let outcomes = outcomes.await.map_err(|_| DeskError::Stopping)?;
         presence.is_answered = true;
         let body = rmp_serde::to_vec(&outcomes).expect("outcomes have a plain form");
         Ok(http::respond(200, MEDIA, body))
     }
 
-    async fn release(
-        &self,
-        body: &[u8],
-    ) -> Result<hyper::Response<http::Body>, hyper::Response<http::Body>> {
+    async fn release(&self, body: &[u8]) -> Result<hyper::Response<http::Body>, DeskError> {
         let message: handoff::Release = decode(body, |m: &handoff::Release| m.version)?;
-        let gone = || plain(503, "this gateway is shutting down; free the results elsewhere");
-        self.messages.send(Message::Released(message)).await.map_err(|_| gone())?;
+        self.messages.send(Message::Released(message)).await.map_err(|_| DeskError::Stopping)?;
         Ok(plain(200, ""))
     }
 }
@@ -189,6 +208,9 @@
     }
 
     /// Asks another gateway whether it is alive.
+    ///
+    /// # Panics
+    /// Never: paths and addresses are valid.
     pub async fn probe(self, peer: id::InstanceId, address: net::SocketAddr) {
         let request = hyper::Request::get(ALIVE_PATH)
             .header(hyper::header::HOST, address.to_string())
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -31,7 +31,7 @@
 /// Time that the store has to answer a read.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_800);
 /// Pause between two announcements of this gateway.
-const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Pause after a read that failed.
 const READ_RETRY: time::Duration = time::Duration::from_millis(300);
 /// Messages that wait for the loop.
@@ -127,12 +127,8 @@
     effects: Vec<gateway::Effect>,
     ready: watch::Sender<bool>,
     limits: watch::Sender<table::Limits>,
-    writer: LogWriter,
 }
 
-/// Where log lines of decisions go.
-pub type LogWriter = fn(&telemetry::Line);
-
 /// Runs a gateway until it is asked to stop and its requests have ended.
 ///
 /// # Errors
@@ -149,9 +145,9 @@
     let probes = http::listen(settings.probe_listen).await?;
     let metrics = http::listen(settings.metrics_listen).await?;
     let peers = http::listen(settings.peer_listen).await?;
-    let (asks, mut asked) = mpsc::channel(QUEUE);
     let (messages, mut incoming) = mpsc::channel(QUEUE);
     let (reports, mut reported) = mpsc::channel(QUEUE);
+    let (asks, mut asked) = mpsc::channel(QUEUE);
     let (reads, mut read) = mpsc::channel(16);
     let (ready, is_ready) = watch::channel(false);
     let (limits, limits_seen) = watch::channel(table::Limits::default());
@@ -169,40 +165,12 @@
     let mut served = tokio::spawn(http::serve(listener, callers, closing_seen));
     let probe = gateway_http::Probes { ready: is_ready, metrics_path: METRICS_PATH };
     tokio::spawn(http::serve(probes, probe.clone(), stopped_seen.clone()));
-    tokio::spawn(http::serve(metrics, probe, stopped_seen));
+    tokio::spawn(http::serve(metrics, probe, stopped_seen.clone()));
     let serial = sync::Arc::new(sync::atomic::AtomicU64::new(1));
     let desk = gateway_peers::Desk { messages: asks, serial };
-    tokio::spawn(http::serve(peers, desk, stopped.subscribe()));
-    let me = roster::Peer {
-        instance: settings.instance.clone(),
-        address: settings.peer_listen,
-        domain: settings.domain.clone(),
-        weight: settings.weight,
-    };
-    let announced = tokio::spawn(announce(source.clone(), me));
-    tokio::spawn(poll_peers(source.clone(), reads.clone()));
-    tokio::spawn(poll_table(source.clone(), clock, settings.poll_ms.duration(), reads.clone()));
-    tokio::spawn(poll_fleet(source.clone(), settings.poll_ms.duration(), reads));
-
-    let mut shell = Shell {
-        reducer: gateway::Gateway::new(terms(&settings), fastrand::u64(..)),
-        clock,
-        caller: gateway_calls::Caller {
-            dialect,
-            pool: upstream_pool::Pool::default(),
-            peers: upstream_pool::Pool::default(),
-            reports,
-        },
-        open: collections::BTreeMap::new(),
-        calls: collections::BTreeMap::new(),
-        handovers: collections::BTreeMap::new(),
-        tickets: collections::BTreeMap::new(),
-        answers: collections::BTreeMap::new(),
-        effects: Vec::new(),
-        ready,
-        limits,
-        writer: |line| log::info!("{line}"),
-    };
+    tokio::spawn(http::serve(peers, desk, stopped_seen));
+    let announced = spawn_reads(&settings, &source, clock, &reads);
+    let mut shell = Shell::new(&settings, clock, dialect, reports, ready, limits);
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut prune = tokio::time::interval(PRUNE_INTERVAL);
@@ -252,6 +220,26 @@
     Ok(())
 }
 
+/// Starts the tasks that read the store; returns the one that announces this gateway.
+fn spawn_reads<S: dialect::Source>(
+    settings: &Settings,
+    source: &S,
+    clock: clock::SystemClock,
+    reads: &mpsc::Sender<gateway::Event>,
+) -> tokio::task::JoinHandle<()> {
+    let me = roster::Peer {
+        instance: settings.instance.clone(),
+        address: settings.peer_listen,
+        domain: settings.domain.clone(),
+        weight: settings.weight,
+    };
+    let pause = settings.poll_ms.duration();
+    tokio::spawn(poll_peers(source.clone(), reads.clone()));
+    tokio::spawn(poll_table(source.clone(), clock, pause, reads.clone()));
+    tokio::spawn(poll_fleet(source.clone(), pause, reads.clone()));
+    tokio::spawn(announce(source.clone(), me))
+}
+
 fn log_start(settings: &Settings) {
     let line = telemetry::Line::new("start")
         .with("role", "gateway")
@@ -286,6 +274,31 @@
 }
 
 impl<D: dialect::Dialect> Shell<D> {
+    fn new(
+        settings: &Settings,
+        clock: clock::SystemClock,
+        dialect: D,
+        reports: mpsc::Sender<gateway_calls::Report>,
+        ready: watch::Sender<bool>,
+        limits: watch::Sender<table::Limits>,
+    ) -> Self {
+        let pool = upstream_pool::Pool::default();
+        let peers = upstream_pool::Pool::default();
+        Self {
+            reducer: gateway::Gateway::new(terms(settings), fastrand::u64(..)),
+            clock,
+            caller: gateway_calls::Caller { dialect, pool, peers, reports },
+            open: collections::BTreeMap::new(),
+            calls: collections::BTreeMap::new(),
+            handovers: collections::BTreeMap::new(),
+            tickets: collections::BTreeMap::new(),
+            answers: collections::BTreeMap::new(),
+            effects: Vec::new(),
+            ready,
+            limits,
+        }
+    }
+
     fn message(&mut self, message: gateway_http::Message) {
         match message {
             gateway_http::Message::Arrive(incoming) => {
@@ -402,7 +415,7 @@
                 self.answer(request, response);
             }
             gateway::Effect::Forget(request) => drop(self.open.remove(&request)),
-            gateway::Effect::Log(line) => (self.writer)(&line),
+            gateway::Effect::Log(line) => log::info!("{line}"),
         }
     }
 
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -111,7 +111,7 @@
         parts: &[Part],
         candidates: &[Candidate],
     ) -> Option<Choice> {
-        let favourite = self.favourite(parts, candidates);
+        let favourite = Self::favourite(parts, candidates);
         let empty = Cache::default();
         candidates
             .iter()
@@ -134,7 +134,7 @@
 
     /// Returns the engine that every gateway of the region would pick for the shared parts if all
     /// were idle: the one with the highest rendezvous hash.
-    fn favourite(&self, parts: &[Part], candidates: &[Candidate]) -> Option<id::InstanceId> {
+    fn favourite(parts: &[Part], candidates: &[Candidate]) -> Option<id::InstanceId> {
         // The last part belongs to one request or session; the one before it is shared most
         // narrowly.
         let key = match parts {
--- a/lib/src/upstream_pool.rs
+++ b/lib/src/upstream_pool.rs
@@ -17,9 +17,9 @@
 /// Time for a connection to come about; a lost opening packet is sent again only after a second.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Time after which unacknowledged bytes break a connection, so that a silent peer is noticed.
-const USER_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+const USER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Time for which a connection may rest if the upstream does not say how long it keeps it.
-const DEFAULT_REST: time::Duration = time::Duration::from_millis(1_000);
+const DEFAULT_REST: time::Duration = time::Duration::from_secs(1);
 /// Time that a connection has to become free after its last answer was read.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(20);
 /// Part of the time that the upstream states for which a connection may rest.
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -55,7 +55,7 @@
             .args(arguments)
             .env("RUST_LOG", env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned()))
             .stdin(process::Stdio::null())
-            .stdout(process::Stdio::null())
+            .stdout(log.try_clone().expect("a second handle"))
             .stderr(log)
             .spawn()
             .expect("the program is built");
