--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -1,6 +1,6 @@
 //! `bramleyshelf gateway`.
 
-use bramleyshelf_lib::gateway_shell;
+use bramleyshelf_lib::{gateway_settings, gateway_shell};
 use bramleyshelf_platform::{headers, store};
 use tokio::sync::watch;
 
@@ -13,7 +13,7 @@
 
 /// Runs a gateway until it is asked to stop.
 pub async fn run(args: settings_args::SettingsArgs) -> Result<(), failure::Failure> {
-    let settings: gateway_shell::Settings = args.read(&FIELDS)?;
+    let settings: gateway_settings::Settings = args.read(&FIELDS)?;
     let store = store::Store::new(settings.store);
     let address = settings.listen;
     let signals = gateway_shell::Signals { stop: process::stop_signal(), reload: reload_signal() };
--- a/lib/src/entry_shell.rs
+++ b/lib/src/entry_shell.rs
@@ -17,9 +17,9 @@
 use crate::flight;
 use crate::http;
 use crate::id;
+use crate::instance_list;
 use crate::membership;
 use crate::plan;
-use crate::platform;
 use crate::refusal;
 use crate::registry;
 use crate::revision;
@@ -116,8 +116,8 @@
             rng.fork(),
         )),
         tokio::spawn(registry::register(store.clone(), settings.instance.clone(), process)),
-        tokio::spawn(platform::follow_list(settings.instances.clone(), lists, rng.fork())),
-        tokio::spawn(platform::count_entries(store, counts)),
+        tokio::spawn(instance_list::follow_list(settings.instances.clone(), lists, rng.fork())),
+        tokio::spawn(instance_list::count_entries(store, counts)),
     ];
     let (close, closing) = watch::channel(false);
     let handler = entry_http::Callers {
--- /dev/null
+++ b/lib/src/gateway/arrivals.rs
@@ -0,0 +1,169 @@
+//! Requests that arrive: whether they are taken in, and in which region their stages are done.
+
+use std::sync;
+use std::time;
+
+use crate::admission;
+use crate::gateway;
+use crate::gateway::request;
+use crate::id;
+use crate::refusal;
+use crate::roster;
+use crate::table;
+use crate::telemetry;
+
+/// Time that it costs to do the stages of a request in another region.
+const REGION_TIME: time::Duration = time::Duration::from_millis(250);
+
+impl gateway::Gateway {
+    pub(super) fn arrive(
+        &mut self,
+        id: id::RequestId,
+        arrival: &gateway::Arrival,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        metrics::counter!("gateway_requests_total").increment(1);
+        match self.admit(arrival) {
+            Ok((request, load)) => {
+                self.log_arrival(&request, &load, effects);
+                self.cutoffs.insert((request.end(), id));
+                self.requests.insert(id, request);
+                self.advance(id, effects);
+            }
+            Err(rejection) => {
+                gateway::log_refusal(&arrival.name, &rejection.refusal, rejection.pause, effects);
+                let admission::Rejection { refusal, pause } = rejection;
+                effects.push(gateway::Effect::Refuse { request: id, refusal, pause });
+            }
+        }
+    }
+
+    fn log_arrival(
+        &self,
+        request: &request::Request,
+        load: &admission::Load,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        let line = telemetry::Line::new("arrive")
+            .with("request", &request.name)
+            .with("route", &request.route.name)
+            .with("table", self.table.version)
+            .with("region", &request.region)
+            .with("estimate_ms", load.estimate.as_millis())
+            .with("late_ms", load.late.as_millis())
+            .with("target_ms", load.target.as_millis())
+            .with("budget_ms", load.budget.as_millis())
+            .with("return", load.is_return);
+        effects.push(gateway::Effect::Log(line));
+    }
+
+    /// Decides whether a request is taken in.
+    fn admit(
+        &mut self,
+        arrival: &gateway::Arrival,
+    ) -> Result<(request::Request, admission::Load), admission::Rejection> {
+        use refusal::Kind;
+        if !self.has_table {
+            return Err(reject(Kind::NotReady, "no configuration is known yet"));
+        }
+        let table = sync::Arc::clone(&self.table);
+        // Without a recent table, a path that is missing here may have been added meanwhile.
+        let Some(route) = table.find(&arrival.host, &arrival.path) else {
+            return Err(if self.freshness.is_valid(self.now) {
+                reject(Kind::NotFound, "no route matches the host and path")
+            } else {
+                reject(Kind::NotReady, "the configuration could not be confirmed lately")
+            });
+        };
+        let team = self.authenticate(&table, route, arrival)?;
+        let draw = self.rng.f64();
+        let Some(service) = route.pick_service(draw) else {
+            return Err(reject(Kind::NoUpstream, "the route names no service"));
+        };
+        let regions = self.regions_for(route);
+        let now = self.now.mono;
+        let region = regions.first().cloned().unwrap_or_else(|| self.terms.region());
+        let mut request =
+            request::Request::new(now, arrival, route, team.as_ref(), service.clone(), region)
+                .map_err(|message| reject(Kind::BadRequest, message))?;
+        if self.fleet.of(service).next().is_none() {
+            return Err(reject(Kind::NoUpstream, "no upstream of the service is known"));
+        }
+        let spent = self.spent(route, request.cutoff.saturating_sub(now));
+        request.due = request.due.saturating_sub(spent);
+        let load = self.settle_region(&mut request, &regions);
+        if admission::check(&load)? == admission::Admitted::Late {
+            request.due = request.due.min(now);
+        }
+        // Late requests yield to others, so that nothing can be learned from the time they take.
+        if !load.is_return {
+            request.estimate = load.estimate;
+        }
+        let share = self.terms.retries;
+        self.budgets.entry(service.clone()).or_default().earn(share);
+        Ok((request, load))
+    }
+
+    /// Returns the regions in which all stages of a route can be done: the own one first.
+    fn regions_for(&self, route: &table::Route) -> Vec<id::RegionId> {
+        let now = self.now.mono;
+        let can_serve = |region: &id::RegionId| {
+            route.stages.iter().all(|stage| {
+                let service = stage.service.clone();
+                let pool = roster::PoolId { service, region: region.clone() };
+                self.fleet.pool(&pool).any(|(_, up)| !up.health.is_ejected(now))
+            })
+        };
+        self.fleet.regions().into_iter().filter(can_serve).collect()
+    }
+
+    /// Moves a request to another region if it would be late in its own one and would not be there.
+    fn settle_region(
+        &mut self,
+        request: &mut request::Request,
+        regions: &[id::RegionId],
+    ) -> admission::Load {
+        let own = self.load_of(request, &request.region.clone());
+        if request.stages.is_empty() || own.estimate <= own.target {
+            return own;
+        }
+        let mut best = own;
+        for region in regions {
+            let mut load = self.load_of(request, region);
+            if *region != request.region {
+                load.estimate += REGION_TIME;
+                load.late += REGION_TIME;
+            }
+            if load.estimate < best.estimate {
+                best = load;
+                request.region = region.clone();
+            }
+        }
+        best
+    }
+
+    fn authenticate(
+        &self,
+        table: &table::Table,
+        route: &table::Route,
+        arrival: &gateway::Arrival,
+    ) -> Result<Option<table::Team>, admission::Rejection> {
+        use refusal::Kind;
+        if route.is_public || table.teams.is_empty() {
+            return Ok(None);
+        }
+        if !self.freshness.is_valid(self.now) {
+            return Err(reject(Kind::NotReady, "credentials could not be confirmed lately"));
+        }
+        match arrival.credential.as_ref().and_then(|credential| table.team(credential)) {
+            Some(team) => Ok(Some(team.clone())),
+            None => Err(reject(Kind::Unauthorized, "the credential belongs to no team")),
+        }
+    }
+}
+
+fn reject(kind: refusal::Kind, message: impl Into<String>) -> admission::Rejection {
+    let refusal = refusal::Refusal::new(kind, refusal::Ran::No, message);
+    let pause = kind.retry_after().map(crate::unit::Millis::duration);
+    admission::Rejection { refusal, pause }
+}
--- /dev/null
+++ b/lib/src/gateway/messages.rs
@@ -0,0 +1,320 @@
+//! What goes into the reducer of a gateway and what comes out of it, as plain data.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use crate::batch;
+use crate::clock;
+use crate::fleet;
+use crate::handoff;
+use crate::id;
+use crate::place;
+use crate::refusal;
+use crate::roster;
+use crate::table;
+use crate::telemetry;
+
+/// Number of a call to an upstream.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CallId(pub u64);
+
+/// Number of a handover of pieces that another gateway waits for.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
+/// Name of a result that an upstream keeps.
+#[derive(
+    Clone,
+    Debug,
+    derive_more::Display,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[serde(transparent)]
+pub struct Handle(pub String);
+
+/// What decisions on a request depend on.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    /// The caller's id of the request, which upstreams and logs see.
+    pub name: String,
+    /// Host that the request names.
+    pub host: String,
+    /// Its path.
+    pub path: String,
+    /// Credential of the caller.
+    pub credential: Option<table::Credential>,
+    /// Time that the caller allows.
+    pub budget: Option<time::Duration>,
+    /// Last event that the caller has, if it continues a stream.
+    pub after: Option<u64>,
+    /// Number of pieces of each stage.
+    pub pieces: Vec<u32>,
+    /// Key that stages without inputs work on.
+    pub key: Option<String>,
+    /// Parts of the prompt.
+    pub parts: Vec<place::Part>,
+}
+
+/// A call to an upstream that answers the request.
+#[derive(Clone, Debug)]
+pub struct Send {
+    /// Number of the call.
+    pub call: CallId,
+    /// The request.
+    pub request: id::RequestId,
+    /// Upstream that has to answer, and nobody else under its address.
+    pub instance: id::InstanceId,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Connections that this gateway may have to it.
+    pub connections: u32,
+    /// Time that is left.
+    pub budget: time::Duration,
+    /// Time after which the answer is not waited for any more.
+    pub patience: time::Duration,
+    /// Team of the caller.
+    pub team: Option<id::TeamId>,
+    /// Results that the run needs.
+    pub inputs: Vec<Handle>,
+    /// Last event that the caller has.
+    pub after: Option<u64>,
+    /// Kind of the route.
+    pub kind: table::Kind,
+    /// Rank of the request; 0 is the highest.
+    pub rank: u8,
+}
+
+/// One piece of a call with a batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Item {
+    /// The caller's id of the request.
+    pub name: String,
+    /// Index of the stage.
+    pub stage: usize,
+    /// Index of the piece.
+    pub piece: u32,
+    /// Time that is left for the request.
+    pub budget: time::Duration,
+    /// What it works on.
+    pub source: Source,
+}
+
+/// What a piece works on.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Source {
+    /// The caller's key.
+    Key(String),
+    /// Results of earlier stages.
+    Results(Vec<Handle>),
+}
+
+/// A call with a batch of pieces.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Number of the batch.
+    pub batch: batch::BatchId,
+    /// Upstream that has to do it.
+    pub instance: id::InstanceId,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Connections that this gateway may have to it.
+    pub connections: u32,
+    /// The pieces.
+    pub items: Vec<Item>,
+    /// Time after which the answer is not waited for any more.
+    pub patience: time::Duration,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub enum Outcome {
+    /// No byte reached the upstream.
+    #[display("unsent")]
+    Unsent,
+    /// The upstream says that it did not run the request; `elsewhere` if another one has the
+    /// address.
+    #[display("not_run")]
+    NotRun {
+        /// Whether the upstream is not the one that was meant.
+        elsewhere: bool,
+        /// Whether a result that the run needs is gone.
+        inputs_gone: bool,
+    },
+    /// A whole answer that is not a stream waits in the shell.
+    #[display("answered")]
+    Answered {
+        /// Its status.
+        status: u16,
+    },
+    /// The stream ended whole.
+    #[display("ended")]
+    Ended,
+    /// The answer broke off, cannot be used or did not come in time; the request may have run.
+    #[display("broken")]
+    Broken {
+        /// Last event that the caller has.
+        last: Option<u64>,
+    },
+}
+
+/// How one piece ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PieceOutcome {
+    /// Its result is kept under the handle.
+    Done(Handle),
+    /// Its time had run out.
+    Late,
+    /// One of its inputs is gone.
+    InputGone,
+    /// The upstream has no memory for the result.
+    NoRoom,
+    /// The work failed.
+    Failed,
+}
+
+/// How a call with a batch ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BatchOutcome {
+    /// Each piece has an outcome, in their order.
+    Done(Vec<PieceOutcome>),
+    /// The upstream was full.
+    Full,
+    /// Another upstream has the address.
+    Elsewhere,
+    /// The call failed otherwise.
+    Broken,
+}
+
+/// What happens to a gateway.
+#[derive(Debug)]
+pub enum Event {
+    /// The store gave the table in force; asked for at `asked`.
+    Table {
+        /// When the read was sent.
+        asked: clock::Now,
+        /// The table.
+        table: sync::Arc<table::Table>,
+    },
+    /// The table has not changed; asked for at `asked`.
+    Confirmed {
+        /// When the read was sent.
+        asked: clock::Now,
+    },
+    /// The store gave the list of upstreams.
+    Listed(Vec<fleet::Listed>),
+    /// A request arrived whole.
+    Arrive(id::RequestId, Box<Arrival>),
+    /// The caller went away.
+    Gone(id::RequestId),
+    /// The first bytes of a stream go to the caller.
+    Begun(CallId),
+    /// A call ended.
+    Ended {
+        /// The call.
+        call: CallId,
+        /// How.
+        outcome: Outcome,
+        /// Load that the upstream reported.
+        load: Option<fleet::Load>,
+    },
+    /// A call with a batch ended.
+    BatchEnded {
+        /// The batch.
+        batch: batch::BatchId,
+        /// How.
+        outcome: BatchOutcome,
+        /// Load that the upstream reported.
+        load: Option<fleet::Load>,
+    },
+    /// The store gave the list of gateways that are alive.
+    Peers(Vec<roster::Peer>),
+    /// Another gateway hands pieces over.
+    TakeOver(Ticket, Box<handoff::Pieces>),
+    /// The other gateway does not wait for them any more.
+    Withdrawn(Ticket),
+    /// Another gateway gives results up.
+    Released(handoff::Release),
+    /// What became of a group that was handed over; nothing if its holder was lost.
+    HandedBack(batch::GroupId, Option<handoff::Outcomes>),
+    /// Whether a gateway is alive.
+    Probed {
+        /// The gateway.
+        peer: id::InstanceId,
+        /// Whether it answered.
+        is_alive: bool,
+    },
+    /// The process is to stop.
+    Drain,
+    /// Time passed.
+    Tick,
+}
+
+/// What the shell has to do.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send a request to an upstream.
+    Send(Box<Send>),
+    /// Drop a call and its connection.
+    Cancel(CallId),
+    /// Send a batch to an upstream.
+    Run(Box<Run>),
+    /// Hand a group over to another gateway.
+    HandOver {
+        /// The group.
+        group: batch::GroupId,
+        /// Address of the other gateway.
+        address: net::SocketAddr,
+        /// The pieces.
+        message: Box<handoff::Pieces>,
+        /// Time after which the answer is not waited for any more.
+        patience: time::Duration,
+    },
+    /// Drop a handover.
+    Withdraw(batch::GroupId),
+    /// Answer a handover of another gateway.
+    HandBack(Ticket, handoff::Outcomes),
+    /// Give results up through another gateway.
+    Release {
+        /// Address of the other gateway.
+        address: net::SocketAddr,
+        /// The results.
+        message: handoff::Release,
+    },
+    /// Ask another gateway whether it is alive.
+    Probe {
+        /// The gateway.
+        peer: id::InstanceId,
+        /// Its address.
+        address: net::SocketAddr,
+    },
+    /// Tell an upstream that results are not needed any more.
+    Free {
+        /// The upstream.
+        instance: id::InstanceId,
+        /// Its address.
+        address: net::SocketAddr,
+        /// The results.
+        handles: Vec<Handle>,
+    },
+    /// Answer the caller with what the call brought.
+    Deliver(id::RequestId, CallId),
+    /// Refuse the request; the caller may come back after `pause`.
+    Refuse {
+        /// The request.
+        request: id::RequestId,
+        /// Why.
+        refusal: refusal::Refusal,
+        /// When to come back.
+        pause: Option<time::Duration>,
+    },
+    /// Drop what is kept of the request; a stream that has begun and is not whole breaks off.
+    Forget(id::RequestId),
+    /// Write a log line.
+    Log(telemetry::Line),
+}
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -2,7 +2,6 @@
 
 use std::collections;
 use std::io;
-use std::net;
 use std::path;
 use std::sync;
 use std::time;
@@ -12,15 +11,15 @@
 use crate::clock;
 use crate::clock::Clock as _;
 use crate::dialect;
-use crate::fleet;
 use crate::gateway;
 use crate::gateway_calls;
 use crate::gateway_http;
 use crate::gateway_peers;
+use crate::gateway_reads;
+use crate::gateway_settings;
 use crate::handoff;
 use crate::http;
 use crate::id;
-use crate::roster;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -28,12 +27,6 @@
 
 /// Pause between two ticks, in which results to free are collected as well.
 const TICK: time::Duration = time::Duration::from_millis(20);
-/// Time that the store has to answer a read.
-const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_800);
-/// Pause between two announcements of this gateway.
-const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Pause after a read that failed.
-const READ_RETRY: time::Duration = time::Duration::from_millis(300);
 /// Messages that wait for the loop.
 const QUEUE: usize = 4_096;
 /// Path of the metrics.
@@ -41,66 +34,6 @@
 /// Pause between two looks for connections that have rested too long.
 const PRUNE_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
-/// Settings of a gateway.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
-pub struct Settings {
-    /// The instance.
-    pub instance: id::InstanceId,
-    /// Address for callers.
-    pub listen: net::SocketAddr,
-    /// Address for the balancer's health checks.
-    pub probe_listen: net::SocketAddr,
-    /// Address under which metrics are served at `/metrics`.
-    pub metrics_listen: net::SocketAddr,
-    /// Address for other gateways.
-    pub peer_listen: net::SocketAddr,
-    /// Failure domain of the instance.
-    pub domain: id::DomainId,
-    /// Region of each failure domain.
-    pub regions: collections::BTreeMap<id::DomainId, id::RegionId>,
-    /// Address of the platform's store.
-    pub store: net::SocketAddr,
-    /// Time after which a credential that was taken away must not be acted on, in milliseconds;
-    /// without it, what was known last stays in use while the store is away.
-    #[serde(default)]
-    pub revocation_ms: Option<unit::Millis>,
-    /// Repeats allowed as a share of the requests to a service.
-    #[serde(default = "default_retries")]
-    pub retry_share: unit::Share,
-    /// Pause between two reads of the store, in milliseconds.
-    #[serde(default = "default_poll")]
-    pub poll_ms: unit::Millis,
-    /// Share of the batches that this gateway forms, relative to others.
-    #[serde(default = "default_weight")]
-    pub weight: u32,
-    /// Time for which new connections are still taken after a stop was asked for, in milliseconds.
-    #[serde(default = "default_notice")]
-    pub notice_ms: unit::Millis,
-    /// Time after which a stop no longer waits for requests in progress, in milliseconds.
-    #[serde(default = "default_stop")]
-    pub stop_ms: unit::Millis,
-}
-
-fn default_retries() -> unit::Share {
-    unit::Share(0.1)
-}
-
-fn default_weight() -> u32 {
-    100
-}
-
-fn default_poll() -> unit::Millis {
-    unit::Millis(900)
-}
-
-fn default_notice() -> unit::Millis {
-    unit::Millis(3_500)
-}
-
-fn default_stop() -> unit::Millis {
-    unit::Millis(7_600)
-}
-
 /// Signals from outside.
 #[derive(Clone, Debug)]
 pub struct Signals {
@@ -134,7 +67,7 @@
 /// # Errors
 /// Fails if one of its addresses cannot be listened on.
 pub async fn run<D: dialect::Dialect, S: dialect::Source>(
-    settings: Settings,
+    settings: gateway_settings::Settings,
     dialect: D,
     source: S,
     mut signals: Signals,
@@ -169,7 +102,7 @@
     let serial = sync::Arc::new(sync::atomic::AtomicU64::new(1));
     let desk = gateway_peers::Desk { messages: asks, serial };
     tokio::spawn(http::serve(peers, desk, stopped_seen));
-    let announced = spawn_reads(&settings, &source, clock, &reads);
+    let announced = gateway_reads::spawn(&settings, &source, clock, &reads);
     let mut shell = Shell::new(&settings, clock, dialect, reports, ready, limits);
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -202,7 +135,7 @@
                 shell.step(gateway::Event::Drain);
                 shell.publish();
                 announced.abort();
-                tokio::spawn(withdraw(source.clone()));
+                tokio::spawn(gateway_reads::withdraw(source.clone()));
             }
             _ = &mut served => break,
         }
@@ -220,27 +153,7 @@
     Ok(())
 }
 
-/// Starts the tasks that read the store; returns the one that announces this gateway.
-fn spawn_reads<S: dialect::Source>(
-    settings: &Settings,
-    source: &S,
-    clock: clock::SystemClock,
-    reads: &mpsc::Sender<gateway::Event>,
-) -> tokio::task::JoinHandle<()> {
-    let me = roster::Peer {
-        instance: settings.instance.clone(),
-        address: settings.peer_listen,
-        domain: settings.domain.clone(),
-        weight: settings.weight,
-    };
-    let pause = settings.poll_ms.duration();
-    tokio::spawn(poll_peers(source.clone(), reads.clone()));
-    tokio::spawn(poll_table(source.clone(), clock, pause, reads.clone()));
-    tokio::spawn(poll_fleet(source.clone(), pause, reads.clone()));
-    tokio::spawn(announce(source.clone(), me))
-}
-
-fn log_start(settings: &Settings) {
+fn log_start(settings: &gateway_settings::Settings) {
     let line = telemetry::Line::new("start")
         .with("role", "gateway")
         .with("instance", &settings.instance)
@@ -252,9 +165,9 @@
 
 /// Reads the settings again. Addresses cannot change while the process runs; a change of theirs is
 /// told, so that operators see that it needs a restart.
-fn reload(settings: &Settings, file: Option<&path::Path>) {
+fn reload(settings: &gateway_settings::Settings, file: Option<&path::Path>) {
     let Some(file) = file else { return };
-    match crate::settings::read::<Settings>(file, &[]) {
+    match crate::settings::read::<gateway_settings::Settings>(file, &[]) {
         Err(e) => log::warn!("event=reload_failed error={:?}", e.to_string()),
         Ok(new) => {
             let is_same = serde_json::to_value(&new).ok() == serde_json::to_value(settings).ok();
@@ -263,7 +176,7 @@
     }
 }
 
-fn terms(settings: &Settings) -> gateway::Terms {
+fn terms(settings: &gateway_settings::Settings) -> gateway::Terms {
     gateway::Terms {
         instance: settings.instance.clone(),
         domain: settings.domain.clone(),
@@ -275,7 +188,7 @@
 
 impl<D: dialect::Dialect> Shell<D> {
     fn new(
-        settings: &Settings,
+        settings: &gateway_settings::Settings,
         clock: clock::SystemClock,
         dialect: D,
         reports: mpsc::Sender<gateway_calls::Report>,
@@ -454,101 +367,3 @@
         self.limits.send_if_modified(|known| std::mem::replace(known, limits) != limits);
     }
 }
-
-/// Logs the loss and the return of a dependency once each.
-struct Watcher {
-    name: &'static str,
-    lost: bool,
-}
-
-impl Watcher {
-    fn note<T>(&mut self, result: &Result<T, dialect::SourceError>) {
-        match result {
-            Ok(_) if self.lost => log::info!("event=store_regained read={}", self.name),
-            Err(e) if !self.lost => {
-                log::warn!("event=store_lost read={} error={:?}", self.name, e.to_string());
-            }
-            _ => {}
-        }
-        self.lost = result.is_err();
-        let outcome = if self.lost { "failed" } else { "ok" };
-        metrics::counter!("gateway_store_reads_total", "read" => self.name, "outcome" => outcome)
-            .increment(1);
-    }
-}
-
-async fn within_read<T>(
-    work: impl Future<Output = Result<T, dialect::SourceError>>,
-) -> Result<T, dialect::SourceError> {
-    http::within(READ_TIMEOUT, work).await.unwrap_or(Err(dialect::SourceError::Unreachable))
-}
-
-async fn poll_table<S: dialect::Source>(
-    source: S,
-    clock: clock::SystemClock,
-    pause: time::Duration,
-    events: mpsc::Sender<gateway::Event>,
-) {
-    let mut watcher = Watcher { name: "table", lost: false };
-    loop {
-        let asked = clock.now();
-        let result = within_read(source.table()).await;
-        watcher.note(&result);
-        let next = if result.is_ok() { pause } else { READ_RETRY };
-        if let Ok(table) = result
-            && events.send(gateway::Event::Table { asked, table }).await.is_err()
-        {
-            return;
-        }
-        tokio::time::sleep(next).await;
-    }
-}
-
-async fn poll_fleet<S: dialect::Source>(
-    source: S,
-    pause: time::Duration,
-    events: mpsc::Sender<gateway::Event>,
-) {
-    let mut watcher = Watcher { name: "fleet", lost: false };
-    loop {
-        let result: Result<Vec<fleet::Listed>, _> = within_read(source.fleet()).await;
-        watcher.note(&result);
-        let next = if result.is_ok() { pause } else { READ_RETRY };
-        if let Ok(list) = result
-            && events.send(gateway::Event::Listed(list)).await.is_err()
-        {
-            return;
-        }
-        tokio::time::sleep(next).await;
-    }
-}
-
-/// Announces this gateway again and again.
-async fn announce<S: dialect::Source>(source: S, me: roster::Peer) {
-    let mut watcher = Watcher { name: "announce", lost: false };
-    loop {
-        let result = within_read(source.announce(&me)).await;
-        watcher.note(&result);
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-    }
-}
-
-async fn withdraw<S: dialect::Source>(source: S) {
-    if let Err(e) = within_read(source.withdraw()).await {
-        log::info!("event=withdraw_failed error={:?}", e.to_string());
-    }
-}
-
-async fn poll_peers<S: dialect::Source>(source: S, events: mpsc::Sender<gateway::Event>) {
-    let mut watcher = Watcher { name: "peers", lost: false };
-    loop {
-        let result = within_read(source.peers()).await;
-        watcher.note(&result);
-        if let Ok(peers) = result
-            && events.send(gateway::Event::Peers(peers)).await.is_err()
-        {
-            return;
-        }
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-    }
-}
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -311,7 +311,8 @@
     let back = |load| admission::Load { is_return: true, ..load };
     let cases = [
         ("on time", load(1_000, 1_000), true),
-        ("on time, though late work waits", load(1_600, 5_900), true),
+        ("on time, though late work waits", load(1_400, 5_900), true),
+        ("on time only if nothing goes wrong, late work waits", load(1_600, 5_900), false),
         ("nearly on time", load(1_900, 1_950), true),
         ("late", load(2_500, 3_000), false),
         ("late, but it came back", back(load(2_500, 3_000)), true),
@@ -320,6 +321,9 @@
     for (case, load, taken) in cases {
         assert_eq!(admission::check(&load).is_ok(), taken, "{case}");
     }
+    let taken = |load| admission::check(&load).expect("it is taken in");
+    assert_eq!(taken(load(1_400, 1_500)), admission::Admitted::Prompt);
+    assert_eq!(taken(load(1_600, 1_700)), admission::Admitted::Late, "it yields to others");
     let refused = admission::check(&load(2_500, 3_000)).expect_err("it is late");
     assert_eq!(refused.refusal.ran.to_string(), "no");
     assert_eq!(refused.pause, Some(ms(1_300)), "when the work ahead has gone down");
