gateway: take requests in only while they can end before a stop

Ruled out: the upstream (its run was cut by us). Change: 2.5 s after the request to stop new requests are refused as not run; the balancer sends no new connections by then. Test: failed before (the field did not exist; the old code took the request in).

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -85,7 +85,7 @@
     longest: collections::BTreeMap<String, time::Duration>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
     budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
-    draining: bool,
+    draining: Option<time::Duration>,
     serial: u64,
     now: clock::Now,
     rng: fastrand::Rng,
@@ -116,7 +116,7 @@
             longest: collections::BTreeMap::new(),
             freed: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
-            draining: false,
+            draining: None,
             serial: 0,
             now: clock::Now::default(),
             rng,
@@ -144,7 +144,9 @@
             Event::Released(message) => self.released(message, effects),
             Event::HandedBack(group, outcomes) => self.handed_back(group, outcomes, effects),
             Event::Probed { peer, is_alive } => self.probed(&peer, is_alive, effects),
-            Event::Drain => self.draining = true,
+            Event::Drain => {
+                self.draining.get_or_insert(now.mono);
+            }
             Event::Tick => self.tick(effects),
         }
         self.dispatch(effects);
@@ -152,7 +154,10 @@
 
     /// Whether new callers should be sent here.
     pub fn is_ready(&self, now: clock::Now) -> bool {
-        self.has_table && !self.draining && !self.fleet.is_empty() && self.freshness.is_recent(now)
+        self.has_table
+            && self.draining.is_none()
+            && !self.fleet.is_empty()
+            && self.freshness.is_recent(now)
     }
 
     /// Returns the number of requests in progress.
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -12,6 +12,9 @@
 use crate::table;
 use crate::telemetry;
 
+/// Time after the request to stop for which requests are still taken in. The balancer sends no new
+/// connections by then, and what is taken in later could not end in time.
+const TAKING_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Time that it costs to do the stages of a request in another region.
 const REGION_TIME: time::Duration = time::Duration::from_millis(250);
 
@@ -63,6 +66,9 @@
         arrival: &gateway::Arrival,
     ) -> Result<(request::Request, admission::Load), admission::Rejection> {
         use refusal::Kind;
+        if self.draining.is_some_and(|since| self.now.mono.saturating_sub(since) > TAKING_TIME) {
+            return Err(reject(Kind::Draining, "this gateway is shutting down"));
+        }
         if !self.has_table {
             return Err(reject(Kind::NotReady, "no configuration is known yet"));
         }
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -294,6 +294,20 @@
     assert_eq!(bench.gateway.open_count(), 0);
 }
 
+#[test]
+fn drain_takes_requests_in_only_while_they_can_end() {
+    // Found by a hunt: a stream that came 3.02 s after the request to stop was cut at the stop.
+    let mut bench = Bench::new();
+    bench.step(gateway::Event::Drain);
+    assert!(!bench.gateway.is_ready(bench.now));
+    bench.pass(ms(2_400));
+    let (_, effects) = bench.arrive("/chat/1");
+    assert!(sent(&effects).is_some(), "callers that come meanwhile are served");
+    bench.pass(ms(200));
+    let (_, effects) = bench.arrive("/chat/1");
+    assert_eq!(refused(&effects), Some((refusal::Kind::Draining, refusal::Ran::No)));
+}
+
 #[test]
 fn gone_cancels_work_at_upstreams() {
     let mut bench = Bench::new();
