gateway: remove a flag that nothing reads; estimate the own region once

Cause: reading the whole change: Call::has_begun was written and never read, and settle_region asked for the estimate of the own region twice. No behaviour changes.

--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -129,17 +129,16 @@
         request: &mut request::Request,
         regions: &[id::RegionId],
     ) -> admission::Load {
-        let own = self.load_of(request, &request.region.clone());
+        let home = request.region.clone();
+        let own = self.load_of(request, &home);
         if request.stages.is_empty() || own.estimate <= own.target {
             return own;
         }
         let mut best = own;
-        for region in regions {
+        for region in regions.iter().filter(|region| **region != home) {
             let mut load = self.load_of(request, region);
-            if *region != request.region {
-                load.estimate += REGION_TIME;
-                load.late += REGION_TIME;
-            }
+            load.estimate += REGION_TIME;
+            load.late += REGION_TIME;
             if load.estimate < best.estimate {
                 best = load;
                 request.region = region.clone();
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -35,7 +35,6 @@
     instance: id::InstanceId,
     sent: time::Duration,
     tokens: u64,
-    has_begun: bool,
 }
 
 impl gateway::Gateway {
@@ -113,7 +112,6 @@
             instance: choice.instance,
             sent: self.now.mono,
             tokens: choice.tokens,
-            has_begun: false,
         };
         self.calls.insert(call, state);
         effects.push(gateway::Effect::Send(Box::new(send)));
@@ -194,7 +192,6 @@
 
     pub(super) fn begun(&mut self, id: gateway::CallId, effects: &mut Vec<gateway::Effect>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        call.has_begun = true;
         let took = self.now.mono.saturating_sub(call.sent);
         // The prompt has been read; only the generation still counts.
         let tokens = std::mem::take(&mut call.tokens);
