ownership: a sidecar declines ranges beyond its share, so that moves end

Cause: owners with too many ranges look at the store in the same round and all offer to the sidecar with the fewest; that one took every offer and had too many itself, which it noticed five seconds later at its next look. Besides, a sidecar judged an offer by a list of members from its start.

Ruled out: lost answers (none in the trace), leases that ran out (none).

Change: the offer says whether its sender stays; then the receiver takes nothing beyond its fair share, so that each move lowers the number of ranges above the shares and the moves end. After a take it looks at the store at once instead of after five seconds. Senders of earlier versions do not say so and are served as before.

--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -104,6 +104,11 @@
         self.owned.get(&range).is_some_and(|owned| owned.leaving)
     }
 
+    /// Whether all ranges are being handed over because this sidecar goes.
+    pub fn is_withdrawing(&self) -> bool {
+        self.leaving
+    }
+
     /// Returns the number of ranges owned.
     pub fn count(&self) -> usize {
         self.owned.len()
@@ -308,6 +313,9 @@
                             changes.push(claim::Change::Taken(range));
                         }
                     }
+                    // The list of members under which they were taken may be old: what is above
+                    // the share by a new one goes on at once.
+                    self.look(now);
                 }
             }
             claim::Reply::TakeFailed => {}
@@ -428,8 +436,22 @@
     }
 
     /// Returns the call that takes ranges offered by their owner.
-    pub fn accept_offer(&mut self, now: clock::Now, ranges: claim::Tokens) -> Option<claim::Call> {
+    ///
+    /// `surplus` tells that the owner stays. Then nothing is taken beyond the fair share: owners
+    /// that looked at the store at the same time offer to the same sidecar, which alone knows the
+    /// sum. So each such move brings the fleet nearer to even shares, and the moves come to an end.
+    pub fn accept_offer(
+        &mut self,
+        now: clock::Now,
+        ranges: claim::Tokens,
+        surplus: bool,
+    ) -> Option<claim::Call> {
         let lease = self.lease.filter(|lease| lease.is_valid(now) && !self.leaving)?;
+        if surplus && self.owned.len() + ranges.len() > self.fair_share() {
+            // The share may come from an old list of members.
+            self.look(now);
+            return None;
+        }
         Some(claim::Call::Take { lease: lease.id, ranges, offered: true })
     }
 
--- a/lib/src/sidecar.rs
+++ b/lib/src/sidecar.rs
@@ -97,6 +97,10 @@
     pub ranges: collections::BTreeMap<u32, RangeLedger>,
     /// States of the attempts behind the keys: whether a whole answer is kept.
     pub done: collections::BTreeMap<id::AttemptId, bool>,
+    /// Whether the sender stays and gives away only what is above its share; a receiver that has
+    /// its own share then declines. Earlier senders don't say, and are never declined for it.
+    #[serde(default)]
+    pub surplus: bool,
 }
 
 /// What happens to a sidecar.
--- a/lib/src/sidecar/handover.rs
+++ b/lib/src/sidecar/handover.rs
@@ -48,7 +48,7 @@
             }
             ranges.insert(*range, RangeLedger { fence: *fence, since, records });
         }
-        Handover { version: wire::MAJOR, ranges, done }
+        Handover { version: wire::MAJOR, ranges, done, surplus: !self.ownership.is_withdrawing() }
     }
 
     pub(super) fn ownership_reply(
@@ -108,7 +108,8 @@
             && self.staged.is_none()
             && self.remembered() + 2 * records <= self.config.limits.ledger_entries as usize;
         let tokens = ledgers.iter().map(|(range, ledger)| (*range, ledger.fence)).collect();
-        match self.ownership.accept_offer(now, tokens).filter(|_| fits) {
+        let surplus = staged.handover.surplus;
+        match self.ownership.accept_offer(now, tokens, surplus).filter(|_| fits) {
             Some(call) => {
                 self.staged = Some(staged);
                 effects.push(Effect::Call(call));
--- /dev/null
+++ b/lib/tests/test_ownership.rs
@@ -0,0 +1,239 @@
+//! Ownership of key ranges: a fleet of sidecars on a model of the store comes to rest.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use bramleyshelf_lib::{claim, clock, id, key, ownership, wire};
+
+const TTL: time::Duration = time::Duration::from_secs(15);
+const TICK: time::Duration = time::Duration::from_millis(20);
+/// Ranges are at rest from here on; two looks at the store fit in.
+const REST: time::Duration = time::Duration::from_secs(8);
+const END: time::Duration = time::Duration::from_secs(20);
+
+/// What is on its way to a sidecar.
+enum Event {
+    Reply(claim::Reply),
+    /// An offer of another sidecar.
+    Offer {
+        from: usize,
+        ranges: claim::Tokens,
+    },
+    /// A take of offered ranges ended at the store.
+    Verdict {
+        from: usize,
+        taken: claim::Reply,
+    },
+}
+
+/// Sidecars, the store as they share it, and what is on its way.
+struct Fleet {
+    sidecars: Vec<ownership::Ownership>,
+    starts: Vec<time::Duration>,
+    staged: Vec<bool>,
+    owners: wire::Owners,
+    members: claim::Members,
+    fence: u64,
+    queue: collections::BTreeMap<(time::Duration, u64), (usize, Event)>,
+    sequence: u64,
+    rng: fastrand::Rng,
+    moved: time::Duration,
+}
+
+fn address(index: usize) -> net::SocketAddr {
+    ([127, 0, 0, 1], 9_000 + index as u16).into()
+}
+
+fn instance(index: usize) -> id::InstanceId {
+    format!("sidecar-{index}").parse().expect("valid")
+}
+
+fn incarnation(index: usize) -> id::Incarnation {
+    id::Incarnation(100 + index as u64)
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let starts = (0..count).map(|_| time::Duration::from_millis(rng.u64(0..1_000))).collect();
+        Self {
+            sidecars: (0..count)
+                .map(|i| ownership::Ownership::new(instance(i), address(i), incarnation(i)))
+                .collect(),
+            starts,
+            staged: vec![false; count],
+            owners: wire::Owners::new(),
+            members: claim::Members::new(),
+            fence: 1,
+            queue: collections::BTreeMap::new(),
+            sequence: 0,
+            rng,
+            moved: time::Duration::ZERO,
+        }
+    }
+
+    fn now(at: time::Duration) -> clock::Now {
+        clock::Now { mono: at, wall: time::Duration::from_secs(1_700_000_000) + at }
+    }
+
+    fn send(&mut self, at: time::Duration, to: usize, event: Event) {
+        let delay = time::Duration::from_millis(self.rng.u64(1..60));
+        self.sequence += 1;
+        self.queue.insert((at + delay, self.sequence), (to, event));
+    }
+
+    /// Moves ranges in the store if they still stand as the caller believes.
+    fn transact(
+        &mut self,
+        at: time::Duration,
+        index: usize,
+        expected: &[(u32, Option<id::FencingToken>)],
+    ) -> Option<id::FencingToken> {
+        self.moved = at;
+        let stands = |(range, fence): &(u32, Option<id::FencingToken>)| {
+            self.owners.get(range).map(|owner| owner.fence) == *fence
+        };
+        if !expected.iter().all(stands) {
+            return None;
+        }
+        self.fence += 1;
+        let fence = id::FencingToken(self.fence);
+        for (range, _) in expected {
+            let owner = wire::Owner {
+                instance: instance(index),
+                address: address(index),
+                incarnation: incarnation(index),
+                fence,
+            };
+            self.owners.insert(*range, owner);
+        }
+        Some(fence)
+    }
+
+    fn call(&mut self, at: time::Duration, index: usize, call: claim::Call) {
+        let lease = index as claim::LeaseId + 1;
+        let reply = match call {
+            claim::Call::Grant { .. } => {
+                let member =
+                    claim::Member { address: address(index), incarnation: incarnation(index) };
+                self.members.insert(instance(index), member);
+                claim::Reply::Lease { id: lease, sent: Self::now(at), ttl: TTL }
+            }
+            claim::Call::KeepAlive { .. } => {
+                claim::Reply::Lease { id: lease, sent: Self::now(at), ttl: TTL }
+            }
+            claim::Call::Read => claim::Reply::View {
+                owners: self.owners.clone(),
+                members: self.members.clone(),
+                marked: self.owners.keys().copied().collect(),
+            },
+            claim::Call::Claim { lease, ranges, first } => {
+                let free: Vec<_> = ranges.iter().map(|range| (*range, None)).collect();
+                match self.transact(at, index, &free) {
+                    Some(fence) => claim::Reply::Claimed { lease, ranges, fence, first },
+                    None => claim::Reply::Refused,
+                }
+            }
+            claim::Call::Take { lease, ranges, offered } => {
+                let held: Vec<_> = ranges.iter().map(|(range, f)| (*range, Some(*f))).collect();
+                let ranges = ranges.into_keys().collect();
+                match self.transact(at, index, &held) {
+                    Some(fence) => claim::Reply::Taken { lease, ranges, fence, offered },
+                    None if offered => claim::Reply::TakeFailed,
+                    None => claim::Reply::Refused,
+                }
+            }
+            claim::Call::Offer { ranges, to } => {
+                let taker = usize::from(to.port() - 9_000);
+                self.send(at, taker, Event::Offer { from: index, ranges });
+                return;
+            }
+            claim::Call::Revoke { .. } | claim::Call::Leave => return,
+        };
+        self.send(at, index, Event::Reply(reply));
+    }
+
+    fn reply(&mut self, at: time::Duration, index: usize, reply: claim::Reply) {
+        let mut calls = Vec::new();
+        self.sidecars[index].reply(Self::now(at), reply, &mut calls, &mut Vec::new());
+        for call in calls {
+            self.call(at, index, call);
+        }
+    }
+
+    fn deliver(&mut self, at: time::Duration, index: usize, event: Event) {
+        match event {
+            Event::Reply(reply) => self.reply(at, index, reply),
+            Event::Offer { from, ranges } => {
+                let offered: Vec<u32> = ranges.keys().copied().collect();
+                let is_free = !self.staged[index];
+                let call = self.sidecars[index].accept_offer(Self::now(at), ranges, true);
+                let Some(claim::Call::Take { lease, ranges, .. }) = call.filter(|_| is_free) else {
+                    let reply = claim::Reply::Offered { ranges: offered, accepted: false };
+                    self.send(at, from, Event::Reply(reply));
+                    return;
+                };
+                self.staged[index] = true;
+                let held: Vec<_> = ranges.iter().map(|(range, f)| (*range, Some(*f))).collect();
+                let taken = match self.transact(at, index, &held) {
+                    Some(fence) => {
+                        claim::Reply::Taken { lease, ranges: offered, fence, offered: true }
+                    }
+                    None => claim::Reply::TakeFailed,
+                };
+                self.send(at, index, Event::Verdict { from, taken });
+            }
+            Event::Verdict { from, taken } => {
+                self.staged[index] = false;
+                if let claim::Reply::Taken { ranges, .. } = &taken {
+                    let offered = claim::Reply::Offered { ranges: ranges.clone(), accepted: true };
+                    self.send(at, from, Event::Reply(offered));
+                }
+                self.reply(at, index, taken);
+            }
+        }
+    }
+
+    /// Runs until `END`; returns when a range moved last.
+    fn run(&mut self) -> time::Duration {
+        let mut at = time::Duration::ZERO;
+        while at < END {
+            while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= at) {
+                let (index, event) = entry.remove();
+                self.deliver(at, index, event);
+            }
+            for index in 0..self.sidecars.len() {
+                if self.starts[index] > at {
+                    continue;
+                }
+                let mut calls = Vec::new();
+                self.sidecars[index].tick(Self::now(at), |_| true, &mut calls);
+                for call in calls {
+                    self.call(at, index, call);
+                }
+            }
+            at += TICK;
+        }
+        self.moved
+    }
+
+    fn counts(&self) -> Vec<usize> {
+        self.sidecars.iter().map(ownership::Ownership::count).collect()
+    }
+}
+
+#[test]
+fn ranges_come_to_rest() {
+    for seed in 0..20 {
+        for count in [2, 6, 11] {
+            let mut fleet = Fleet::new(count, seed);
+            let moved = fleet.run();
+            let counts = fleet.counts();
+            assert!(moved < REST, "seed {seed}, {count} sidecars: moved at {moved:?}: {counts:?}");
+            assert_eq!(fleet.owners.len(), key::RANGES as usize);
+            let fair = (key::RANGES as usize).div_ceil(count);
+            assert!(counts.iter().all(|owned| *owned <= fair), "seed {seed}: {counts:?}");
+        }
+    }
+}
--- a/lib/tests/test_sidecar.rs
+++ b/lib/tests/test_sidecar.rs
@@ -484,6 +484,7 @@
         version: wire::MAJOR,
         ranges: collections::BTreeMap::from([(range, ledger)]),
         done: collections::BTreeMap::from([(id::AttemptId(10), true)]),
+        surplus: false,
     };
     for (taken, started) in [(true, 0), (false, 0)] {
         let mut taker = Bench::new("bookings");
