cli: a closed pipe ends no command

Cause: the standard print macro panics when the reader of the output is gone, as in `bramleyshelf status | head -1`.

Change: commands write through output::line. A closed pipe is not a failure: the command goes on, with the same exit status; any other failure to write is reported with a hint.

Test: every subcommand that prints, with a closed pipe and with a full disk.

--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -8,6 +8,7 @@
 
 use crate::commands;
 use crate::failure;
+use crate::output;
 
 /// Pause between two looks at the processes.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -48,7 +49,7 @@
     let store = commands::open_store(&args.store);
     let nonce = commands::nonce();
     let revision = operator::apply(&store, &text, args.expect, &nonce).await?;
-    println!("revision {revision}");
+    output::line(format_args!("revision {revision}"))?;
     if args.wait {
         wait(&store, revision, time::Duration::from_secs(args.timeout)).await?;
     }
@@ -66,7 +67,10 @@
         let late: Vec<_> = reports.iter().filter(|report| !report.has(revision)).collect();
         if late.is_empty() {
             let millis = start.elapsed().as_millis();
-            println!("in force at {} process(es) after {millis} ms", reports.len());
+            output::line(format_args!(
+                "in force at {} process(es) after {millis} ms",
+                reports.len()
+            ))?;
             return Ok(());
         }
         if start.elapsed() >= timeout {
@@ -75,7 +79,10 @@
                     || "no answer".to_owned(),
                     |status| format!("revision {}", status.revision),
                 );
-                println!("not in force: {} {} ({shown})", report.instance, report.process.address);
+                output::line(format_args!(
+                    "not in force: {} {} ({shown})",
+                    report.instance, report.process.address
+                ))?;
             }
             return Err(failure::Failure::NotInForce { count: late.len(), revision });
         }
--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -7,6 +7,7 @@
 
 use crate::commands;
 use crate::failure;
+use crate::output;
 
 /// Arguments of `check`.
 #[derive(Clone, Debug)]
@@ -24,11 +25,11 @@
 pub fn run(args: &CheckArgs) -> Result<(), failure::Failure> {
     let text = commands::read_file(&args.file)?;
     let config = check::parse(&text)?;
-    println!(
+    output::line(format_args!(
         "ok: {} service(s), {} pipeline(s), {} team(s)",
         config.services.len(),
         config.pipelines.len(),
         config.teams.len()
-    );
+    ))?;
     Ok(())
 }
--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -13,6 +13,7 @@
 
 use crate::commands;
 use crate::failure;
+use crate::output;
 use crate::process;
 
 /// Text that runs if no file is given.
@@ -99,7 +100,7 @@
     }
     platform.instances.set(listed);
     let address = callers.local_addr().expect("a listener has an address");
-    print_addresses(&config, address, &platform);
+    print_addresses(&config, address, &platform)?;
     let settings = settings::EntrySettings {
         instance: "entry-0".parse().expect("the name is valid"),
         listen: address,
@@ -165,16 +166,21 @@
     }
 }
 
-fn print_addresses(config: &config::Config, address: net::SocketAddr, platform: &Platform) {
-    println!("store      {}", platform.store_url());
-    println!("instances  {}", platform.list_url());
+fn print_addresses(
+    config: &config::Config,
+    address: net::SocketAddr,
+    platform: &Platform,
+) -> Result<(), failure::Failure> {
+    output::line(format_args!("store      {}", platform.store_url()))?;
+    output::line(format_args!("instances  {}", platform.list_url()))?;
     for name in config.pipelines.keys() {
-        println!("pipeline   http://{address}/pipelines/{name}");
+        output::line(format_args!("pipeline   http://{address}/pipelines/{name}"))?;
     }
     for (name, service) in &config.services {
         if service.public {
-            println!("service    http://{address}/services/{name}");
+            output::line(format_args!("service    http://{address}/services/{name}"))?;
         }
     }
-    println!("entry      http://{address}");
+    output::line(format_args!("entry      http://{address}"))?;
+    Ok(())
 }
--- a/cli/src/commands/diff.rs
+++ b/cli/src/commands/diff.rs
@@ -7,6 +7,7 @@
 
 use crate::commands;
 use crate::failure;
+use crate::output;
 
 /// Arguments of `diff`.
 #[derive(Clone, Debug)]
@@ -30,12 +31,12 @@
     let current = operator::read(&commands::open_store(&args.store)).await?;
     let lines = operator::changes(&current.accepted.text, &text);
     if args.json {
-        println!("{}", serde_json::json!({ "revision": current.revision, "changes": lines }));
+        output::line(serde_json::json!({ "revision": current.revision, "changes": lines }))?;
         return Ok(());
     }
     eprintln!("against revision {}", current.revision);
     for line in lines {
-        println!("{line}");
+        output::line(line)?;
     }
     Ok(())
 }
--- a/cli/src/commands/drain.rs
+++ b/cli/src/commands/drain.rs
@@ -7,6 +7,7 @@
 
 use crate::commands;
 use crate::failure;
+use crate::output;
 
 /// Pause between two looks at the instance.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -44,7 +45,7 @@
     let nonce = commands::nonce();
     let revision =
         operator::set_draining(&store, &args.instance, draining, args.force, &nonce).await?;
-    println!("revision {revision}");
+    output::line(format_args!("revision {revision}"))?;
     if args.wait {
         wait(&store, &args, draining, revision).await?;
     }
@@ -73,7 +74,7 @@
         };
         if done {
             let word = if draining { "drained" } else { "serving" };
-            println!("{word} after {} ms", start.elapsed().as_millis());
+            output::line(format_args!("{word} after {} ms", start.elapsed().as_millis()))?;
             return Ok(());
         }
         if start.elapsed() >= timeout {
--- a/cli/src/commands/show.rs
+++ b/cli/src/commands/show.rs
@@ -5,6 +5,7 @@
 
 use crate::commands;
 use crate::failure;
+use crate::output;
 
 /// Arguments of `show`.
 #[derive(Clone, Debug)]
@@ -32,13 +33,13 @@
             "draining": current.accepted.draining,
             "text": current.accepted.text,
         });
-        println!("{value}");
+        output::line(value)?;
     } else {
         eprintln!("revision {}", current.revision);
         for instance in &current.accepted.draining {
             eprintln!("draining {instance}");
         }
-        print!("{}", current.accepted.text);
+        output::part(&current.accepted.text)?;
     }
     Ok(())
 }
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -5,6 +5,7 @@
 
 use crate::commands;
 use crate::failure;
+use crate::output;
 
 /// Arguments of `status`.
 #[derive(Clone, Debug)]
@@ -27,12 +28,12 @@
     let reports = operator::reports(&store).await?;
     if args.json {
         let value = serde_json::json!({ "revision": current.revision, "processes": reports });
-        println!("{value}");
+        output::line(value)?;
         return Ok(());
     }
-    println!("accepted revision {}", current.revision);
+    output::line(format_args!("accepted revision {}", current.revision))?;
     for report in &reports {
-        println!("{}", describe(report));
+        output::line(describe(report))?;
     }
     Ok(())
 }
--- a/cli/src/failure.rs
+++ b/cli/src/failure.rs
@@ -28,6 +28,13 @@
         /// Why.
         source: io::Error,
     },
+    /// Standard output can't be written to.
+    #[display("cannot write to standard output: {source}")]
+    #[from(skip)]
+    Output {
+        /// Why.
+        source: io::Error,
+    },
     /// An override is not of the form `FIELD=VALUE`.
     #[display("`{text}` is not of the form FIELD=VALUE")]
     #[from(skip)]
@@ -68,6 +75,7 @@
         Some(match self {
             Self::Listen { .. } => "choose a free address of this instance, or stop its holder",
             Self::Read { .. } => "check the path and its permissions",
+            Self::Output { .. } => "check the room and the permissions where the output goes",
             Self::Override { .. } => "write it like `--set listen=10.0.0.4:7000`",
             Self::Faults(_) => "docs/operations/configuration.md explains every field",
             Self::Settings(_) => "docs/operations/settings.md explains every field",
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod failure;
 mod logging;
+mod output;
 mod process;
 
 use std::process as std_process;
--- a/cli/src/process.rs
+++ b/cli/src/process.rs
@@ -6,6 +6,7 @@
 
 use crate::failure;
 use crate::logging;
+use crate::output;
 
 /// Runs a command to its end on one thread and reports its failure.
 pub fn block_on(
@@ -26,7 +27,10 @@
         Ok(()) => process::ExitCode::SUCCESS,
         Err(failure) => {
             for line in failure.details() {
-                println!("{line}");
+                if output::line(line).is_err() {
+                    // The failure itself follows on standard error.
+                    break;
+                }
             }
             eprintln!("Error: {failure}");
             if let Some(hint) = failure.hint() {
--- a/cli/src/sidecar_main.rs
+++ b/cli/src/sidecar_main.rs
@@ -2,6 +2,7 @@
 
 mod failure;
 mod logging;
+mod output;
 mod process;
 mod settings_args;
 
