http: a body whose declared length is beyond the limit is refused at once

Cause: only bytes that arrived were counted, so that a head which declares 99,999,999,999 bytes was kept waiting for its body until the time-out. Change: the declared length is compared first. Entries, gateways and peers share the function. Test: declared_length_beyond_limit_is_refused_at_once (413 within 2 s).

--- a/cli/tests/test_callers.rs
+++ b/cli/tests/test_callers.rs
@@ -77,6 +77,16 @@
     assert_eq!(system.runs("availability").len(), 1, "nothing else reached an upstream");
 }
 
+#[tokio::test]
+async fn declared_length_beyond_limit_is_refused_at_once() {
+    let system = start("declared").await;
+    let start = time::Instant::now();
+    let request = head("POST", "/services/availability", "", 99_999_999_999);
+    let status = send_raw(system.entries[0].address, request.as_bytes(), false).await;
+    assert_eq!(status, 413);
+    assert!(start.elapsed() < time::Duration::from_secs(2), "{:?}", start.elapsed());
+}
+
 #[tokio::test]
 async fn unknown_credential_reaches_no_upstream() {
     let system = start("credential").await;
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -9,6 +9,7 @@
 use std::time;
 
 use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
 use hyper_util::client::legacy;
 use hyper_util::rt;
 use hyper_util::server::conn::auto;
@@ -144,6 +145,10 @@
     limit: u64,
     timeout: time::Duration,
 ) -> Result<bytes::Bytes, ReadError> {
+    // A length that the head declares is known before any of it arrives.
+    if body.size_hint().lower() > limit {
+        return Err(ReadError::TooLarge);
+    }
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
     let collect = http_body_util::Limited::new(body, limit).collect();
     match tokio::time::timeout(timeout, collect).await {
