batch, place: results stay in their failure domain; memory is filled as it really is

After each call in which one or two of thirty results found no room (results differ in size), the gateway took the memory for a tenth less than what had fitted, and left the upstream alone for 60 ms: 4.7 of 5.7 MB were in use. In the first stage a heavy group without room stopped all light groups behind it. 31 GB of results went between failure domains: stages took any free upstream, and a flat cost of 80 ms kept generations with short shared prompts at an engine away from their results.

Ruled out: results that are never given up (772 of 150,000 ran out, all while gateways were cut off from each other); a late release (counted by Little's law: none).

Change: room after a partial refusal is what fitted, without a pause; light groups pass heavy ones that wait for room; a stage with heavy inputs prefers upstreams of their failure domain, by up to 150 ms of urgency; an engine that is not the favourite costs the time to read the shared parts. Lines of batches tell memory held, room, pieces left and pieces without room; results that ran out unclaimed are told.

Tests: batch_goes_where_its_inputs_are, batch_goes_elsewhere_if_there_is_no_room_near_its_inputs, fleet_room_after_refusals_is_what_fitted, engine_near_heavy_results_goes_before_the_favourite_of_short_prompts; batch_does_not_split_or_overtake_heavy_groups now asks that light ones do pass.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -21,6 +21,10 @@
 /// Time given to a request for each rank that it is below the highest.
 const RANK_DELAY: time::Duration = time::Duration::from_millis(400);
 
+/// Time that a lot yields to those whose inputs are in the upstream's failure domain: less than a
+/// call, so that it is not passed over again and again.
+const FAR_DELAY: time::Duration = time::Duration::from_millis(150);
+
 /// Pieces of one stage of one request.
 #[derive(Clone, Copy, Debug, Default, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
 pub struct GroupId(pub u64);
@@ -36,7 +40,7 @@
 }
 
 /// A piece that waits for a call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Waiting {
     /// The piece.
     pub id: PieceId,
@@ -46,6 +50,8 @@
     pub rank: u8,
     /// Usual size of its result.
     pub size: unit::ByteSize,
+    /// Failure domain that keeps what it works on, if that is much.
+    pub inputs: Option<id::DomainId>,
 }
 
 /// Number of a call with a batch.
@@ -61,6 +67,10 @@
     pub pieces: Vec<Waiting>,
     /// Time that the call should take once its turn comes.
     pub expected: time::Duration,
+    /// Memory for results that was free at the upstream.
+    pub room: unit::ByteSize,
+    /// Pieces of the pool that still wait.
+    pub left: usize,
 }
 
 /// Pieces of one group that wait.
@@ -74,6 +84,27 @@
     fn rank(&self) -> u8 {
         self.pieces.values().next().map_or(u8::MAX, |waiting| waiting.rank)
     }
+
+    /// Returns the failure domain that keeps its inputs, if they are much.
+    fn inputs(&self) -> Option<&id::DomainId> {
+        self.pieces.values().next().and_then(|waiting| waiting.inputs.as_ref())
+    }
+
+    /// Whether its inputs would have to be brought from another failure domain.
+    fn is_far(&self, domain: &id::DomainId) -> bool {
+        self.inputs().is_some_and(|inputs| inputs != domain)
+    }
+
+    /// Returns the memory that its results take.
+    fn bytes(&self) -> u64 {
+        self.pieces.values().map(|waiting| waiting.size.0).sum()
+    }
+
+    /// Returns its place among lots of its class: when it is due, later for lower ranks.
+    fn due(&self) -> time::Duration {
+        let due = |waiting: &Waiting| waiting.due + RANK_DELAY * u32::from(waiting.rank);
+        self.pieces.values().next().map(due).unwrap_or_default()
+    }
 }
 
 /// Order in which lots are taken: first those of which a part was made already, because its results
@@ -128,9 +159,10 @@
 
     /// Adds a piece of a group that was begun.
     pub fn push_again(&mut self, pool: &roster::PoolId, waiting: Waiting) {
+        let group = waiting.id.group;
         self.push(pool, waiting);
         let queue = self.queues.entry(pool.clone()).or_default();
-        queue.entry(waiting.id.group).or_default().is_begun = true;
+        queue.entry(group).or_default().is_begun = true;
     }
 
     /// Removes all pieces of a group.
@@ -197,16 +229,23 @@
         if queue.is_empty() {
             return None;
         }
-        let (instance, upstream) = pick(now, pool, fleet)?;
+        let first = queue.values().min_by_key(|lot| (class(now, lot, terms), lot.due()))?;
+        let (instance, upstream) = pick(now, pool, terms, first, fleet)?;
         let held = upstream.held(now).0;
         let room = upstream.room(terms.room).0.saturating_sub(held);
-        let pieces = Taker { room, places: terms.size, is_empty: held == 0 }
-            .take(queue, |lot| class(now, lot, terms));
+        let domain = &upstream.listed.domain;
+        let pieces = Taker { room, places: terms.size, is_empty: held == 0, is_reserved: false }
+            .take(queue, |lot| {
+                let delay = if lot.is_far(domain) { FAR_DELAY } else { time::Duration::ZERO };
+                (class(now, lot, terms), lot.due() + delay)
+            });
         if pieces.is_empty() {
             return None;
         }
         let expected = terms.duration(pieces.len());
-        Some(Dispatch { instance: instance.clone(), pieces, expected })
+        let left = queue.values().map(|lot| lot.pieces.len()).sum();
+        let room = unit::ByteSize(room);
+        Some(Dispatch { instance: instance.clone(), pieces, expected, room, left })
     }
 }
 
@@ -220,7 +259,7 @@
 impl Demand {
     fn add(&mut self, lot: &Lot) {
         self.pieces += lot.pieces.len();
-        self.bytes += lot.pieces.values().map(|waiting| waiting.size.0).sum::<u64>();
+        self.bytes += lot.bytes();
     }
 
     /// Returns the seconds until the work has been sent out: bounded by full calls, or by the
@@ -249,6 +288,8 @@
     room: u64,
     places: usize,
     is_empty: bool,
+    /// Whether a heavy lot waits for more room, which no other heavy lot may take.
+    is_reserved: bool,
 }
 
 impl Taker {
@@ -256,19 +297,12 @@
     fn take(
         mut self,
         queue: &mut collections::BTreeMap<GroupId, Lot>,
-        class: impl Fn(&Lot) -> Class,
+        order: impl Fn(&Lot) -> (Class, time::Duration),
     ) -> Vec<Waiting> {
-        let mut order: Vec<_> = queue
-            .iter()
-            .filter_map(|(group, lot)| {
-                let first = lot.pieces.values().next()?;
-                let due = first.due + RANK_DELAY * u32::from(first.rank);
-                Some((class(lot), due, *group))
-            })
-            .collect();
+        let mut order: Vec<_> = queue.iter().map(|(group, lot)| (order(lot), *group)).collect();
         order.sort_unstable();
         let mut taken = Vec::new();
-        for (_, _, group) in order {
+        for (_, group) in order {
             if self.places == 0 {
                 break;
             }
@@ -289,12 +323,14 @@
             count = count.max(1);
         }
         count = count.min(self.places);
-        // A part of a heavy lot would only wait for the rest.
         let is_heavy = size >= HEAVY_BYTES;
+        if is_heavy && self.is_reserved {
+            return;
+        }
+        // A part of a heavy lot would only wait for the rest.
         let may_split = !is_heavy || lot.is_begun || taken.is_empty() && self.is_empty;
         if count < lot.pieces.len() && !may_split {
-            // No other heavy lot may take the room that this one waits for.
-            self.room = 0;
+            self.is_reserved = true;
             return;
         }
         for _ in 0..count {
@@ -307,11 +343,14 @@
     }
 }
 
-/// Picks a free upstream of the pool: the one with the least work of others, then the one that
-/// keeps the fewest results.
+/// Picks a free upstream of the pool for a lot: the one with the least work of others, then one with
+/// room for it, then one in the failure domain of its inputs, then the one that keeps the fewest
+/// results.
 fn pick<'a>(
     now: time::Duration,
     pool: &'a roster::PoolId,
+    terms: &table::Batching,
+    lot: &Lot,
     fleet: &'a fleet::Fleet,
 ) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
     let usable: Vec<_> = fleet.pool(pool).filter(|(_, up)| up.is_usable(now)).collect();
@@ -319,5 +358,9 @@
     usable
         .into_iter()
         .filter(|(_, up)| up.flying == 0 && up.slowness(now) <= best * SLOW_RATIO)
-        .min_by_key(|(_, up)| (up.foreign(now), up.held(now).0))
+        .min_by_key(|(_, up)| {
+            let held = up.held(now).0;
+            let is_full = up.room(terms.room).0 < held + lot.bytes();
+            (up.foreign(now), is_full, lot.is_far(&up.listed.domain), held)
+        })
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -25,8 +25,6 @@
 const SLOW_MEMORY: time::Duration = time::Duration::from_secs(3);
 /// Age up to which a reported load is believed.
 const LOAD_AGE: time::Duration = time::Duration::from_millis(300);
-/// Factor by which the room of an upstream is taken to be less than what it held when it was full.
-const ROOM_SHRINK: f64 = 0.9;
 /// Least share of an upstream's memory that is taken for free; the rest may be held for others.
 const LEAST_ROOM: f64 = 0.4;
 /// Share of the memory by which the room is taken to be more with each list.
@@ -152,15 +150,18 @@
     }
 
     /// Forgets results whose time is over, and finds out again how much room there is.
-    fn age_results(&mut self, now: time::Duration) {
+    /// Returns how many were never given up.
+    fn age_results(&mut self, now: time::Duration) -> usize {
+        let before = self.kept.len();
         self.kept.retain(|_, kept| kept.until > now);
         self.room = (self.room + ROOM_GROWTH).min(1.0);
+        before - self.kept.len()
     }
 
-    /// Takes note that the upstream had no room beside what it held.
+    /// Takes note that the upstream had no room beside what it holds.
     pub fn note_full(&mut self, now: time::Duration, total: unit::ByteSize) {
         let share = self.held(now).0 as f64 / total.0.max(1) as f64;
-        self.room = (share * ROOM_SHRINK).clamp(LEAST_ROOM, self.room);
+        self.room = share.clamp(LEAST_ROOM, self.room);
     }
 
     /// Returns the ratio of the time that its calls take to the time that they should take. Without
@@ -193,6 +194,8 @@
     pub leaving: Vec<id::InstanceId>,
     /// Upstreams that are gone, or began another life.
     pub gone: Vec<id::InstanceId>,
+    /// Results whose time at an upstream ran out, as nobody gave them up.
+    pub expired: collections::BTreeMap<id::InstanceId, usize>,
 }
 
 /// All upstreams that a gateway knows.
@@ -250,8 +253,11 @@
             self.take(listed, &mut change);
         }
         self.drop_missing(now, &present, &mut change);
-        for upstream in self.upstreams.values_mut() {
-            upstream.age_results(now);
+        for (instance, upstream) in &mut self.upstreams {
+            let expired = upstream.age_results(now);
+            if expired > 0 {
+                change.expired.insert(instance.clone(), expired);
+            }
         }
         change
     }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -142,6 +142,7 @@
             Event::TakeOver(ticket, message) => self.take_over(ticket, *message, effects),
             Event::Withdrawn(ticket) => self.withdrawn(ticket),
             Event::Released(message) => self.released(message, effects),
+            Event::Freed { instance, handles } => self.results_freed(&instance, &handles),
             Event::HandedBack(group, outcomes) => self.handed_back(group, outcomes, effects),
             Event::Probed { peer, is_alive } => self.probed(&peer, is_alive, effects),
             Event::Drain => {
@@ -218,6 +219,12 @@
                 effects.push(Effect::Log(telemetry::Line::new(event).with("upstream", instance)));
             }
         }
+        for (instance, results) in &change.expired {
+            let line = telemetry::Line::new("results_expired")
+                .with("upstream", instance)
+                .with("results", results);
+            effects.push(Effect::Log(line));
+        }
         for instance in &change.gone {
             self.placement.forget(instance);
             self.freed.remove(instance);
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -62,6 +62,7 @@
         }
         let size = unit::ByteSize(pieces.iter().map(|waiting| waiting.size.0).sum());
         upstream.expect_results(size);
+        let held = upstream.held(now);
         let foreign = upstream.foreign(now);
         let address = upstream.listed.address;
         let slowness = upstream.slowness(now);
@@ -74,6 +75,9 @@
             .with("pieces", pieces.len())
             .with("expected_ms", next.expected.as_millis())
             .with("foreign", foreign)
+            .with("held_kb", held.0 / 1_000)
+            .with("room_kb", next.room.0 / 1_000)
+            .with("left", next.left)
             .with("requests", names_of(&items));
         effects.push(gateway::Effect::Log(line));
         metrics::histogram!("gateway_batch_pieces").record(items.len() as f64);
@@ -131,6 +135,8 @@
             .with("batch", id)
             .with("upstream", &flight.instance)
             .with("outcome", outcome_name(&outcome))
+            .with("made", count(&outcome, |piece| matches!(piece, gateway::PieceOutcome::Done(_))))
+            .with("no_room", count(&outcome, |piece| *piece == gateway::PieceOutcome::NoRoom))
             .with("took_ms", took.as_millis());
         effects.push(gateway::Effect::Log(line));
         metrics::histogram!("gateway_batch_seconds").record(took.as_secs_f64());
@@ -139,9 +145,15 @@
                 let expected = flight.expected.as_secs_f64().max(0.001);
                 let ratio = (flight.foreign == 0).then(|| took.as_secs_f64() / expected);
                 self.fleet.succeeded(now, &flight.instance, ratio);
+                let no_room = outcomes.iter().any(|piece| *piece == gateway::PieceOutcome::NoRoom);
+                let made = |piece: &_| matches!(piece, gateway::PieceOutcome::Done(_));
+                let has_made = outcomes.iter().any(made);
                 for (waiting, outcome) in flight.pieces.iter().zip(outcomes) {
                     self.piece_ended(&flight, waiting, outcome);
                 }
+                if no_room {
+                    self.note_full(&flight, has_made);
+                }
             }
             gateway::BatchOutcome::Full => {
                 if let Some(upstream) = self.fleet.get_mut(&flight.instance) {
@@ -157,6 +169,17 @@
         self.close_groups(&flight, effects);
     }
 
+    /// Takes note that some pieces of a call found no room: results are not all of their usual size,
+    /// or others have some there too.
+    fn note_full(&mut self, flight: &Flight, has_made: bool) {
+        let now = self.now.mono;
+        let Some(upstream) = self.fleet.get_mut(&flight.instance) else { return };
+        upstream.note_full(now, flight.room);
+        if !has_made {
+            upstream.full_until = now + FULL_PAUSE;
+        }
+    }
+
     fn pieces_failed(&mut self, flight: &Flight) {
         for waiting in &flight.pieces {
             self.piece_failed(waiting.id);
@@ -215,13 +238,7 @@
                     group.pieces.insert(piece.piece, Some(handoff::Outcome::Failed));
                 }
             }
-            gateway::PieceOutcome::NoRoom => {
-                if let Some(upstream) = self.fleet.get_mut(&flight.instance) {
-                    upstream.note_full(now, flight.room);
-                    upstream.full_until = now + FULL_PAUSE;
-                }
-                self.requeue(piece);
-            }
+            gateway::PieceOutcome::NoRoom => self.requeue(piece),
             gateway::PieceOutcome::Failed => self.piece_failed(piece),
         }
     }
@@ -231,6 +248,19 @@
     fleet.get(instance).map(|up| up.listed.service.to_string()).unwrap_or_default()
 }
 
+/// Returns how many pieces of a call ended in a way.
+fn count(
+    outcome: &gateway::BatchOutcome,
+    is_counted: impl Fn(&gateway::PieceOutcome) -> bool,
+) -> usize {
+    match outcome {
+        gateway::BatchOutcome::Done(pieces) => {
+            pieces.iter().filter(|piece| is_counted(piece)).count()
+        }
+        _ => 0,
+    }
+}
+
 fn outcome_name(outcome: &gateway::BatchOutcome) -> &'static str {
     match outcome {
         gateway::BatchOutcome::Done(_) => "done",
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -54,6 +54,8 @@
     pub size: unit::ByteSize,
     /// What the pieces work on.
     pub source: gateway::Source,
+    /// Failure domain that keeps what they work on, if that is much.
+    pub inputs: Option<id::DomainId>,
     /// The pieces, with their outcomes once they have them.
     pub pieces: collections::BTreeMap<u32, Option<handoff::Outcome>>,
     /// Times that pieces failed.
@@ -120,6 +122,7 @@
             rank: group.rank,
             size: group.size,
             source: group.source.clone(),
+            inputs: group.inputs.clone(),
         };
         let line = telemetry::Line::new("hand_over")
             .with("request", &group.name)
@@ -174,6 +177,7 @@
             rank: message.rank,
             size: message.size,
             source: message.source,
+            inputs: message.inputs,
             pieces: message.pieces.into_iter().map(|piece| (piece, None)).collect(),
             failures: 0,
             handed: None,
@@ -369,16 +373,13 @@
 
     pub(super) fn flush_freed(&mut self, effects: &mut Vec<gateway::Effect>) {
         for (instance, handles) in std::mem::take(&mut self.freed) {
-            let Some(upstream) = self.fleet.get_mut(&instance) else { continue };
+            let Some(upstream) = self.fleet.get(&instance) else { continue };
             let listed = &upstream.listed;
             let pool = self.terms.regions.get(&listed.domain).map(|region| roster::PoolId {
                 service: listed.service.clone(),
                 region: region.clone(),
             });
             let upstream_address = listed.address;
-            for handle in &handles {
-                upstream.release(handle);
-            }
             let batcher = pool
                 .and_then(|pool| self.roster.batcher(self.now.mono, &pool, &self.terms.regions))
                 .filter(|peer| peer.instance != self.terms.instance);
@@ -398,19 +399,26 @@
         message: handoff::Release,
         effects: &mut Vec<gateway::Effect>,
     ) {
-        let Some(upstream) = self.fleet.get_mut(&message.instance) else { return };
-        for handle in &message.handles {
-            upstream.release(handle);
-        }
+        let Some(upstream) = self.fleet.get(&message.instance) else { return };
         let address = upstream.listed.address;
         let handoff::Release { instance, handles, .. } = message;
         effects.push(gateway::Effect::Free { instance, address, handles });
     }
+
+    /// Takes note that an upstream has freed results; a call sent before could find it full.
+    pub(super) fn results_freed(&mut self, instance: &id::InstanceId, handles: &[gateway::Handle]) {
+        if let Some(upstream) = self.fleet.get_mut(instance) {
+            for handle in handles {
+                upstream.release(handle);
+            }
+        }
+    }
 }
 
 impl Group {
     /// Returns the entry of a piece in a queue.
     fn waiting(&self, id: batch::PieceId) -> batch::Waiting {
-        batch::Waiting { id, due: self.due, rank: self.rank, size: self.size }
+        let inputs = self.inputs.clone();
+        batch::Waiting { id, due: self.due, rank: self.rank, size: self.size, inputs }
     }
 }
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -240,6 +240,13 @@
     Withdrawn(Ticket),
     /// Another gateway gives results up.
     Released(handoff::Release),
+    /// An upstream has freed results.
+    Freed {
+        /// The upstream.
+        instance: id::InstanceId,
+        /// The results.
+        handles: Vec<Handle>,
+    },
     /// What became of a group that was handed over; nothing if its holder was lost.
     HandedBack(batch::GroupId, Option<handoff::Outcomes>),
     /// Whether a gateway is alive.
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -4,6 +4,7 @@
 
 use crate::admission;
 use crate::batch;
+use crate::fleet;
 use crate::gateway;
 use crate::gateway::groups;
 use crate::gateway::request;
@@ -28,6 +29,8 @@
 const RETURN_SHARE: f64 = 0.84;
 /// Part of that time that callers begin with on average.
 const USUAL_SHARE: f64 = 0.92;
+/// Bytes from which it is worth a choice of the upstream that they needn't leave a failure domain.
+const MOVED_BYTES: u64 = 200_000;
 /// Times that pieces of one request are made again before it is given up.
 const MAX_REMAKES: u32 = 8;
 
@@ -61,10 +64,11 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let terms = &request.route.stages[stage];
         let due = request.due.saturating_sub(time_after(&table, request, stage));
+        let results = request.results_of(terms.after.iter().copied());
+        let inputs = main_domain(&self.fleet, &results, request.stages[stage].len());
         let source = if terms.after.is_empty() {
             gateway::Source::Key(request.key.clone().unwrap_or_default())
         } else {
-            let results = request.results_of(terms.after.iter().copied());
             gateway::Source::Results(results.into_iter().map(|kept| kept.handle).collect())
         };
         let (service, size) = (terms.service.clone(), terms.size);
@@ -85,6 +89,7 @@
             rank: request.rank,
             size,
             source,
+            inputs,
             pieces,
             failures: 0,
             handed: None,
@@ -302,6 +307,23 @@
     }
 }
 
+/// Returns the failure domain that keeps most of what pieces work on, if it is worth a choice: each
+/// of the `pieces` is sent all results.
+fn main_domain(
+    fleet: &fleet::Fleet,
+    results: &[request::Kept],
+    pieces: usize,
+) -> Option<id::DomainId> {
+    let mut bytes: std::collections::BTreeMap<_, u64> = std::collections::BTreeMap::new();
+    for kept in results {
+        if let Some(maker) = fleet.get(&kept.instance) {
+            *bytes.entry(&maker.listed.domain).or_default() += kept.size.0 * pieces as u64;
+        }
+    }
+    let (domain, most) = bytes.into_iter().max_by_key(|(_, bytes)| *bytes)?;
+    (most >= MOVED_BYTES).then(|| domain.clone())
+}
+
 /// Returns the time that a request is expected to need after a stage.
 fn time_after(table: &table::Table, request: &request::Request, stage: usize) -> time::Duration {
     let followers = (0..request.route.stages.len())
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -282,7 +282,13 @@
         let request = post(address, message);
         let sent = self.pool.send(address, u32::MAX, request);
         match http::within(FREE_TIMEOUT, sent).await {
-            Some(Ok((response, lease))) => give_back_empty(response, lease).await,
+            Some(Ok((response, lease))) => {
+                let is_freed = response.status().is_success();
+                give_back_empty(response, lease).await;
+                if is_freed {
+                    self.report(gateway::Event::Freed { instance, handles }).await;
+                }
+            }
             _ => log::info!("event=free_failed upstream={instance} results={}", handles.len()),
         }
     }
--- a/lib/src/handoff.rs
+++ b/lib/src/handoff.rs
@@ -42,6 +42,9 @@
     pub size: unit::ByteSize,
     /// What the pieces work on.
     pub source: gateway::Source,
+    /// Failure domain that keeps what they work on, if that is much; earlier senders don't say.
+    #[serde(default)]
+    pub inputs: Option<id::DomainId>,
 }
 
 /// Outcomes of pieces, in the order in which they were handed over.
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -16,8 +16,6 @@
 const READ_RATE: f64 = 70.0;
 /// Milliseconds that each running generation adds to the time for a new one.
 const SHARE_COST: f64 = 2.0;
-/// Milliseconds that stand against an engine that gateways would not all pick for these parts.
-const STRANGER_COST: f64 = 80.0;
 /// Time for which parts are expected to stay in a cache.
 const CACHE_TIME: time::Duration = time::Duration::from_secs(10);
 /// Most parts remembered for one engine.
@@ -112,6 +110,10 @@
         candidates: &[Candidate],
     ) -> Option<Choice> {
         let favourite = Self::favourite(parts, candidates);
+        // Other gateways keep the shared parts in the favourite's cache; another engine has to read
+        // them, unless this gateway sent them there.
+        let shared: u64 = parts.iter().rev().skip(1).map(|part| part.tokens).sum();
+        let stranger = shared as f64 / READ_RATE;
         let empty = Cache::default();
         candidates
             .iter()
@@ -120,7 +122,7 @@
                 let tokens = cache.missing(now, parts);
                 let mut cost = cost_of(candidate, tokens);
                 if Some(&candidate.instance) != favourite.as_ref() {
-                    cost += STRANGER_COST;
+                    cost += stranger;
                 }
                 Choice { instance: candidate.instance.clone(), cost, tokens }
             })
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -466,6 +466,7 @@
         rank: 0,
         size: unit::ByteSize(8_000),
         source: gateway::Source::Key("k".to_owned()),
+        inputs: None,
     };
     let ticket = gateway::Ticket(4);
     let effects = bench.step(gateway::Event::TakeOver(ticket, Box::new(message.clone())));
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -60,10 +60,22 @@
 }
 
 fn push(queues: &mut batch::Queues, group: u64, pieces: u32, due: u64, size: u64) {
+    push_near(queues, group, pieces, due, size, None);
+}
+
+/// Adds a group whose inputs are kept in a failure domain.
+fn push_near(
+    queues: &mut batch::Queues,
+    group: u64,
+    pieces: u32,
+    due: u64,
+    size: u64,
+    inputs: Option<&str>,
+) {
     for piece in 0..pieces {
         let id = batch::PieceId { group: batch::GroupId(group), piece };
-        let size = unit::ByteSize(size);
-        queues.push(&pool(), batch::Waiting { id, due: ms(due), rank: 0, size });
+        let (size, inputs) = (unit::ByteSize(size), inputs.map(name));
+        queues.push(&pool(), batch::Waiting { id, due: ms(due), rank: 0, size, inputs });
     }
 }
 
@@ -123,8 +135,48 @@
     push(&mut queues, 1, 4, 3_000, 3_000_000);
     push(&mut queues, 2, 2, 4_000, 3_000_000);
     push(&mut queues, 3, 2, 5_000, 8_000);
-    let call = queues.dispatch(ms(0), &pool(), &terms(), &fleet);
-    assert!(call.is_none_or(|call| groups(&call) == [3, 3]), "room is left for three only");
+    let call = queues.dispatch(ms(0), &pool(), &terms(), &fleet).expect("it is free");
+    assert_eq!(groups(&call), [3, 3], "room is left for three heavy ones only; light ones pass");
+}
+
+#[test]
+fn batch_goes_where_its_inputs_are() {
+    let mut fleet = fleet_of(&[("u1", "a"), ("u2", "b")]);
+    let mut queues = batch::Queues::default();
+    push_near(&mut queues, 1, 2, 5_000, 8_000, Some("b"));
+    let call = queues.dispatch(ms(0), &pool(), &terms(), &fleet).expect("both are free");
+    assert_eq!(call.instance, name("u2"));
+    // Under load, each upstream takes what is near it first, and nothing is passed over for long.
+    fleet.sent(&name("u2"), 0);
+    push_near(&mut queues, 2, 6, 5_000, 8_000, Some("b"));
+    push_near(&mut queues, 3, 6, 5_050, 8_000, Some("a"));
+    let call = queues.dispatch(ms(0), &pool(), &terms(), &fleet).expect("one is free");
+    assert_eq!(groups(&call)[..6], [3; 6]);
+    push_near(&mut queues, 4, 8, 9_000, 8_000, Some("a"));
+    let call = queues.dispatch(ms(0), &pool(), &terms(), &fleet).expect("one is free");
+    assert_eq!(groups(&call)[0], 2, "it is due long before");
+}
+
+#[test]
+fn batch_goes_elsewhere_if_there_is_no_room_near_its_inputs() {
+    let mut fleet = fleet_of(&[("u1", "a"), ("u2", "b")]);
+    let upstream = fleet.get_mut(&name("u2")).expect("it is listed");
+    upstream.keep(gateway::Handle("h".into()), unit::ByteSize(39_990_000), ms(9_000));
+    let mut queues = batch::Queues::default();
+    push_near(&mut queues, 1, 2, 5_000, 8_000, Some("b"));
+    let call = queues.dispatch(ms(0), &pool(), &terms(), &fleet).expect("both are free");
+    assert_eq!(call.instance, name("u1"));
+}
+
+#[test]
+fn fleet_room_after_refusals_is_what_fitted() {
+    // Results differ in size: a few of a full call's pieces find no room.
+    let mut fleet = fleet_of(&[("u1", "a")]);
+    let total = unit::ByteSize(40_000_000);
+    let upstream = fleet.get_mut(&name("u1")).expect("it is listed");
+    upstream.keep(gateway::Handle("h".into()), unit::ByteSize(39_000_000), ms(9_000));
+    upstream.note_full(ms(0), total);
+    assert_eq!(upstream.room(total), unit::ByteSize(39_000_000));
 }
 
 #[test]
@@ -345,3 +397,21 @@
     let mut splitter = event_stream::Splitter::after(Some(4));
     assert!(splitter.push(b"id: 5\ndata: x\n\n").expect("in order").is_some());
 }
+
+#[test]
+fn engine_near_heavy_results_goes_before_the_favourite_of_short_prompts() {
+    let placement = place::Placement::default();
+    let parts = [part(1, 100), part(2, 70), part(3, 540)];
+    let engines = ["e1", "e2", "e3"].map(|engine| candidate(engine, 0));
+    let favourite = placement.pick(ms(0), &parts, &engines).expect("three are there").instance;
+    let away = engines.map(|candidate| {
+        let near = if candidate.instance == favourite { 5_000_000 } else { 0 };
+        place::Candidate { near: unit::ByteSize(near), ..candidate }
+    });
+    let choice = placement.pick(ms(0), &parts, &away).expect("three are there");
+    assert_ne!(choice.instance, favourite, "170 shared tokens are read again in 3 ms");
+}
+
+fn part(id: u64, tokens: u64) -> place::Part {
+    place::Part { id, tokens }
+}
