relay: one gateway of a failure domain reads the store for the others

Change: of each failure domain, the gateway with the highest rendezvous hash reads the store; the others ask it every half second. Whoever gets no fresh read from it reads the store, and who can't reach the store asks any other gateway. What is passed on keeps its age, counted from the moment of asking, so the lease on the configuration stays as strict as before. Reads older than 1.9 s are not passed on.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -39,7 +39,7 @@
 const EJECTED_SHARE: f64 = 0.67;
 
 /// What the platform's list says of one upstream.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Listed {
     /// Its id, which it checks on each request that names it.
     pub instance: id::InstanceId,
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -145,7 +145,7 @@
                 let expected = flight.expected.as_secs_f64().max(0.001);
                 let ratio = (flight.foreign == 0).then(|| took.as_secs_f64() / expected);
                 self.fleet.succeeded(now, &flight.instance, ratio);
-                let no_room = outcomes.iter().any(|piece| *piece == gateway::PieceOutcome::NoRoom);
+                let no_room = outcomes.contains(&gateway::PieceOutcome::NoRoom);
                 let made = |piece: &_| matches!(piece, gateway::PieceOutcome::Done(_));
                 let has_made = outcomes.iter().any(made);
                 for (waiting, outcome) in flight.pieces.iter().zip(outcomes) {
--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -4,15 +4,19 @@
 use std::sync;
 use std::time;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::batch;
+use crate::clock;
+use crate::clock::Clock as _;
 use crate::dialect;
 use crate::gateway;
 use crate::gateway_calls;
 use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::relay;
+use crate::upstream_pool;
 
 /// Path of the sign of life.
 const ALIVE_PATH: &str = "/handoff/alive";
@@ -20,6 +24,8 @@
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Time that a gateway has to take in results that are given up.
 const RELEASE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time that a gateway has to pass its newest reads of the store on.
+const READS_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Largest message, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 4 << 20;
 /// Time that a message has to arrive whole.
@@ -47,6 +53,10 @@
     pub messages: mpsc::Sender<Message>,
     /// Numbers of handovers.
     pub serial: sync::Arc<sync::atomic::AtomicU64>,
+    /// The newest reads of the store.
+    pub reads: watch::Receiver<Option<relay::Reads>>,
+    /// Clock that their age is counted by.
+    pub clock: clock::SystemClock,
 }
 
 /// Tells the loop when the other gateway stopped waiting.
@@ -81,6 +91,9 @@
     /// There is no such path.
     #[display("no such path between gateways; compare their versions")]
     NoPath,
+    /// The reads of this gateway are too old.
+    #[display("this gateway has no recent reads of the store; ask another one")]
+    NoReads,
     /// This process is about to end.
     #[display("this gateway is shutting down; make the pieces elsewhere")]
     Stopping,
@@ -91,7 +104,7 @@
         match self {
             Self::Version | Self::Unreadable => 400,
             Self::NoPath => 404,
-            Self::Stopping => 503,
+            Self::Stopping | Self::NoReads => 503,
         }
     }
 }
@@ -123,6 +136,7 @@
         let answered = match path.as_str() {
             handoff::PIECES_PATH => self.take_over(&body).await,
             handoff::RELEASE_PATH => self.release(&body).await,
+            relay::READS_PATH => self.pass_reads(&body),
             _ => Err(DeskError::NoPath),
         };
         answered.unwrap_or_else(|e| http::respond(e.status(), "text/plain", e.to_string()))
@@ -150,6 +164,32 @@
         self.messages.send(Message::Released(message)).await.map_err(|_| DeskError::Stopping)?;
         Ok(plain(200, ""))
     }
+
+    fn pass_reads(&self, body: &[u8]) -> Result<hyper::Response<http::Body>, DeskError> {
+        let ask: relay::Ask = decode(body, |ask: &relay::Ask| ask.version)?;
+        let reads = self.reads.borrow();
+        let told = reads.as_ref().and_then(|reads| reads.to_told(self.clock.now(), ask));
+        let body = rmp_serde::to_vec(&told.ok_or(DeskError::NoReads)?);
+        Ok(http::respond(200, MEDIA, body.expect("reads have a plain form")))
+    }
+}
+
+/// Asks another gateway for its newest reads of the store.
+pub async fn ask_reads(
+    pool: &upstream_pool::Pool,
+    address: net::SocketAddr,
+    ask: relay::Ask,
+) -> Option<relay::Told> {
+    let work = async {
+        let request = post(address, relay::READS_PATH, &ask);
+        let (response, lease) = pool.send(address, CONNECTIONS, request).await.ok()?;
+        let is_told = response.status() == 200;
+        let body = http::read_body(response.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await;
+        let body = body.ok()?;
+        lease.give_back();
+        is_told.then(|| decode(&body, |told: &relay::Told| told.version).ok()).flatten()
+    };
+    http::within(READS_TIMEOUT, work).await.flatten()
 }
 
 fn post(
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -1,23 +1,29 @@
-//! Reads of the store by a gateway, each in a task of its own: the table, the list of upstreams, and
-//! the gateways that are alive.
+//! Reads that a gateway lives on: the table, the list of upstreams, and the gateways that are alive;
+//! and its own announcement.
 
+use std::sync;
 use std::time;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::clock;
 use crate::clock::Clock as _;
 use crate::dialect;
-use crate::fleet;
 use crate::gateway;
+use crate::gateway_peers;
 use crate::gateway_settings;
 use crate::http;
+use crate::relay;
 use crate::roster;
+use crate::upstream_pool;
 
 /// Time that the store has to answer a read.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_800);
 /// Pause after a read that failed.
 const READ_RETRY: time::Duration = time::Duration::from_millis(300);
+/// Longest pause before the gateway that reads for this one is asked again: its reads are as old as
+/// its own pause already.
+const RELAY_PAUSE: time::Duration = time::Duration::from_millis(500);
 /// Pause between two announcements of this gateway.
 const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -26,7 +32,8 @@
     settings: &gateway_settings::Settings,
     source: &S,
     clock: clock::SystemClock,
-    reads: &mpsc::Sender<gateway::Event>,
+    newest: watch::Sender<Option<relay::Reads>>,
+    events: &mpsc::Sender<gateway::Event>,
 ) -> tokio::task::JoinHandle<()> {
     let me = roster::Peer {
         instance: settings.instance.clone(),
@@ -34,10 +41,16 @@
         domain: settings.domain.clone(),
         weight: settings.weight,
     };
-    let pause = settings.poll_ms.duration();
-    tokio::spawn(poll_peers(source.clone(), reads.clone()));
-    tokio::spawn(poll_table(source.clone(), clock, pause, reads.clone()));
-    tokio::spawn(poll_fleet(source.clone(), pause, reads.clone()));
+    let keeper = Keeper {
+        source: source.clone(),
+        clock,
+        pool: upstream_pool::Pool::default(),
+        readers: relay::Readers::new(me.instance.clone(), me.domain.clone()),
+        newest,
+        events: events.clone(),
+        store: ["table", "fleet", "peers"].map(|name| Watcher { name, lost: false }),
+    };
+    tokio::spawn(keeper.run(settings.poll_ms.duration()));
     tokio::spawn(announce(source.clone(), me))
 }
 
@@ -48,15 +61,15 @@
 }
 
 impl Watcher {
-    fn note<T>(&mut self, result: &Result<T, dialect::SourceError>) {
-        match result {
-            Ok(_) if self.lost => log::info!("event=store_regained read={}", self.name),
-            Err(e) if !self.lost => {
+    fn note(&mut self, error: Option<&dialect::SourceError>) {
+        match error {
+            None if self.lost => log::info!("event=store_regained read={}", self.name),
+            Some(e) if !self.lost => {
                 log::warn!("event=store_lost read={} error={:?}", self.name, e.to_string());
             }
             _ => {}
         }
-        self.lost = result.is_err();
+        self.lost = error.is_some();
         let outcome = if self.lost { "failed" } else { "ok" };
         metrics::counter!("gateway_store_reads_total", "read" => self.name, "outcome" => outcome)
             .increment(1);
@@ -69,52 +82,145 @@
     http::within(READ_TIMEOUT, work).await.unwrap_or(Err(dialect::SourceError::Unreachable))
 }
 
-async fn poll_table<S: dialect::Source>(
+/// Keeps the reads of a gateway fresh: from the gateway that reads for its failure domain, from the
+/// store, or from any other gateway.
+struct Keeper<S> {
     source: S,
     clock: clock::SystemClock,
-    pause: time::Duration,
+    pool: upstream_pool::Pool,
+    readers: relay::Readers,
+    newest: watch::Sender<Option<relay::Reads>>,
     events: mpsc::Sender<gateway::Event>,
-) {
-    let mut watcher = Watcher { name: "table", lost: false };
-    loop {
-        let asked = clock.now();
-        let result = within_read(source.table()).await;
-        watcher.note(&result);
-        let next = if result.is_ok() { pause } else { READ_RETRY };
-        if let Ok(table) = result
-            && events.send(gateway::Event::Table { asked, table }).await.is_err()
-        {
-            return;
+    store: [Watcher; 3],
+}
+
+impl<S: dialect::Source> Keeper<S> {
+    /// Reads again and again.
+    async fn run(mut self, pause: time::Duration) {
+        loop {
+            let next = match self.read().await {
+                Some((reads, is_own)) => {
+                    self.newest.send_replace(Some(reads.clone()));
+                    if pass(reads, &self.events).await.is_err() {
+                        return;
+                    }
+                    if is_own { pause } else { pause.min(RELAY_PAUSE) }
+                }
+                None => READ_RETRY,
+            };
+            tokio::time::sleep(next).await;
         }
-        tokio::time::sleep(next).await;
     }
-}
 
-async fn poll_fleet<S: dialect::Source>(
-    source: S,
-    pause: time::Duration,
-    events: mpsc::Sender<gateway::Event>,
-) {
-    let mut watcher = Watcher { name: "fleet", lost: false };
-    loop {
-        let result: Result<Vec<fleet::Listed>, _> = within_read(source.fleet()).await;
-        watcher.note(&result);
-        let next = if result.is_ok() { pause } else { READ_RETRY };
-        if let Ok(list) = result
-            && events.send(gateway::Event::Listed(list)).await.is_err()
+    /// Returns reads, and whether they come from the store itself.
+    async fn read(&mut self) -> Option<(relay::Reads, bool)> {
+        let known = self.newest.borrow().clone();
+        let peers = known.as_ref().map(|known| known.peers.clone()).unwrap_or_default();
+        let reader = self.readers.reader(self.clock.now().mono, &peers).cloned();
+        if let Some(reader) = reader
+            && let Some(reads) = self.ask(&reader, known.as_ref()).await
         {
-            return;
+            return Some((reads, false));
+        }
+        // While the store is away, somebody else may still reach it; it is tried all the same.
+        if self.has_lost_store()
+            && let Some(reads) = self.ask_any(&peers, known.as_ref()).await
+        {
+            if let Some(own) = self.read_store().await {
+                return Some((own, true));
+            }
+            return Some((reads, false));
+        }
+        if let Some(reads) = self.read_store().await {
+            return Some((reads, true));
+        }
+        let reads = self.ask_any(&peers, known.as_ref()).await;
+        reads.map(|reads| (reads, false))
+    }
+
+    /// Reads the store. If it gives a part only, the loop gets that part, and others get nothing.
+    async fn read_store(&mut self) -> Option<relay::Reads> {
+        let asked = self.clock.now();
+        let (table, fleet, peers) = tokio::join!(
+            within_read(self.source.table()),
+            within_read(self.source.fleet()),
+            within_read(self.source.peers()),
+        );
+        for (watcher, error) in self.store.iter_mut().zip([
+            table.as_ref().err(),
+            fleet.as_ref().err(),
+            peers.as_ref().err(),
+        ]) {
+            watcher.note(error);
+        }
+        let mut parts = Vec::new();
+        match (table, fleet, peers) {
+            (Ok(table), Ok(fleet), Ok(peers)) => {
+                let fleet = sync::Arc::new(fleet);
+                return Some(relay::Reads { asked, table, fleet, peers });
+            }
+            (table, fleet, peers) => {
+                parts.extend(table.ok().map(|table| gateway::Event::Table { asked, table }));
+                parts.extend(fleet.ok().map(gateway::Event::Listed));
+                parts.extend(peers.ok().map(gateway::Event::Peers));
+            }
+        }
+        for part in parts {
+            // Fails only when the process ends.
+            let _ = self.events.send(part).await;
+        }
+        None
+    }
+
+    fn has_lost_store(&self) -> bool {
+        self.store.iter().any(|watcher| watcher.lost)
+    }
+
+    async fn ask_any(
+        &mut self,
+        peers: &[roster::Peer],
+        known: Option<&relay::Reads>,
+    ) -> Option<relay::Reads> {
+        let helper = self.readers.helper(self.clock.now().mono, peers, fastrand::f64())?.clone();
+        self.ask(&helper, known).await
+    }
+
+    async fn ask(
+        &mut self,
+        peer: &roster::Peer,
+        known: Option<&relay::Reads>,
+    ) -> Option<relay::Reads> {
+        let asked = self.clock.now();
+        let ask = relay::Reads::to_ask(known);
+        let told = gateway_peers::ask_reads(&self.pool, peer.address, ask).await;
+        let reads = told.and_then(|told| relay::Reads::from_told(asked, told, known));
+        let outcome = if reads.is_some() { "ok" } else { "failed" };
+        metrics::counter!("gateway_relay_reads_total", "outcome" => outcome).increment(1);
+        if reads.is_none() {
+            log::info!("event=reader_avoided peer={}", peer.instance);
+            self.readers.avoid(self.clock.now().mono, &peer.instance);
         }
-        tokio::time::sleep(next).await;
+        reads
     }
 }
 
+/// Passes reads to the loop; fails when it has ended.
+async fn pass(
+    reads: relay::Reads,
+    events: &mpsc::Sender<gateway::Event>,
+) -> Result<(), mpsc::error::SendError<gateway::Event>> {
+    let relay::Reads { asked, table, fleet, peers } = reads;
+    events.send(gateway::Event::Table { asked, table }).await?;
+    events.send(gateway::Event::Listed(fleet.to_vec())).await?;
+    events.send(gateway::Event::Peers(peers)).await
+}
+
 /// Announces this gateway again and again.
 async fn announce<S: dialect::Source>(source: S, me: roster::Peer) {
     let mut watcher = Watcher { name: "announce", lost: false };
     loop {
         let result = within_read(source.announce(&me)).await;
-        watcher.note(&result);
+        watcher.note(result.as_ref().err());
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
     }
 }
@@ -125,17 +231,3 @@
         log::info!("event=withdraw_failed error={:?}", e.to_string());
     }
 }
-
-async fn poll_peers<S: dialect::Source>(source: S, events: mpsc::Sender<gateway::Event>) {
-    let mut watcher = Watcher { name: "peers", lost: false };
-    loop {
-        let result = within_read(source.peers()).await;
-        watcher.note(&result);
-        if let Ok(peers) = result
-            && events.send(gateway::Event::Peers(peers)).await.is_err()
-        {
-            return;
-        }
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-    }
-}
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -100,9 +100,10 @@
     tokio::spawn(http::serve(probes, probe.clone(), stopped_seen.clone()));
     tokio::spawn(http::serve(metrics, probe, stopped_seen.clone()));
     let serial = sync::Arc::new(sync::atomic::AtomicU64::new(1));
-    let desk = gateway_peers::Desk { messages: asks, serial };
+    let (newest, newest_seen) = watch::channel(None);
+    let desk = gateway_peers::Desk { messages: asks, serial, reads: newest_seen, clock };
     tokio::spawn(http::serve(peers, desk, stopped_seen));
-    let announced = gateway_reads::spawn(&settings, &source, clock, &reads);
+    let announced = gateway_reads::spawn(&settings, &source, clock, newest, &reads);
     let mut shell = Shell::new(&settings, clock, dialect, reports, ready, limits);
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod queue;
 pub mod refusal;
 pub mod registry;
+pub mod relay;
 pub mod request;
 pub mod retry;
 pub mod revision;
--- /dev/null
+++ b/lib/src/relay.rs
@@ -0,0 +1,172 @@
+//! Reads of the store that gateways pass on to each other.
+//!
+//! Load pattern: each gateway needs the same few reads every second, the store allows and charges
+//! for so many from all of them together, and at times it serves some gateways only. So one gateway
+//! of a failure domain reads, chosen by rendezvous hash, and the others ask it. A gateway that can't
+//! reach the store asks any other one.
+//!
+//! What is passed on keeps its age. The asker counts it from the moment at which it *asked*, so that
+//! a read never looks younger than it is, however long the answer takes and whoever stands still.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::clock;
+use crate::fleet;
+use crate::id;
+use crate::roster;
+use crate::table;
+use crate::unit;
+
+/// Version of the messages; a gateway refuses others.
+pub const VERSION: u16 = 1;
+/// Path under which gateways ask for reads.
+pub const READS_PATH: &str = "/relay/reads";
+/// Age from which a read is too old to be passed on: by then the reader has lost the store, and the
+/// asker does better elsewhere.
+pub const MAX_AGE: time::Duration = time::Duration::from_millis(1_900);
+/// Time for which a gateway that gave no fresh read is not asked.
+const AVOIDANCE: time::Duration = time::Duration::from_secs(3);
+/// Name that the hash of readers is seeded with.
+const SEED: u64 = 0x7265_6164;
+
+/// Asks a gateway for its newest reads.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Ask {
+    /// Version of the message.
+    pub version: u16,
+    /// Version of the table that the asker has.
+    pub table: table::Version,
+    /// Digest of the list of upstreams that the asker has.
+    pub fleet: u64,
+}
+
+/// The newest reads of a gateway.
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+pub struct Told {
+    /// Version of the message.
+    pub version: u16,
+    /// Age of the oldest of the reads, in milliseconds, rounded up.
+    pub age_ms: unit::Millis,
+    /// The table, unless the asker has it.
+    pub table: Option<sync::Arc<table::Table>>,
+    /// The list of upstreams, unless the asker has it.
+    pub fleet: Option<Vec<fleet::Listed>>,
+    /// Digest of that list.
+    pub digest: u64,
+    /// The gateways that are alive.
+    pub peers: Vec<roster::Peer>,
+}
+
+/// Reads that belong together.
+#[derive(Clone, Debug)]
+pub struct Reads {
+    /// When the first of them was sent.
+    pub asked: clock::Now,
+    /// The table.
+    pub table: sync::Arc<table::Table>,
+    /// The list of upstreams.
+    pub fleet: sync::Arc<Vec<fleet::Listed>>,
+    /// The gateways that are alive.
+    pub peers: Vec<roster::Peer>,
+}
+
+impl Reads {
+    /// Returns what to ask with these reads at hand.
+    pub fn to_ask(reads: Option<&Self>) -> Ask {
+        let known = reads.map(|reads| (reads.table.version, digest(&reads.fleet)));
+        let (table, fleet) = known.unwrap_or_default();
+        Ask { version: VERSION, table, fleet }
+    }
+
+    /// Returns what to tell a gateway that asks; nothing if it is too old.
+    pub fn to_told(&self, now: clock::Now, ask: Ask) -> Option<Told> {
+        let age = now.elapsed_max(self.asked);
+        if age > MAX_AGE {
+            return None;
+        }
+        let digest = digest(&self.fleet);
+        Some(Told {
+            version: VERSION,
+            age_ms: unit::Millis(unit::Millis::from(age).0 + 1),
+            table: (ask.table != self.table.version).then(|| sync::Arc::clone(&self.table)),
+            fleet: (ask.fleet != digest).then(|| self.fleet.to_vec()),
+            digest,
+            peers: self.peers.clone(),
+        })
+    }
+
+    /// Takes in what a gateway told when it was asked at `asked` with `known` at hand; nothing if it
+    /// refers to reads that are not at hand, or that are older than this process.
+    pub fn from_told(asked: clock::Now, told: Told, known: Option<&Self>) -> Option<Self> {
+        let age = told.age_ms.duration();
+        let asked =
+            clock::Now { mono: asked.mono.checked_sub(age)?, wall: asked.wall.checked_sub(age)? };
+        let table = told.table.or_else(|| known.map(|known| sync::Arc::clone(&known.table)))?;
+        let fleet = match told.fleet {
+            Some(fleet) => sync::Arc::new(fleet),
+            None => known.map(|known| sync::Arc::clone(&known.fleet))?,
+        };
+        Some(Self { asked, table, fleet, peers: told.peers })
+    }
+}
+
+/// Returns a digest of a list of upstreams.
+fn digest(fleet: &[fleet::Listed]) -> u64 {
+    let text = rmp_serde::to_vec(fleet).expect("a list has a plain form");
+    xxhash_rust::xxh3::xxh3_64(&text)
+}
+
+/// Who reads the store for whom.
+#[derive(Debug)]
+pub struct Readers {
+    me: id::InstanceId,
+    domain: id::DomainId,
+    avoided: collections::BTreeMap<id::InstanceId, time::Duration>,
+}
+
+impl Readers {
+    /// Makes the choice for a gateway.
+    pub fn new(me: id::InstanceId, domain: id::DomainId) -> Self {
+        Self { me, domain, avoided: collections::BTreeMap::new() }
+    }
+
+    /// Returns the gateway that reads for this one; nothing if this one reads itself.
+    pub fn reader<'a>(
+        &self,
+        now: time::Duration,
+        peers: &'a [roster::Peer],
+    ) -> Option<&'a roster::Peer> {
+        peers
+            .iter()
+            .filter(|peer| peer.domain == self.domain && !self.is_avoided(now, peer))
+            .max_by(|a, b| roster::score(a, SEED).total_cmp(&roster::score(b, SEED)))
+            .filter(|peer| peer.instance != self.me)
+    }
+
+    /// Returns another gateway to ask when neither the store nor the reader helps; `draw` is below 1.
+    pub fn helper<'a>(
+        &self,
+        now: time::Duration,
+        peers: &'a [roster::Peer],
+        draw: f64,
+    ) -> Option<&'a roster::Peer> {
+        let others: Vec<_> = peers
+            .iter()
+            .filter(|peer| peer.instance != self.me && !self.is_avoided(now, peer))
+            .collect();
+        let index = (draw * others.len() as f64) as usize;
+        others.get(index).copied()
+    }
+
+    /// Leaves out for a while a gateway that gave no fresh read.
+    pub fn avoid(&mut self, now: time::Duration, peer: &id::InstanceId) {
+        self.avoided.retain(|_, until| *until > now);
+        self.avoided.insert(peer.clone(), now + AVOIDANCE);
+    }
+
+    fn is_avoided(&self, now: time::Duration, peer: &roster::Peer) -> bool {
+        self.avoided.get(&peer.instance).is_some_and(|until| *until > now)
+    }
+}
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -94,7 +94,7 @@
 }
 
 /// Weighted rendezvous hash: the share of pools that a peer gets follows its weight.
-fn score(peer: &Peer, seed: u64) -> f64 {
+pub fn score(peer: &Peer, seed: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(peer.instance.as_str().as_bytes(), seed);
     let unit = (hash >> 11) as f64 / (1_u64 << 53) as f64;
     f64::from(peer.weight.max(1)) / -(unit.max(f64::MIN_POSITIVE)).ln()
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -10,11 +10,24 @@
 use crate::unit;
 
 /// Version of a routing table; later versions are higher, not necessarily by one.
-#[derive(Clone, Copy, Debug, Default, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    derive_more::Display,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[serde(transparent)]
 pub struct Version(pub u64);
 
 /// One version of the routing table.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 pub struct Table {
     /// Its version.
     pub version: Version,
@@ -29,7 +42,8 @@
 }
 
 /// Secret that proves that a caller belongs to a team. It is never written to logs.
-#[derive(Clone, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+#[serde(transparent)]
 pub struct Credential(pub String);
 
 impl std::fmt::Debug for Credential {
@@ -39,7 +53,7 @@
 }
 
 /// A team as far as a gateway needs it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Team {
     /// Its name.
     pub name: id::TeamId,
@@ -48,7 +62,7 @@
 }
 
 /// Limits on what callers send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Limits {
     /// Largest body, in bytes.
     pub body: unit::ByteSize,
@@ -61,7 +75,9 @@
 }
 
 /// How often a request may run.
-#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+#[derive(
+    Clone, Copy, Debug, derive_more::Display, Eq, PartialEq, serde::Deserialize, serde::Serialize,
+)]
 pub enum Kind {
     /// It may run any number of times.
     #[display("idempotent")]
@@ -90,7 +106,7 @@
 }
 
 /// Requests of one host and path prefix, and the terms on which they are answered.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct Route {
     /// Its name.
     pub name: String,
@@ -119,7 +135,7 @@
 }
 
 /// Work on the pieces of a request that comes before its run.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Stage {
     /// Service that does it.
     pub service: id::ServiceId,
@@ -130,7 +146,7 @@
 }
 
 /// Upstreams of one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 pub struct Pool {
     /// Connections that one upstream accepts from all callers together.
     pub connections: u32,
@@ -141,7 +157,7 @@
 }
 
 /// Terms on which an upstream works on batches of pieces.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Batching {
     /// Calls that an upstream works on at the same time.
     pub slots: u32,
@@ -167,7 +183,7 @@
 }
 
 /// Properties of a model engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Engine {
     /// Requests in one step of generation.
     pub slots: u32,
