batch: calls take few pieces whose inputs are in another failure domain

Cause: of 68 places of a call, 16 go to one request; an upstream that came free filled them with whatever waited, so that 47 of 100 groups met their inputs in their own failure domain, where 33 would by chance. Change: unless two full calls wait, pieces with far inputs fill a quarter of a call at most; upstreams of their own failure domain come free meanwhile. Lines about upstreams that come tell their service and failure domain.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -234,11 +234,14 @@
         let held = upstream.held(now).0;
         let room = upstream.room(terms.room).0.saturating_sub(held);
         let domain = &upstream.listed.domain;
-        let pieces = Taker { room, places: terms.size, is_empty: held == 0, is_reserved: false }
-            .take(queue, |lot| {
-                let delay = if lot.is_far(domain) { FAR_DELAY } else { time::Duration::ZERO };
-                (class(now, lot, terms), lot.due() + delay)
-            });
+        let queued: usize = queue.values().map(|lot| lot.pieces.len()).sum();
+        let far_places = if queued > 2 * terms.size { terms.size } else { terms.size / 4 };
+        let pieces =
+            Taker { room, places: terms.size, is_empty: held == 0, is_reserved: false, far_places }
+                .take(queue, domain, |lot| {
+                    let delay = if lot.is_far(domain) { FAR_DELAY } else { time::Duration::ZERO };
+                    (class(now, lot, terms), lot.due() + delay)
+                });
         if pieces.is_empty() {
             return None;
         }
@@ -290,6 +293,8 @@
     is_empty: bool,
     /// Whether a heavy lot waits for more room, which no other heavy lot may take.
     is_reserved: bool,
+    /// Places that lots with inputs in another failure domain may have.
+    far_places: usize,
 }
 
 impl Taker {
@@ -297,6 +302,7 @@
     fn take(
         mut self,
         queue: &mut collections::BTreeMap<GroupId, Lot>,
+        domain: &id::DomainId,
         order: impl Fn(&Lot) -> (Class, time::Duration),
     ) -> Vec<Waiting> {
         let mut order: Vec<_> = queue.iter().map(|(group, lot)| (order(lot), *group)).collect();
@@ -307,6 +313,9 @@
                 break;
             }
             let Some(lot) = queue.get_mut(&group) else { continue };
+            if taken.len() >= self.far_places && lot.is_far(domain) {
+                continue;
+            }
             self.take_lot(lot, &mut taken);
             if lot.pieces.is_empty() {
                 queue.remove(&group);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -216,7 +216,12 @@
             ("upstream_gone", &change.gone),
         ] {
             for instance in instances {
-                effects.push(Effect::Log(telemetry::Line::new(event).with("upstream", instance)));
+                let mut line = telemetry::Line::new(event).with("upstream", instance);
+                if let Some(upstream) = self.fleet.get(instance) {
+                    let listed = &upstream.listed;
+                    line = line.with("service", &listed.service).with("domain", &listed.domain);
+                }
+                effects.push(Effect::Log(line));
             }
         }
         for (instance, results) in &change.expired {
