batch: the pace of a pool is learned while pieces wait

Cause: estimates took calls for full and as long as their nominal time. Change: while pieces wait, each call tells the pool's pace: the nominal time of its pieces in full calls over the time it took; estimates are divided by it.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -143,6 +143,31 @@
 /// Time for which a result is usually kept until what needs it has it.
 const KEEP_TIME: time::Duration = time::Duration::from_millis(650);
 
+/// Part of its nominal rate at which a pool works while pieces wait: calls are not full when memory
+/// is short, and fetching inputs takes time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace(pub f64);
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self(0.85)
+    }
+}
+
+impl Pace {
+    /// Learns from a call of `pieces` that took `took` while others waited.
+    pub fn learn(&mut self, terms: &table::Batching, pieces: usize, took: time::Duration) {
+        let nominal = terms.duration(terms.size).mul_f64(pieces as f64 / terms.size.max(1) as f64);
+        let sample = nominal.as_secs_f64() / took.as_secs_f64().max(0.001);
+        self.0 += (sample.clamp(LEAST_PACE, 1.0) - self.0) * PACE_SMOOTHING;
+    }
+}
+
+/// Least part of its nominal rate that a call is taken to have worked at.
+const LEAST_PACE: f64 = 0.2;
+/// Weight of a new sample in the pace of a pool.
+const PACE_SMOOTHING: f64 = 0.1;
+
 /// Pieces that wait, by pool.
 #[derive(Debug, Default)]
 pub struct Queues {
@@ -179,7 +204,8 @@
     }
 
     /// Returns the time until new pieces are expected to have their turn. `pledged` is the number of
-    /// pieces of requests that were taken in already and will come to the pool later.
+    /// pieces of requests that were taken in already and will come to the pool later, `pace` the
+    /// part of its nominal rate at which the pool works while pieces wait.
     pub fn wait(
         &self,
         now: time::Duration,
@@ -187,6 +213,7 @@
         terms: &table::Batching,
         fleet: &fleet::Fleet,
         pledged: &Pieces,
+        pace: Pace,
     ) -> Wait {
         let mut prompt = pledged.map(|pieces| Demand { pieces, bytes: 0 });
         let mut late = Demand::default();
@@ -199,7 +226,7 @@
         }
         let usable: Vec<_> = fleet.pool(pool).filter(|(_, up)| up.is_usable(now)).collect();
         let speed: f64 = usable.iter().map(|(_, up)| 1.0 / up.slowness(now).max(0.5)).sum();
-        let speed = speed.max(0.25);
+        let speed = speed.max(0.25) * pace.0;
         let is_busy = usable.iter().all(|(_, up)| up.flying > 0);
         let turn = terms.duration(terms.size).as_secs_f64() / speed;
         let mut seconds = if is_busy { turn / 2.0 } else { 0.0 };
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -81,6 +81,7 @@
     waits: collections::BTreeMap<roster::PoolId, (time::Duration, batch::Wait)>,
     pledges:
         collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, batch::Pieces)>,
+    paces: collections::BTreeMap<roster::PoolId, batch::Pace>,
     biases: collections::BTreeMap<String, f64>,
     longest: collections::BTreeMap<String, time::Duration>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
@@ -112,6 +113,7 @@
             holders: collections::BTreeMap::new(),
             waits: collections::BTreeMap::new(),
             pledges: collections::BTreeMap::new(),
+            paces: collections::BTreeMap::new(),
             biases: collections::BTreeMap::new(),
             longest: collections::BTreeMap::new(),
             freed: collections::BTreeMap::new(),
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -7,6 +7,7 @@
 use crate::gateway;
 use crate::handoff;
 use crate::id;
+use crate::roster;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -20,6 +21,9 @@
 #[derive(Debug)]
 pub struct Flight {
     instance: id::InstanceId,
+    pool: roster::PoolId,
+    /// Whether pieces had to wait for another call.
+    was_short: bool,
     pieces: Vec<batch::Waiting>,
     sent: time::Duration,
     expected: time::Duration,
@@ -37,13 +41,14 @@
             let Some(pool) = table.services.get(&id.service) else { continue };
             let Some(terms) = &pool.batching else { continue };
             while let Some(next) = self.queues.dispatch(self.now.mono, &id, terms, &self.fleet) {
-                self.send_batch(next, pool, terms, effects);
+                self.send_batch(&id, next, pool, terms, effects);
             }
         }
     }
 
     fn send_batch(
         &mut self,
+        pool_id: &roster::PoolId,
         next: batch::Dispatch,
         pool: &table::Pool,
         terms: &table::Batching,
@@ -94,6 +99,8 @@
             pieces,
             sent: now,
             expected: next.expected,
+            pool: pool_id.clone(),
+            was_short: next.left > 0,
             retention: terms.retention,
             room: terms.room,
             foreign,
@@ -145,6 +152,7 @@
                 let expected = flight.expected.as_secs_f64().max(0.001);
                 let ratio = (flight.foreign == 0).then(|| took.as_secs_f64() / expected);
                 self.fleet.succeeded(now, &flight.instance, ratio);
+                self.learn_pace(&flight, took);
                 let no_room = outcomes.contains(&gateway::PieceOutcome::NoRoom);
                 let made = |piece: &_| matches!(piece, gateway::PieceOutcome::Done(_));
                 let has_made = outcomes.iter().any(made);
@@ -169,6 +177,15 @@
         self.close_groups(&flight, effects);
     }
 
+    fn learn_pace(&mut self, flight: &Flight, took: time::Duration) {
+        let service = self.table.services.get(&flight.pool.service);
+        let Some(terms) = service.and_then(|service| service.batching) else { return };
+        if flight.was_short {
+            let pace = self.paces.entry(flight.pool.clone()).or_default();
+            pace.learn(&terms, flight.pieces.len(), took);
+        }
+    }
+
     /// Takes note that some pieces of a call found no room: results are not all of their usual size,
     /// or others have some there too.
     fn note_full(&mut self, flight: &Flight, has_made: bool) {
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -303,7 +303,8 @@
             return batch::Wait::default();
         };
         let pledged = self.pledged(pool);
-        self.queues.wait(self.now.mono, pool, &terms, &self.fleet, &pledged)
+        let pace = self.paces.get(pool).copied().unwrap_or_default();
+        self.queues.wait(self.now.mono, pool, &terms, &self.fleet, &pledged, pace)
     }
 }
 
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -213,7 +213,7 @@
     let fleet = fleet_of(&[("u1", "a")]);
     let mut queues = batch::Queues::default();
     push(&mut queues, 1, 16, 60_000, 8_000);
-    let wait = queues.wait(ms(0), &pool(), &terms(), &fleet, &[0, 8, 0, 0]);
+    let wait = queues.wait(ms(0), &pool(), &terms(), &fleet, &[0, 8, 0, 0], batch::Pace(1.0));
     let call = terms().duration(8);
     assert_eq!(wait.prompt[0], call * 2);
     assert_eq!(wait.prompt[1], call * 3, "what is pledged at rank 1 is ahead of rank 1");
