batch: a group of which nothing was taken is not begun

A group that a call reached without room or places left was marked as begun all the same, and begun groups go first in the order of their due time: under load the whole queue became begun and was worked off oldest first. Besides, due times of stages left out the waits in later stages, and the bias of estimates was learned from requests that yield.

Change: only a group that lost a piece to a call is begun. A stage is due by the load of the stages after it and by the learned time of the route's runs; groups up to 100 ms behind count as on time, 300 ms before. Nothing is learned from requests that yield.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -138,7 +138,7 @@
 
 /// Time by which a piece may be behind its due time and still count as on time: the stages after it
 /// may go faster than expected.
-const GRACE: time::Duration = time::Duration::from_millis(300);
+const GRACE: time::Duration = time::Duration::from_millis(100);
 
 /// Time for which a result is usually kept until what needs it has it.
 const KEEP_TIME: time::Duration = time::Duration::from_millis(650);
@@ -374,8 +374,8 @@
             self.places -= 1;
             self.room = self.room.saturating_sub(size);
             taken.push(waiting);
+            lot.is_begun = true;
         }
-        lot.is_begun = true;
     }
 }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -82,6 +82,7 @@
     pledges:
         collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, batch::Pieces)>,
     paces: collections::BTreeMap<roster::PoolId, batch::Pace>,
+    runs: collections::BTreeMap<String, time::Duration>,
     biases: collections::BTreeMap<String, f64>,
     longest: collections::BTreeMap<String, time::Duration>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
@@ -114,6 +115,7 @@
             waits: collections::BTreeMap::new(),
             pledges: collections::BTreeMap::new(),
             paces: collections::BTreeMap::new(),
+            runs: collections::BTreeMap::new(),
             biases: collections::BTreeMap::new(),
             longest: collections::BTreeMap::new(),
             freed: collections::BTreeMap::new(),
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -98,12 +98,11 @@
         let spent = self.spent(route, request.cutoff.saturating_sub(now));
         request.due = request.due.saturating_sub(spent);
         let load = self.settle_region(&mut request, &regions);
-        if admission::check(&load)? == admission::Admitted::Late {
-            request.due = request.due.min(now);
-        }
-        // Late requests yield to others, so that nothing can be learned from the time they take.
-        if !load.is_return {
-            request.estimate = load.estimate;
+        match admission::check(&load)? {
+            // Late requests yield to others, so that nothing can be learned from the time they take.
+            admission::Admitted::Late => request.due = request.due.min(now),
+            admission::Admitted::Prompt if load.is_return => {}
+            admission::Admitted::Prompt => request.estimate = load.estimate,
         }
         let share = self.terms.retries;
         self.budgets.entry(service.clone()).or_default().earn(share);
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -215,6 +215,7 @@
         let (route, estimate) = (request.route.name.clone(), request.estimate);
         let actual = self.now.mono.saturating_sub(request.arrived);
         self.learn_bias(&route, estimate, actual);
+        self.learn_run(&route, took);
         let Some(request) = self.requests.get(&request_id) else { return };
         metrics::histogram!("gateway_first_event_seconds")
             .record(self.now.mono.saturating_sub(request.arrived).as_secs_f64());
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -129,6 +129,7 @@
             .with("group", id)
             .with("stage", group.stage)
             .with("pieces", group.pieces.len())
+            .with("due_ms", due_ms)
             .with("peer", &peer.instance);
         effects.push(gateway::Effect::Log(line));
         effects.push(gateway::Effect::HandOver {
@@ -165,7 +166,8 @@
             .with("request", &message.name)
             .with("group", id)
             .with("stage", message.stage)
-            .with("pieces", message.pieces.len());
+            .with("pieces", message.pieces.len())
+            .with("due_ms", message.due_ms);
         effects.push(gateway::Effect::Log(line));
         let group = Group {
             owner: Owner::Peer(ticket),
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -14,8 +14,12 @@
 use crate::roster;
 use crate::table;
 
-/// Time that the run itself is expected to take until its answer begins.
+/// Time that the run itself is expected to take until its answer begins, before one was seen.
 const RUN_TIME: time::Duration = time::Duration::from_millis(250);
+/// Weight of a new sample in the time of a route's runs.
+const RUN_SMOOTHING: f64 = 0.1;
+/// Longest wait in a later stage that is allowed for: what waits there now is worked off meanwhile.
+const LONGEST_WAIT: time::Duration = time::Duration::from_millis(300);
 /// Age up to which another gateway's word on its queue is believed.
 const WAIT_AGE: time::Duration = time::Duration::from_secs(1);
 /// Weight of a new sample in the bias of a route's estimates.
@@ -60,10 +64,10 @@
 
     fn make_stage(&mut self, id: id::RequestId, stage: usize, effects: &mut Vec<gateway::Effect>) {
         let group = batch::GroupId(self.next_serial());
-        let table = std::sync::Arc::clone(&self.table);
+        let Some(request) = self.requests.get(&id) else { return };
+        let due = request.due.saturating_sub(self.time_after(request, stage));
         let Some(request) = self.requests.get_mut(&id) else { return };
         let terms = &request.route.stages[stage];
-        let due = request.due.saturating_sub(time_after(&table, request, stage));
         let results = request.results_of(terms.after.iter().copied());
         let inputs = main_domain(&self.fleet, &results, request.stages[stage].len());
         let source = if terms.after.is_empty() {
@@ -229,7 +233,11 @@
             prompt[stage] = start(&prompt).max(wait.prompt[rank]) + work;
             late[stage] = start(&late).max(wait.late) + work;
         }
-        let run = if request.stages.is_empty() { time::Duration::ZERO } else { RUN_TIME };
+        let run = if request.stages.is_empty() {
+            time::Duration::ZERO
+        } else {
+            self.run_time(&request.route.name)
+        };
         let budget = request.start_by.saturating_sub(request.arrived);
         let allowed = request.cutoff.saturating_sub(request.arrived);
         let bias = self.biases.get(&request.route.name).copied().unwrap_or(1.0);
@@ -274,6 +282,34 @@
         }
     }
 
+    /// Returns the time that a request is expected to need after a stage: in the stages that follow
+    /// as they are loaded now, and until its answer begins.
+    fn time_after(&self, request: &request::Request, stage: usize) -> time::Duration {
+        let rank = batch::rank_index(request.rank);
+        let followers = (0..request.route.stages.len())
+            .filter(|next| request.route.stages[*next].after.contains(&stage));
+        let longest = followers
+            .map(|next| {
+                let service = request.route.stages[next].service.clone();
+                let pool = roster::PoolId { service, region: request.region.clone() };
+                let (wait, work) = self.stage_time(&pool, request.stages[next].len());
+                wait.prompt[rank].min(LONGEST_WAIT) + work + self.time_after(request, next)
+            })
+            .max();
+        longest.unwrap_or_else(|| self.run_time(&request.route.name))
+    }
+
+    /// Returns the time from the call of the upstream that answers to the beginning of the answer.
+    fn run_time(&self, route: &str) -> time::Duration {
+        self.runs.get(route).copied().unwrap_or(RUN_TIME)
+    }
+
+    /// Learns how long the run of a route takes until its answer begins.
+    pub(super) fn learn_run(&mut self, route: &str, took: time::Duration) {
+        let run = self.runs.entry(route.to_owned()).or_insert(RUN_TIME);
+        *run = run.mul_f64(1.0 - RUN_SMOOTHING) + took.mul_f64(RUN_SMOOTHING);
+    }
+
     /// Returns the time that pieces are expected to wait in a pool, and to take there.
     fn stage_time(&self, pool: &roster::PoolId, pieces: usize) -> (batch::Wait, time::Duration) {
         let service = self.table.services.get(&pool.service);
@@ -293,7 +329,8 @@
         }
         // Pieces share their call with others, and wait for a call to end before.
         let shared = pieces.max(terms.size / 2).min(terms.size);
-        (wait, terms.duration(shared) + terms.per_call / 3)
+        let pace = self.paces.get(pool).copied().unwrap_or_default().0;
+        (wait, terms.duration(shared).div_f64(pace) + terms.per_call / 3)
     }
 
     /// Returns the time that pieces wait in this gateway's own queue.
@@ -324,19 +361,3 @@
     let (domain, most) = bytes.into_iter().max_by_key(|(_, bytes)| *bytes)?;
     (most >= MOVED_BYTES).then(|| domain.clone())
 }
-
-/// Returns the time that a request is expected to need after a stage.
-fn time_after(table: &table::Table, request: &request::Request, stage: usize) -> time::Duration {
-    let followers = (0..request.route.stages.len())
-        .filter(|next| request.route.stages[*next].after.contains(&stage));
-    let longest = followers
-        .map(|next| {
-            let pieces = request.stages[next].len();
-            let service = table.services.get(&request.route.stages[next].service);
-            let terms = service.and_then(|service| service.batching);
-            let own = terms.map_or(time::Duration::ZERO, |terms| terms.duration(pieces));
-            own + time_after(table, request, next)
-        })
-        .max();
-    longest.unwrap_or(RUN_TIME)
-}
