batch, admission: late work counts on what other work leaves; the target is used further

Change: each call tells how much of it work that can be on time left over; the time for late work is divided by that. The margin is 5 parts in a hundred.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -16,7 +16,7 @@
 const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(4);
 /// Part of its target within which an answer has to be expected to count as on time. Estimates are
 /// off by about the rest; taken in up to the target itself, half of all requests would be late.
-const PROMPT_SHARE: f64 = 0.85;
+const PROMPT_SHARE: f64 = 0.95;
 /// Time by which an answer may be expected to be late.
 const LATE_TIME: time::Duration = time::Duration::from_millis(300);
 /// Part of its time within which a caller that came back has to be served.
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -163,6 +163,31 @@
     }
 }
 
+/// Part of a pool's calls that work which can be on time leaves to late work.
+#[derive(Clone, Copy, Debug)]
+struct Spare(f64);
+
+impl Default for Spare {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl Spare {
+    /// Learns from a call with `taken` pieces of `places`, of which `prompt` can be on time;
+    /// `is_short` tells that more of those wait.
+    fn learn(&mut self, places: usize, taken: usize, prompt: usize, is_short: bool) {
+        let whole = taken.max(places / 2).max(1);
+        let sample = if is_short { 0.0 } else { 1.0 - prompt as f64 / whole as f64 };
+        self.0 += (sample - self.0) * SPARE_SMOOTHING;
+    }
+}
+
+/// Weight of a new sample in the spare part of a pool.
+const SPARE_SMOOTHING: f64 = 0.1;
+/// Least spare part that is counted on, so that the time for late work stays finite.
+const LEAST_SPARE: f64 = 0.05;
+
 /// Least part of its nominal rate that a call is taken to have worked at.
 const LEAST_PACE: f64 = 0.2;
 /// Weight of a new sample in the pace of a pool.
@@ -172,6 +197,7 @@
 #[derive(Debug, Default)]
 pub struct Queues {
     queues: collections::BTreeMap<roster::PoolId, collections::BTreeMap<GroupId, Lot>>,
+    spares: collections::BTreeMap<roster::PoolId, Spare>,
 }
 
 impl Queues {
@@ -234,8 +260,11 @@
             seconds += demand.time(terms, speed);
             time::Duration::from_secs_f64(seconds)
         });
-        let late = time::Duration::from_secs_f64(seconds + late.time(terms, speed));
-        Wait { prompt, late }
+        // Late work gets what the rest leaves, and the rest goes on coming.
+        let spare = self.spares.get(pool).copied().unwrap_or_default().0.max(LEAST_SPARE);
+        let own = if spare < 1.0 { turn / terms.size.max(1) as f64 } else { 0.0 };
+        let late = seconds + (late.time(terms, speed) + own) / spare;
+        Wait { prompt, late: time::Duration::from_secs_f64(late) }
     }
 
     /// Returns the pools for which pieces wait.
@@ -262,6 +291,7 @@
         let room = upstream.room(terms.room).0.saturating_sub(held);
         let domain = &upstream.listed.domain;
         let queued: usize = queue.values().map(|lot| lot.pieces.len()).sum();
+        let before = prompt_pieces(now, queue, terms);
         let far_places = if queued > 2 * terms.size { terms.size } else { terms.size / 4 };
         let pieces =
             Taker { room, places: terms.size, is_empty: held == 0, is_reserved: false, far_places }
@@ -272,6 +302,10 @@
         if pieces.is_empty() {
             return None;
         }
+        let after = prompt_pieces(now, queue, terms);
+        let prompt = before.saturating_sub(after);
+        let spare = self.spares.entry(pool.clone()).or_default();
+        spare.learn(terms.size, pieces.len(), prompt, after > 0);
         let expected = terms.duration(pieces.len());
         let left = queue.values().map(|lot| lot.pieces.len()).sum();
         let room = unit::ByteSize(room);
@@ -279,6 +313,16 @@
     }
 }
 
+/// Returns the number of pieces that wait and can be on time, or of which a part was made.
+fn prompt_pieces(
+    now: time::Duration,
+    queue: &collections::BTreeMap<GroupId, Lot>,
+    terms: &table::Batching,
+) -> usize {
+    let prompt = queue.values().filter(|lot| class(now, lot, terms) != Class::Late);
+    prompt.map(|lot| lot.pieces.len()).sum()
+}
+
 /// Work that waits in one class.
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
