--- a/lib/testutils/src/link.rs
+++ b/lib/testutils/src/link.rs
@@ -157,6 +157,8 @@
                     break;
                 }
             }
+            // Passes the end on; it fails if the other side is gone already.
+            let _ = to.shutdown().await;
         };
         tokio::join!(read, write);
     }
