presence: one guard for all who wait; drop an event that nothing sends

The guard that tells a loop when its caller went away stood three times, in entry_http, gateway_http and gateway_peers, with small differences. They share presence::Presence now. gateway::Event::Confirmed had no sender since reads come as tables. No change of behaviour.

--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -13,6 +13,7 @@
 use crate::id;
 use crate::key;
 use crate::plan;
+use crate::presence;
 use crate::probe;
 use crate::refusal;
 use crate::registry;
@@ -86,19 +87,6 @@
     pub status: watch::Receiver<registry::Status>,
 }
 
-/// Tells the loop when a caller went away before its answer was whole.
-struct Presence {
-    request: id::RequestId,
-    messages: mpsc::Sender<Message>,
-}
-
-impl Drop for Presence {
-    fn drop(&mut self) {
-        // If the loop is that busy, the deadline ends the request.
-        let _ = self.messages.try_send(Message::Gone(self.request));
-    }
-}
-
 /// What the head of a request says.
 struct Head {
     team: id::TeamId,
@@ -172,7 +160,7 @@
             stream,
         };
         let (replies, inbox) = mpsc::channel(REPLY_BUFFER);
-        let presence = Presence { request: number, messages: self.messages.clone() };
+        let presence = presence::Presence::new(self.messages.clone(), Message::Gone(number));
         let incoming = Box::new(Incoming { arrival, body, value, replies });
         self.messages
             .try_send(Message::Arrive(incoming))
@@ -281,7 +269,7 @@
 /// Waits for the first piece and makes the response out of it and what follows.
 async fn answer(
     mut inbox: mpsc::Receiver<Reply>,
-    presence: Presence,
+    presence: presence::Presence<Message>,
 ) -> Result<hyper::Response<http::Body>, refusal::Refusal> {
     match inbox.recv().await {
         Some(Reply::Whole(head, body)) => Ok(http::respond(head.status, &head.media, body)),
@@ -306,7 +294,7 @@
 async fn forward(
     mut inbox: mpsc::Receiver<Reply>,
     mut sender: http::BodySender,
-    presence: Presence,
+    presence: presence::Presence<Message>,
 ) {
     loop {
         let reply = tokio::select! {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -133,7 +133,6 @@
         self.now = now;
         match event {
             Event::Table { asked, table } => self.adopt(asked, table, effects),
-            Event::Confirmed { asked } => self.freshness.confirm(asked),
             Event::Listed(list) => self.list(list, effects),
             Event::Arrive(request, arrival) => self.arrive(request, &arrival, effects),
             Event::Gone(request) => self.leave(request, effects),
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -201,11 +201,6 @@
         /// The table.
         table: sync::Arc<table::Table>,
     },
-    /// The table has not changed; asked for at `asked`.
-    Confirmed {
-        /// When the read was sent.
-        asked: clock::Now,
-    },
     /// The store gave the list of upstreams.
     Listed(Vec<fleet::Listed>),
     /// A request arrived whole.
--- a/lib/src/gateway_http.rs
+++ b/lib/src/gateway_http.rs
@@ -10,6 +10,7 @@
 use crate::gateway;
 use crate::http;
 use crate::id;
+use crate::presence;
 use crate::refusal;
 use crate::table;
 use crate::telemetry;
@@ -58,22 +59,6 @@
     pub stopping: watch::Receiver<bool>,
 }
 
-/// Tells the loop when a caller went away before its answer began.
-struct Presence {
-    request: id::RequestId,
-    messages: mpsc::Sender<Message>,
-    is_answered: bool,
-}
-
-impl Drop for Presence {
-    fn drop(&mut self) {
-        if !self.is_answered {
-            // If the loop is that busy, the deadline ends the request.
-            let _ = self.messages.try_send(Message::Gone(self.request));
-        }
-    }
-}
-
 impl<D: dialect::Dialect> http::Handler for Callers<D> {
     async fn handle(
         &self,
@@ -129,10 +114,9 @@
         if self.messages.send(Message::Arrive(Box::new(incoming))).await.is_err() {
             return Err(gone());
         }
-        let messages = self.messages.clone();
-        let mut presence = Presence { request: number, messages, is_answered: false };
+        let presence = presence::Presence::new(self.messages.clone(), Message::Gone(number));
         let response = answer.await.map_err(|_| gone());
-        presence.is_answered = true;
+        presence.answered();
         response
     }
 }
--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -15,6 +15,7 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::presence;
 use crate::relay;
 use crate::upstream_pool;
 
@@ -59,22 +60,6 @@
     pub clock: clock::SystemClock,
 }
 
-/// Tells the loop when the other gateway stopped waiting.
-struct Presence {
-    ticket: gateway::Ticket,
-    messages: mpsc::Sender<Message>,
-    is_answered: bool,
-}
-
-impl Drop for Presence {
-    fn drop(&mut self) {
-        if !self.is_answered {
-            // If the loop is that busy, the pieces are made in vain.
-            let _ = self.messages.try_send(Message::Withdrawn(self.ticket));
-        }
-    }
-}
-
 fn plain(status: u16, text: &'static str) -> hyper::Response<http::Body> {
     http::respond(status, "text/plain", text)
 }
@@ -151,10 +136,9 @@
         let (reply, outcomes) = oneshot::channel();
         let message = Message::TakeOver(ticket, Box::new(message), reply);
         self.messages.send(message).await.map_err(|_| DeskError::Stopping)?;
-        let messages = self.messages.clone();
-        let mut presence = Presence { ticket, messages, is_answered: false };
+        let presence = presence::Presence::new(self.messages.clone(), Message::Withdrawn(ticket));
         let outcomes = outcomes.await.map_err(|_| DeskError::Stopping)?;
-        presence.is_answered = true;
+        presence.answered();
         let body = rmp_serde::to_vec(&outcomes).expect("outcomes have a plain form");
         Ok(http::respond(200, MEDIA, body))
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod peer;
 pub mod place;
 pub mod plan;
+pub mod presence;
 pub mod probe;
 pub mod queue;
 pub mod refusal;
