pace: a module of its own; counts, terms and lookups of batches once

Outcomes of a call were scanned twice for the same two counts, a flight kept two copies from the terms and looked the rest up again, the terms of a pool were looked up in three places, and the pieces left after a call were counted anew. No change of behaviour.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet;
 use crate::id;
+use crate::pace;
 use crate::roster;
 use crate::table;
 use crate::unit;
@@ -20,10 +21,14 @@
 pub const HEAVY_BYTES: u64 = 500_000;
 /// Time given to a request for each rank that it is below the highest.
 const RANK_DELAY: time::Duration = time::Duration::from_millis(400);
-
 /// Time that a lot yields to those whose inputs are in the upstream's failure domain: less than a
 /// call, so that it is not passed over again and again.
 const FAR_DELAY: time::Duration = time::Duration::from_millis(150);
+/// Time for which a result is usually kept until what needs it has it.
+const KEEP_TIME: time::Duration = time::Duration::from_millis(650);
+/// Time by which a piece may be behind its due time and still count as on time: the stages after it
+/// may go faster than expected.
+const GRACE: time::Duration = time::Duration::from_millis(100);
 
 /// Pieces of one stage of one request.
 #[derive(Clone, Copy, Debug, Default, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
@@ -136,84 +141,30 @@
     pub late: time::Duration,
 }
 
-/// Time by which a piece may be behind its due time and still count as on time: the stages after it
-/// may go faster than expected.
-const GRACE: time::Duration = time::Duration::from_millis(100);
-
-/// Time for which a result is usually kept until what needs it has it.
-const KEEP_TIME: time::Duration = time::Duration::from_millis(650);
-
-/// Part of its nominal rate at which a pool works while pieces wait: calls are not full when memory
-/// is short, and fetching inputs takes time.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace(pub f64);
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self(0.85)
-    }
-}
-
-impl Pace {
-    /// Learns from a call of `pieces` that took `took` while others waited.
-    pub fn learn(&mut self, terms: &table::Batching, pieces: usize, took: time::Duration) {
-        let nominal = terms.duration(terms.size).mul_f64(pieces as f64 / terms.size.max(1) as f64);
-        let sample = nominal.as_secs_f64() / took.as_secs_f64().max(0.001);
-        self.0 += (sample.clamp(LEAST_PACE, 1.0) - self.0) * PACE_SMOOTHING;
-    }
-}
-
-/// Part of a pool's calls that work which can be on time leaves to late work.
-#[derive(Clone, Copy, Debug)]
-struct Spare(f64);
-
-impl Default for Spare {
-    fn default() -> Self {
-        Self(1.0)
-    }
-}
-
-impl Spare {
-    /// Learns from a call with `taken` pieces of `places`, of which `prompt` can be on time;
-    /// `is_short` tells that more of those wait.
-    fn learn(&mut self, places: usize, taken: usize, prompt: usize, is_short: bool) {
-        let whole = taken.max(places / 2).max(1);
-        let sample = if is_short { 0.0 } else { 1.0 - prompt as f64 / whole as f64 };
-        self.0 += (sample - self.0) * SPARE_SMOOTHING;
-    }
-}
-
-/// Weight of a new sample in the spare part of a pool.
-const SPARE_SMOOTHING: f64 = 0.1;
-/// Least spare part that is counted on, so that the time for late work stays finite.
-const LEAST_SPARE: f64 = 0.05;
-
-/// Least part of its nominal rate that a call is taken to have worked at.
-const LEAST_PACE: f64 = 0.2;
-/// Weight of a new sample in the pace of a pool.
-const PACE_SMOOTHING: f64 = 0.1;
-
 /// Pieces that wait, by pool.
 #[derive(Debug, Default)]
 pub struct Queues {
     queues: collections::BTreeMap<roster::PoolId, collections::BTreeMap<GroupId, Lot>>,
-    spares: collections::BTreeMap<roster::PoolId, Spare>,
+    spares: collections::BTreeMap<roster::PoolId, pace::Spare>,
 }
 
 impl Queues {
     /// Adds a piece.
     pub fn push(&mut self, pool: &roster::PoolId, waiting: Waiting) {
-        let queue = self.queues.entry(pool.clone()).or_default();
-        let lot = queue.entry(waiting.id.group).or_default();
-        lot.pieces.insert(waiting.id.piece, waiting);
+        self.add(pool, waiting);
     }
 
     /// Adds a piece of a group that was begun.
     pub fn push_again(&mut self, pool: &roster::PoolId, waiting: Waiting) {
-        let group = waiting.id.group;
-        self.push(pool, waiting);
+        self.add(pool, waiting).is_begun = true;
+    }
+
+    /// Adds a piece and returns its lot.
+    fn add(&mut self, pool: &roster::PoolId, waiting: Waiting) -> &mut Lot {
         let queue = self.queues.entry(pool.clone()).or_default();
-        queue.entry(group).or_default().is_begun = true;
+        let lot = queue.entry(waiting.id.group).or_default();
+        lot.pieces.insert(waiting.id.piece, waiting);
+        lot
     }
 
     /// Removes all pieces of a group.
@@ -223,12 +174,6 @@
         }
     }
 
-    /// Returns the number of pieces that wait for a pool.
-    pub fn len(&self, pool: &roster::PoolId) -> usize {
-        let queue = self.queues.get(pool);
-        queue.map_or(0, |queue| queue.values().map(|lot| lot.pieces.len()).sum())
-    }
-
     /// Returns the time until new pieces are expected to have their turn. `pledged` is the number of
     /// pieces of requests that were taken in already and will come to the pool later, `pace` the
     /// part of its nominal rate at which the pool works while pieces wait.
@@ -239,7 +184,7 @@
         terms: &table::Batching,
         fleet: &fleet::Fleet,
         pledged: &Pieces,
-        pace: Pace,
+        pace: pace::Pace,
     ) -> Wait {
         let mut prompt = pledged.map(|pieces| Demand { pieces, bytes: 0 });
         let mut late = Demand::default();
@@ -261,7 +206,7 @@
             time::Duration::from_secs_f64(seconds)
         });
         // Late work gets what the rest leaves, and the rest goes on coming.
-        let spare = self.spares.get(pool).copied().unwrap_or_default().0.max(LEAST_SPARE);
+        let spare = self.spares.get(pool).copied().unwrap_or_default().part();
         let own = if spare < 1.0 { turn / terms.size.max(1) as f64 } else { 0.0 };
         let late = seconds + (late.time(terms, speed) + own) / spare;
         Wait { prompt, late: time::Duration::from_secs_f64(late) }
@@ -307,7 +252,7 @@
         let spare = self.spares.entry(pool.clone()).or_default();
         spare.learn(terms.size, pieces.len(), prompt, after > 0);
         let expected = terms.duration(pieces.len());
-        let left = queue.values().map(|lot| lot.pieces.len()).sum();
+        let left = queued - pieces.len();
         let room = unit::ByteSize(room);
         Some(Dispatch { instance: instance.clone(), pieces, expected, room, left })
     }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::fleet;
 use crate::freshness;
 use crate::id;
+use crate::pace;
 use crate::place;
 use crate::refusal;
 use crate::retry;
@@ -81,7 +82,7 @@
     waits: collections::BTreeMap<roster::PoolId, (time::Duration, batch::Wait)>,
     pledges:
         collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, batch::Pieces)>,
-    paces: collections::BTreeMap<roster::PoolId, batch::Pace>,
+    paces: collections::BTreeMap<roster::PoolId, pace::Pace>,
     runs: collections::BTreeMap<String, time::Duration>,
     biases: collections::BTreeMap<String, f64>,
     longest: collections::BTreeMap<String, time::Duration>,
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -27,8 +27,7 @@
     pieces: Vec<batch::Waiting>,
     sent: time::Duration,
     expected: time::Duration,
-    retention: time::Duration,
-    room: unit::ByteSize,
+    terms: table::Batching,
     foreign: u32,
     size: unit::ByteSize,
 }
@@ -101,8 +100,7 @@
             expected: next.expected,
             pool: pool_id.clone(),
             was_short: next.left > 0,
-            retention: terms.retention,
-            room: terms.room,
+            terms: *terms,
             foreign,
             size,
         };
@@ -138,12 +136,14 @@
             self.fleet.report(now, &flight.instance, load);
         }
         let took = now.saturating_sub(flight.sent);
+        let made = count(&outcome, |piece| matches!(piece, gateway::PieceOutcome::Done(_)));
+        let no_room = count(&outcome, |piece| *piece == gateway::PieceOutcome::NoRoom);
         let line = telemetry::Line::new("batch_ended")
             .with("batch", id)
             .with("upstream", &flight.instance)
             .with("outcome", outcome_name(&outcome))
-            .with("made", count(&outcome, |piece| matches!(piece, gateway::PieceOutcome::Done(_))))
-            .with("no_room", count(&outcome, |piece| *piece == gateway::PieceOutcome::NoRoom))
+            .with("made", made)
+            .with("no_room", no_room)
             .with("took_ms", took.as_millis());
         effects.push(gateway::Effect::Log(line));
         metrics::histogram!("gateway_batch_seconds").record(took.as_secs_f64());
@@ -153,14 +153,11 @@
                 let ratio = (flight.foreign == 0).then(|| took.as_secs_f64() / expected);
                 self.fleet.succeeded(now, &flight.instance, ratio);
                 self.learn_pace(&flight, took);
-                let no_room = outcomes.contains(&gateway::PieceOutcome::NoRoom);
-                let made = |piece: &_| matches!(piece, gateway::PieceOutcome::Done(_));
-                let has_made = outcomes.iter().any(made);
                 for (waiting, outcome) in flight.pieces.iter().zip(outcomes) {
                     self.piece_ended(&flight, waiting, outcome);
                 }
-                if no_room {
-                    self.note_full(&flight, has_made);
+                if no_room > 0 {
+                    self.note_full(&flight, made > 0);
                 }
             }
             gateway::BatchOutcome::Full => {
@@ -178,11 +175,9 @@
     }
 
     fn learn_pace(&mut self, flight: &Flight, took: time::Duration) {
-        let service = self.table.services.get(&flight.pool.service);
-        let Some(terms) = service.and_then(|service| service.batching) else { return };
         if flight.was_short {
             let pace = self.paces.entry(flight.pool.clone()).or_default();
-            pace.learn(&terms, flight.pieces.len(), took);
+            pace.learn(&flight.terms, flight.pieces.len(), took);
         }
     }
 
@@ -191,7 +186,7 @@
     fn note_full(&mut self, flight: &Flight, has_made: bool) {
         let now = self.now.mono;
         let Some(upstream) = self.fleet.get_mut(&flight.instance) else { return };
-        upstream.note_full(now, flight.room);
+        upstream.note_full(now, flight.terms.room);
         if !has_made {
             upstream.full_until = now + FULL_PAUSE;
         }
@@ -236,7 +231,7 @@
             gateway::PieceOutcome::Done(handle) => {
                 let instance = flight.instance.clone();
                 if let Some(upstream) = self.fleet.get_mut(&instance) {
-                    upstream.keep(handle.clone(), waiting.size, now + flight.retention);
+                    upstream.keep(handle.clone(), waiting.size, now + flight.terms.retention);
                 }
                 let Some(group) = self.groups.get_mut(&piece.group) else {
                     self.free_handle(instance, handle, waiting.size);
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -10,6 +10,7 @@
 use crate::gateway::request;
 use crate::handoff;
 use crate::id;
+use crate::pace;
 use crate::refusal;
 use crate::roster;
 use crate::table;
@@ -312,8 +313,7 @@
 
     /// Returns the time that pieces are expected to wait in a pool, and to take there.
     fn stage_time(&self, pool: &roster::PoolId, pieces: usize) -> (batch::Wait, time::Duration) {
-        let service = self.table.services.get(&pool.service);
-        let Some(terms) = service.and_then(|service| service.batching) else {
+        let Some(terms) = self.batching(pool) else {
             return (batch::Wait::default(), time::Duration::ZERO);
         };
         if pieces == 0 {
@@ -329,19 +329,25 @@
         }
         // Pieces share their call with others, and wait for a call to end before.
         let shared = pieces.max(terms.size / 2).min(terms.size);
-        let pace = self.paces.get(pool).copied().unwrap_or_default().0;
-        (wait, terms.duration(shared).div_f64(pace) + terms.per_call / 3)
+        (wait, terms.duration(shared).div_f64(self.pace(pool).0) + terms.per_call / 3)
     }
 
     /// Returns the time that pieces wait in this gateway's own queue.
     pub(super) fn own_wait(&self, pool: &roster::PoolId) -> batch::Wait {
-        let service = self.table.services.get(&pool.service);
-        let Some(terms) = service.and_then(|service| service.batching) else {
+        let Some(terms) = self.batching(pool) else {
             return batch::Wait::default();
         };
         let pledged = self.pledged(pool);
-        let pace = self.paces.get(pool).copied().unwrap_or_default();
-        self.queues.wait(self.now.mono, pool, &terms, &self.fleet, &pledged, pace)
+        self.queues.wait(self.now.mono, pool, &terms, &self.fleet, &pledged, self.pace(pool))
+    }
+
+    /// Returns the terms of a pool's batches, if its service does stages.
+    fn batching(&self, pool: &roster::PoolId) -> Option<table::Batching> {
+        self.table.services.get(&pool.service).and_then(|service| service.batching)
+    }
+
+    fn pace(&self, pool: &roster::PoolId) -> pace::Pace {
+        self.paces.get(pool).copied().unwrap_or_default()
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod outlier;
 pub mod owner_calls;
 pub mod ownership;
+pub mod pace;
 pub mod peer;
 pub mod place;
 pub mod plan;
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -4,8 +4,8 @@
 use std::time;
 
 use bramleyshelf_lib::{
-    admission, batch, clock, event_stream, fleet, freshness, gateway, id, place, roster, routing,
-    table, unit,
+    admission, batch, clock, event_stream, fleet, freshness, gateway, id, pace, place, roster,
+    routing, table, unit,
 };
 
 fn name<T: std::str::FromStr>(text: &str) -> T
@@ -213,7 +213,7 @@
     let fleet = fleet_of(&[("u1", "a")]);
     let mut queues = batch::Queues::default();
     push(&mut queues, 1, 16, 60_000, 8_000);
-    let wait = queues.wait(ms(0), &pool(), &terms(), &fleet, &[0, 8, 0, 0], batch::Pace(1.0));
+    let wait = queues.wait(ms(0), &pool(), &terms(), &fleet, &[0, 8, 0, 0], pace::Pace(1.0));
     let call = terms().duration(8);
     assert_eq!(wait.prompt[0], call * 2);
     assert_eq!(wait.prompt[1], call * 3, "what is pledged at rank 1 is ahead of rank 1");
@@ -435,7 +435,7 @@
 
 #[test]
 fn pace_follows_calls_while_pieces_wait() {
-    let mut pace = batch::Pace::default();
+    let mut pace = pace::Pace::default();
     for _ in 0..60 {
         pace.learn(&terms(), 4, terms().duration(8));
     }
@@ -444,8 +444,8 @@
     let mut queues = batch::Queues::default();
     push(&mut queues, 1, 16, 60_000, 8_000);
     let none = batch::Pieces::default();
-    let nominal = queues.wait(ms(0), &pool(), &terms(), &fleet, &none, batch::Pace(1.0));
-    let slow = queues.wait(ms(0), &pool(), &terms(), &fleet, &none, batch::Pace(0.5));
+    let nominal = queues.wait(ms(0), &pool(), &terms(), &fleet, &none, pace::Pace(1.0));
+    let slow = queues.wait(ms(0), &pool(), &terms(), &fleet, &none, pace::Pace(0.5));
     assert_eq!(slow.prompt[0], nominal.prompt[0] * 2);
 }
 
@@ -457,7 +457,7 @@
     let none = batch::Pieces::default();
     push(&mut queues, 1, 8, 100, 8_000);
     let wait = |queues: &batch::Queues| {
-        queues.wait(ms(50_000), &pool(), &terms(), &fleet, &none, batch::Pace(1.0))
+        queues.wait(ms(50_000), &pool(), &terms(), &fleet, &none, pace::Pace(1.0))
     };
     let before = wait(&queues);
     for group in 0..30 {
