route_times, relay: what is learned of a route in one place; digests once

Three maps by route (bias, runs, longest time allowed) with their constants stood in the stages of the gateway; they are one small type without I/O now. Whether a caller came back was worked out again for each region that was weighed, which made the estimate change state; it follows from the due time. The digest of the list of upstreams was computed at each question, by both sides, and what was told was not used; it is kept beside the list. Reads: two branches of the same fallback are one. No change of behaviour.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::refusal;
 use crate::retry;
 use crate::roster;
+use crate::route_times;
 use crate::table;
 use crate::telemetry;
 
@@ -83,9 +84,7 @@
     pledges:
         collections::BTreeMap<(roster::PoolId, id::InstanceId), (time::Duration, batch::Pieces)>,
     paces: collections::BTreeMap<roster::PoolId, pace::Pace>,
-    runs: collections::BTreeMap<String, time::Duration>,
-    biases: collections::BTreeMap<String, f64>,
-    longest: collections::BTreeMap<String, time::Duration>,
+    times: collections::BTreeMap<String, route_times::RouteTimes>,
     freed: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
     budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
     draining: Option<time::Duration>,
@@ -116,9 +115,7 @@
             waits: collections::BTreeMap::new(),
             pledges: collections::BTreeMap::new(),
             paces: collections::BTreeMap::new(),
-            runs: collections::BTreeMap::new(),
-            biases: collections::BTreeMap::new(),
-            longest: collections::BTreeMap::new(),
+            times: collections::BTreeMap::new(),
             freed: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
             draining: None,
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -95,7 +95,8 @@
         if self.fleet.of(service).next().is_none() {
             return Err(reject(Kind::NoUpstream, "no upstream of the service is known"));
         }
-        let spent = self.spent(route, request.cutoff.saturating_sub(now));
+        let times = self.times.entry(route.name.clone()).or_default();
+        let spent = times.spent(request.cutoff.saturating_sub(now));
         request.due = request.due.saturating_sub(spent);
         let load = self.settle_region(&mut request, &regions);
         match admission::check(&load)? {
@@ -124,7 +125,7 @@
 
     /// Moves a request to another region if it would be late in its own one and would not be there.
     fn settle_region(
-        &mut self,
+        &self,
         request: &mut request::Request,
         regions: &[id::RegionId],
     ) -> admission::Load {
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -214,8 +214,7 @@
         effects.push(gateway::Effect::Log(line));
         let (route, estimate) = (request.route.name.clone(), request.estimate);
         let actual = self.now.mono.saturating_sub(request.arrived);
-        self.learn_bias(&route, estimate, actual);
-        self.learn_run(&route, took);
+        self.times.entry(route).or_default().learn(estimate, actual, took);
         let Some(request) = self.requests.get(&request_id) else { return };
         metrics::histogram!("gateway_first_event_seconds")
             .record(self.now.mono.saturating_sub(request.arrived).as_secs_f64());
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -13,27 +13,13 @@
 use crate::pace;
 use crate::refusal;
 use crate::roster;
+use crate::route_times;
 use crate::table;
 
-/// Time that the run itself is expected to take until its answer begins, before one was seen.
-const RUN_TIME: time::Duration = time::Duration::from_millis(250);
-/// Weight of a new sample in the time of a route's runs.
-const RUN_SMOOTHING: f64 = 0.1;
 /// Longest wait in a later stage that is allowed for: what waits there now is worked off meanwhile.
 const LONGEST_WAIT: time::Duration = time::Duration::from_millis(300);
 /// Age up to which another gateway's word on its queue is believed.
 const WAIT_AGE: time::Duration = time::Duration::from_secs(1);
-/// Weight of a new sample in the bias of a route's estimates.
-const BIAS_SMOOTHING: f64 = 0.1;
-/// Least bias of estimates.
-const LEAST_BIAS: f64 = 0.8;
-/// Largest bias of estimates.
-const LARGEST_BIAS: f64 = 1.25;
-/// Part of the longest time that callers of a route allow, below which one has come back: the times
-/// that they begin with differ by less.
-const RETURN_SHARE: f64 = 0.84;
-/// Part of that time that callers begin with on average.
-const USUAL_SHARE: f64 = 0.92;
 /// Bytes from which it is worth a choice of the upstream that they needn't leave a failure domain.
 const MOVED_BYTES: u64 = 200_000;
 /// Times that pieces of one request are made again before it is given up.
@@ -214,7 +200,7 @@
 
     /// Returns how much work stands before a request that has just arrived.
     pub(super) fn load_of(
-        &mut self,
+        &self,
         request: &request::Request,
         region: &id::RegionId,
     ) -> admission::Load {
@@ -234,52 +220,18 @@
             prompt[stage] = start(&prompt).max(wait.prompt[rank]) + work;
             late[stage] = start(&late).max(wait.late) + work;
         }
-        let run = if request.stages.is_empty() {
-            time::Duration::ZERO
-        } else {
-            self.run_time(&request.route.name)
-        };
+        let times = self.times_of(&request.route.name);
+        let run = if request.stages.is_empty() { time::Duration::ZERO } else { times.run };
         let budget = request.start_by.saturating_sub(request.arrived);
-        let allowed = request.cutoff.saturating_sub(request.arrived);
-        let bias = self.biases.get(&request.route.name).copied().unwrap_or(1.0);
         let whole = |ends: Vec<time::Duration>| {
-            (ends.into_iter().max().unwrap_or_default() + run).mul_f64(bias)
+            (ends.into_iter().max().unwrap_or_default() + run).mul_f64(times.bias)
         };
         admission::Load {
             estimate: whole(prompt),
             late: whole(late),
             target: request.route.target,
             budget,
-            is_return: !self.spent(&request.route, allowed).is_zero(),
-        }
-    }
-
-    /// Learns from a request that begins to be answered how estimates of its route compare with what
-    /// comes of them.
-    pub(super) fn learn_bias(
-        &mut self,
-        route: &str,
-        estimate: time::Duration,
-        actual: time::Duration,
-    ) {
-        if estimate.is_zero() {
-            return;
-        }
-        let bias = self.biases.entry(route.to_owned()).or_insert(1.0);
-        let ratio = *bias * actual.as_secs_f64() / estimate.as_secs_f64();
-        *bias += (ratio - *bias) * BIAS_SMOOTHING;
-        *bias = bias.clamp(LEAST_BIAS, LARGEST_BIAS);
-    }
-
-    /// Returns the time that a caller spent on an earlier try, zero if this is its first: callers of
-    /// a route begin with the same time, and one that comes back has less left.
-    pub(super) fn spent(&mut self, route: &table::Route, budget: time::Duration) -> time::Duration {
-        let longest = self.longest.entry(route.name.clone()).or_default();
-        *longest = budget.max(*longest);
-        if budget < longest.mul_f64(RETURN_SHARE) {
-            longest.mul_f64(USUAL_SHARE).saturating_sub(budget)
-        } else {
-            time::Duration::ZERO
+            is_return: request.due < request.arrived + request.route.target,
         }
     }
 
@@ -297,18 +249,7 @@
                 wait.prompt[rank].min(LONGEST_WAIT) + work + self.time_after(request, next)
             })
             .max();
-        longest.unwrap_or_else(|| self.run_time(&request.route.name))
-    }
-
-    /// Returns the time from the call of the upstream that answers to the beginning of the answer.
-    fn run_time(&self, route: &str) -> time::Duration {
-        self.runs.get(route).copied().unwrap_or(RUN_TIME)
-    }
-
-    /// Learns how long the run of a route takes until its answer begins.
-    pub(super) fn learn_run(&mut self, route: &str, took: time::Duration) {
-        let run = self.runs.entry(route.to_owned()).or_insert(RUN_TIME);
-        *run = run.mul_f64(1.0 - RUN_SMOOTHING) + took.mul_f64(RUN_SMOOTHING);
+        longest.unwrap_or_else(|| self.times_of(&request.route.name).run)
     }
 
     /// Returns the time that pieces are expected to wait in a pool, and to take there.
@@ -346,6 +287,10 @@
         self.table.services.get(&pool.service).and_then(|service| service.batching)
     }
 
+    fn times_of(&self, route: &str) -> route_times::RouteTimes {
+        self.times.get(route).copied().unwrap_or_default()
+    }
+
     fn pace(&self, pool: &roster::PoolId) -> pace::Pace {
         self.paces.get(pool).copied().unwrap_or_default()
     }
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -1,7 +1,6 @@
 //! Reads that a gateway lives on: the table, the list of upstreams, and the gateways that are alive;
 //! and its own announcement.
 
-use std::sync;
 use std::time;
 
 use tokio::sync::{mpsc, watch};
@@ -123,19 +122,17 @@
             return Some((reads, false));
         }
         // While the store is away, somebody else may still reach it; it is tried all the same.
-        if self.has_lost_store()
-            && let Some(reads) = self.ask_any(&peers, known.as_ref()).await
-        {
-            if let Some(own) = self.read_store().await {
-                return Some((own, true));
-            }
-            return Some((reads, false));
+        let mut spare = None;
+        if self.has_lost_store() {
+            spare = self.ask_any(&peers, known.as_ref()).await;
         }
-        if let Some(reads) = self.read_store().await {
-            return Some((reads, true));
+        if let Some(own) = self.read_store().await {
+            return Some((own, true));
         }
-        let reads = self.ask_any(&peers, known.as_ref()).await;
-        reads.map(|reads| (reads, false))
+        if spare.is_none() {
+            spare = self.ask_any(&peers, known.as_ref()).await;
+        }
+        spare.map(|reads| (reads, false))
     }
 
     /// Reads the store. If it gives a part only, the loop gets that part, and others get nothing.
@@ -146,26 +143,21 @@
             within_read(self.source.fleet()),
             within_read(self.source.peers()),
         );
-        for (watcher, error) in self.store.iter_mut().zip([
-            table.as_ref().err(),
-            fleet.as_ref().err(),
-            peers.as_ref().err(),
-        ]) {
+        let errors = [table.as_ref().err(), fleet.as_ref().err(), peers.as_ref().err()];
+        for (watcher, error) in self.store.iter_mut().zip(errors) {
             watcher.note(error);
         }
-        let mut parts = Vec::new();
-        match (table, fleet, peers) {
+        let parts = match (table, fleet, peers) {
             (Ok(table), Ok(fleet), Ok(peers)) => {
-                let fleet = sync::Arc::new(fleet);
-                return Some(relay::Reads { asked, table, fleet, peers });
-            }
-            (table, fleet, peers) => {
-                parts.extend(table.ok().map(|table| gateway::Event::Table { asked, table }));
-                parts.extend(fleet.ok().map(gateway::Event::Listed));
-                parts.extend(peers.ok().map(gateway::Event::Peers));
+                return Some(relay::Reads::new(asked, table, fleet, peers));
             }
-        }
-        for part in parts {
+            (table, fleet, peers) => [
+                table.ok().map(|table| gateway::Event::Table { asked, table }),
+                fleet.ok().map(gateway::Event::Listed),
+                peers.ok().map(gateway::Event::Peers),
+            ],
+        };
+        for part in parts.into_iter().flatten() {
             // Fails only when the process ends.
             let _ = self.events.send(part).await;
         }
@@ -209,7 +201,7 @@
     reads: relay::Reads,
     events: &mpsc::Sender<gateway::Event>,
 ) -> Result<(), mpsc::error::SendError<gateway::Event>> {
-    let relay::Reads { asked, table, fleet, peers } = reads;
+    let relay::Reads { asked, table, fleet, peers, .. } = reads;
     events.send(gateway::Event::Table { asked, table }).await?;
     events.send(gateway::Event::Listed(fleet.to_vec())).await?;
     events.send(gateway::Event::Peers(peers)).await
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod retry;
 pub mod revision;
 pub mod roster;
+pub mod route_times;
 pub mod routing;
 pub mod settings;
 pub mod sidecar;
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -70,12 +70,24 @@
     pub fleet: sync::Arc<Vec<fleet::Listed>>,
     /// The gateways that are alive.
     pub peers: Vec<roster::Peer>,
+    digest: u64,
 }
 
 impl Reads {
+    /// Makes reads that came from the store.
+    pub fn new(
+        asked: clock::Now,
+        table: sync::Arc<table::Table>,
+        fleet: Vec<fleet::Listed>,
+        peers: Vec<roster::Peer>,
+    ) -> Self {
+        let digest = digest(&fleet);
+        Self { asked, table, fleet: sync::Arc::new(fleet), peers, digest }
+    }
+
     /// Returns what to ask with these reads at hand.
     pub fn to_ask(reads: Option<&Self>) -> Ask {
-        let known = reads.map(|reads| (reads.table.version, digest(&reads.fleet)));
+        let known = reads.map(|reads| (reads.table.version, reads.digest));
         let (table, fleet) = known.unwrap_or_default();
         Ask { version: VERSION, table, fleet }
     }
@@ -86,13 +98,12 @@
         if age > MAX_AGE {
             return None;
         }
-        let digest = digest(&self.fleet);
         Some(Told {
             version: VERSION,
             age_ms: unit::Millis(unit::Millis::from(age).0 + 1),
             table: (ask.table != self.table.version).then(|| sync::Arc::clone(&self.table)),
-            fleet: (ask.fleet != digest).then(|| self.fleet.to_vec()),
-            digest,
+            fleet: (ask.fleet != self.digest).then(|| self.fleet.to_vec()),
+            digest: self.digest,
             peers: self.peers.clone(),
         })
     }
@@ -108,7 +119,7 @@
             Some(fleet) => sync::Arc::new(fleet),
             None => known.map(|known| sync::Arc::clone(&known.fleet))?,
         };
-        Some(Self { asked, table, fleet, peers: told.peers })
+        Some(Self { asked, table, fleet, peers: told.peers, digest: told.digest })
     }
 }
 
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -35,12 +35,9 @@
 
 fn reads(asked: clock::Now, version: u64, upstreams: &[&str]) -> relay::Reads {
     let version = table::Version(version);
-    relay::Reads {
-        asked,
-        table: sync::Arc::new(table::Table { version, ..table::Table::default() }),
-        fleet: sync::Arc::new(upstreams.iter().map(|name| listed(name)).collect()),
-        peers: vec![peer("g1", "a")],
-    }
+    let table = sync::Arc::new(table::Table { version, ..table::Table::default() });
+    let fleet = upstreams.iter().map(|name| listed(name)).collect();
+    relay::Reads::new(asked, table, fleet, vec![peer("g1", "a")])
 }
 
 #[test]
