--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -7,17 +7,7 @@
 use bramleyshelf_lib::{
     batch, clock, fleet, gateway, handoff, id, place, refusal, roster, table, unit,
 };
-
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a valid name")
-}
-
-fn ms(value: u64) -> time::Duration {
-    time::Duration::from_millis(value)
-}
+use bramleyshelf_testutils::values::{ms, name};
 
 fn route(prefix: &str, kind: table::Kind, attempts: u32) -> sync::Arc<table::Route> {
     sync::Arc::new(table::Route {
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -1,23 +1,12 @@
 //! Parts of the gateway: batches, placement, admission, membership, leases and event streams.
 
 use std::collections;
-use std::time;
 
 use bramleyshelf_lib::{
     admission, batch, clock, event_stream, fleet, freshness, gateway, id, pace, place, roster,
     routing, table, unit,
 };
-
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a valid name")
-}
-
-fn ms(value: u64) -> time::Duration {
-    time::Duration::from_millis(value)
-}
+use bramleyshelf_testutils::values::{ms, name};
 
 fn regions() -> collections::BTreeMap<id::DomainId, id::RegionId> {
     [("a", "east"), ("b", "east"), ("c", "west")]
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -4,10 +4,7 @@
 use std::time;
 
 use bramleyshelf_lib::{clock, fleet, relay, roster, table};
-
-fn ms(millis: u64) -> time::Duration {
-    time::Duration::from_millis(millis)
-}
+use bramleyshelf_testutils::values::ms;
 
 fn at(millis: u64) -> clock::Now {
     clock::Now { mono: ms(millis), wall: time::Duration::from_secs(1_700_000_000) + ms(millis) }
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -7,16 +7,10 @@
     check, claim, clock, config, id, limit, membership, outlier, ownership, queue, retry, revision,
     routing, template, unit, wire,
 };
+use bramleyshelf_testutils::values::name;
 
 const TEXT: &str = include_str!("../../examples/takbaerer.json");
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a valid name")
-}
-
 fn seconds(value: u64) -> time::Duration {
     time::Duration::from_secs(value)
 }
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -109,6 +109,21 @@
         (cpu, pages.unwrap_or(0) * PAGE_BYTES)
     }
 
+    /// Waits until the process has ended; returns whether it did within `limit`.
+    ///
+    /// # Panics
+    /// Panics if the operating system does not tell.
+    pub async fn ends_within(&mut self, limit: time::Duration) -> bool {
+        let until = time::Instant::now() + limit;
+        while !self.has_ended() {
+            if time::Instant::now() >= until {
+                return false;
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        true
+    }
+
     /// Whether the process has ended.
     ///
     /// # Panics
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod plain;
 pub mod server;
 pub mod soak;
+pub mod values;
--- a/lib/testutils/src/soak.rs
+++ b/lib/testutils/src/soak.rs
@@ -17,6 +17,8 @@
 const SETTLE: time::Duration = time::Duration::from_secs(4);
 /// Longest time that a caller waits beyond its deadline.
 const CALLER_SLACK: time::Duration = time::Duration::from_secs(3);
+/// Time that a process has to end.
+const END_TIME: time::Duration = time::Duration::from_secs(20);
 /// Deadline of all requests.
 const DEADLINE: time::Duration = time::Duration::from_secs(4);
 
@@ -495,7 +497,7 @@
 async fn restart_sidecar(system: &mut cluster::Cluster, index: usize, signal: cluster::Signal) {
     if let Some(child) = &mut system.nodes[index].sidecar {
         child.signal(signal);
-        wait_end(child).await;
+        child.ends_within(END_TIME).await;
     }
     system.start_sidecar(index);
 }
@@ -524,22 +526,13 @@
         if is_kill {
             set_down(book);
         }
-        wait_end(child).await;
+        child.ends_within(END_TIME).await;
     }
     system.start_entry(index);
     system.wait_entry(index).await;
     book.lock().expect("no holder panics").up.push(address);
 }
 
-async fn wait_end(child: &mut cluster::Child) {
-    for _ in 0..1_000 {
-        if child.has_ended() {
-            return;
-        }
-        tokio::time::sleep(time::Duration::from_millis(20)).await;
-    }
-}
-
 async fn freeze(system: &cluster::Cluster, index: usize, millis: u64) {
     let Some(child) = &system.nodes[index].sidecar else { return };
     child.signal(cluster::Signal::Stop);
