--- a/cli/examples/gateway_soak.rs
+++ b/cli/examples/gateway_soak.rs
@@ -36,6 +36,7 @@
     if summary.broken.is_empty() {
         return process::ExitCode::SUCCESS;
     }
+    system.keep_logs();
     println!("logs are kept in {}", system.directory.display());
     process::ExitCode::FAILURE
 }
