http, sidecar, entry: a planned stop answers what crosses it

An entry also took an HTTP/2 request that a shutdown refused (GOAWAY) for one that may have run.

Now the backlog is accepted, heads in transit have 500 ms, a connection is read once more before it is told to close, event loops run until the last connection has ended, and requests beyond the last stream of a shutdown count as not sent.

The last part of a response has a place of its own in the caller's buffer. It was dropped for a caller whose buffer was full, and counted as answered.

--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -62,7 +62,38 @@
     /// The body as JSON.
     pub value: serde_json::Value,
     /// Receives the parts of the response.
-    pub replies: mpsc::Sender<Reply>,
+    pub replies: ReplySender,
+}
+
+/// Sending end of the channel for the parts of one response. A place for the last part is kept
+/// free, so that a whole answer is never reported as broken off because its caller is slow.
+#[derive(Debug)]
+pub struct ReplySender {
+    parts: mpsc::Sender<Reply>,
+    last: mpsc::OwnedPermit<Reply>,
+}
+
+impl ReplySender {
+    /// Makes a channel that buffers `buffer` parts for a slow caller, besides the last one.
+    ///
+    /// # Panics
+    /// Never: an empty channel has room for the last part.
+    pub fn channel(buffer: usize) -> (Self, mpsc::Receiver<Reply>) {
+        let (parts, inbox) = mpsc::channel(buffer + 1);
+        let last = parts.clone().try_reserve_owned().expect("the channel is empty");
+        (Self { parts, last }, inbox)
+    }
+
+    /// Sends a part that is not the last one; returns false if the caller has disconnected or its
+    /// buffer is full.
+    pub fn try_send(&self, part: Reply) -> bool {
+        self.parts.try_send(part).is_ok()
+    }
+
+    /// Sends the last part, also if the caller's buffer is full.
+    pub fn finish(self, last: Reply) {
+        self.last.send(last);
+    }
 }
 
 /// Message from the callers' connections to the event loop.
@@ -159,7 +190,7 @@
             prefix_hash,
             streaming,
         };
-        let (replies, inbox) = mpsc::channel(REPLY_BUFFER);
+        let (replies, inbox) = ReplySender::channel(REPLY_BUFFER);
         let guard = drop_guard::DropGuard::new(self.messages.clone(), Message::CallerGone(number));
         let incoming = Box::new(IncomingRequest { arrival, body, value, replies });
         self.messages
--- a/lib/src/entry_shell.rs
+++ b/lib/src/entry_shell.rs
@@ -122,7 +122,6 @@
         tokio::spawn(instance_list::follow_list(settings.instances.clone(), lists, rng.fork())),
         tokio::spawn(instance_list::count_entries(store, counts)),
     ];
-    let (close, closing) = watch::channel(false);
     let caller_handler = entry_http::CallerHandler {
         messages: caller_messages,
         active_config: active_config.subscribe(),
@@ -131,9 +130,10 @@
     };
     let peer_handler =
         entry_http::PeerHandler { active_config: active_config.subscribe(), status: status_reader };
-    let caller_server =
-        tokio::spawn(http::serve(listeners.callers, caller_handler, closing.clone()));
-    let peer_server = tokio::spawn(http::serve(listeners.peers, peer_handler, closing));
+    let servers = Servers {
+        callers: http::RunningServer::spawn(listeners.callers, caller_handler),
+        peers: http::RunningServer::spawn(listeners.peers, peer_handler),
+    };
     let shell = Shell {
         reducer,
         clock: clock::SystemClock::new(),
@@ -153,12 +153,16 @@
         lists: list_inbox,
         counts: count_inbox,
     };
-    shell.run(inboxes, stop, &close).await;
+    shell.run(inboxes, stop, servers).await;
     for task in background {
         task.abort();
     }
-    let _ = http::with_timeout(STOP_MARGIN, caller_server).await;
-    peer_server.abort();
+}
+
+/// HTTP servers of the process.
+struct Servers {
+    callers: http::RunningServer,
+    peers: http::RunningServer,
 }
 
 /// Data of a request in progress that the reducer does not hold.
@@ -170,7 +174,7 @@
     /// Answers of finished stages by name, from which later bodies are built.
     results: serde_json::Map<String, serde_json::Value>,
     /// Channel to the caller's connection.
-    replies: mpsc::Sender<entry_http::Reply>,
+    replies: entry_http::ReplySender,
     /// Label of the request's metrics.
     target: String,
     /// When the request arrived, for the metric of its duration.
@@ -208,7 +212,7 @@
         mut self,
         mut inboxes: Inboxes,
         mut stop: watch::Receiver<bool>,
-        close: &watch::Sender<bool>,
+        mut servers: Servers,
     ) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -240,16 +244,19 @@
                     let notice = self.settings.notice_ms.duration();
                     close_at = Some(tokio::time::Instant::now() + notice);
                 }
+                // Requests that cross the close are still answered until the last connection ends.
+                () = servers.callers.closed() => break,
             }
             let now = tokio::time::Instant::now();
             if close_at.is_some_and(|at| now >= at) {
                 close_at = None;
                 self.step(entry::Event::Drain);
-                close.send_replace(true);
+                servers.callers.close();
+                servers.peers.close();
                 let longest = self.active_config.borrow().config.limits.deadline_ms.duration();
                 end_at = Some(now + longest + STOP_MARGIN);
             }
-            if end_at.is_some_and(|at| self.reducer.request_count() == 0 || now >= at) {
+            if end_at.is_some_and(|at| now >= at) {
                 break;
             }
         }
@@ -399,7 +406,7 @@
         reply: entry_http::Reply,
     ) -> Option<entry::Event> {
         let data = self.requests.get(&request)?;
-        if data.replies.try_send(reply).is_ok() {
+        if data.replies.try_send(reply) {
             return None;
         }
         log::warn!("event=caller_too_slow request={request}");
@@ -414,9 +421,7 @@
         metrics::counter!("requests", &labels).increment(1);
         metrics::histogram!("request_seconds", &labels)
             .record(data.arrived.elapsed().as_secs_f64());
-        // Fails if the caller has disconnected or its buffer is full. Its connection then ends
-        // without a whole answer.
-        let _ = data.replies.try_send(reply);
+        data.replies.finish(reply);
     }
 
     /// Builds the body of a stage's attempt: from the stage's template, or the caller's body if it
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -22,6 +22,12 @@
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(75);
 /// Interval at which a head that has arrived in part is checked again.
 const HEAD_POLL: time::Duration = time::Duration::from_millis(20);
+/// Time that a connection which was established before the stop has to send its first head.
+const STOP_HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Pause without a new connection after which a stopping server closes its listener.
+const STOP_ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(5);
+/// Longest time that a stopping server continues to accept connections.
+const STOP_ACCEPT_LIMIT: time::Duration = time::Duration::from_millis(200);
 /// Response if the head does not arrive in time.
 const HEAD_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -234,9 +240,37 @@
     ) -> impl Future<Output = hyper::Response<Body>> + Send;
 }
 
+/// A server that runs in a task of its own.
+#[derive(Debug)]
+pub struct RunningServer {
+    task: tokio::task::JoinHandle<()>,
+    stop: watch::Sender<bool>,
+}
+
+impl RunningServer {
+    /// Starts to serve a listener; see [`serve`].
+    pub fn spawn<H: Handler>(listener: tokio::net::TcpListener, handler: H) -> Self {
+        let (stop, stopping) = watch::channel(false);
+        Self { task: tokio::spawn(serve(listener, handler, stopping)), stop }
+    }
+
+    /// Stops to accept connections; requests in progress continue.
+    pub fn close(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Waits until the last connection has ended after [`close`](Self::close). It can be cancelled
+    /// and called again, but not after it has returned.
+    pub async fn closed(&mut self) {
+        // The task fails only if it panicked, and then it has no connections either.
+        let _ = (&mut self.task).await;
+    }
+}
+
 /// Serves a listener until `stop` turns true, and then lets requests in progress finish.
 ///
-/// Returns when the last connection has ended.
+/// Connections that were established before the stop are served too, as their clients may have sent
+/// a request. Returns when the last connection has ended.
 ///
 /// # Panics
 /// Never: the number of connections fits the semaphore.
@@ -251,23 +285,18 @@
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("event=accept_failed error={e:?}");
-                tokio::time::sleep(time::Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let Ok(slot) = slots.clone().try_acquire_owned() else {
-            log::warn!("event=connection_refused reason=too_many_connections");
+        if let Err(e) = &accepted {
+            log::warn!("event=accept_failed error={e:?}");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
             continue;
-        };
-        let (handler, stop) = (handler.clone(), stop.clone());
-        tokio::spawn(async move {
-            serve_connection(stream, handler, stop).await;
-            drop(slot);
-        });
+        }
+        spawn_connection(accepted, &slots, &handler, &stop);
+    }
+    let end = tokio::time::Instant::now() + STOP_ACCEPT_LIMIT;
+    while tokio::time::Instant::now() < end
+        && let Ok(accepted) = tokio::time::timeout(STOP_ACCEPT_PAUSE, listener.accept()).await
+    {
+        spawn_connection(accepted, &slots, &handler, &stop);
     }
     drop(listener);
     let all = u32::try_from(MAX_CONNECTIONS).expect("the limit fits");
@@ -275,6 +304,26 @@
     let _ = slots.acquire_many(all).await;
 }
 
+/// Serves an accepted connection in a task that holds one of the slots. Closes it if none is free.
+fn spawn_connection<H: Handler>(
+    accepted: io::Result<(tokio::net::TcpStream, net::SocketAddr)>,
+    slots: &std::sync::Arc<tokio::sync::Semaphore>,
+    handler: &H,
+    stop: &watch::Receiver<bool>,
+) {
+    // The connection was reset before it was accepted.
+    let Ok((stream, _)) = accepted else { return };
+    let Ok(slot) = slots.clone().try_acquire_owned() else {
+        log::warn!("event=connection_refused reason=too_many_connections");
+        return;
+    };
+    let (handler, stop) = (handler.clone(), stop.clone());
+    tokio::spawn(async move {
+        serve_connection(stream, handler, stop).await;
+        drop(slot);
+    });
+}
+
 /// Waits until the socket has received a whole head, without consuming it. Returns false if the
 /// peer disconnects first.
 async fn wait_for_head(stream: &tokio::net::TcpStream) -> bool {
@@ -293,17 +342,27 @@
     }
 }
 
+/// Waits for the head of a connection's first request. A connection on which none arrives must not
+/// hold its slot for long, and even less once the server stops.
+async fn wait_for_first_head(
+    stream: &tokio::net::TcpStream,
+    stop: &mut watch::Receiver<bool>,
+) -> Result<bool, tokio::time::error::Elapsed> {
+    let head = tokio::time::timeout(HEAD_TIMEOUT, wait_for_head(stream));
+    tokio::pin!(head);
+    tokio::select! {
+        head = &mut head => return head,
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    tokio::time::timeout(STOP_HEAD_TIMEOUT, head).await.unwrap_or(Ok(false))
+}
+
 async fn serve_connection<H: Handler>(
     stream: tokio::net::TcpStream,
     handler: H,
     mut stop: watch::Receiver<bool>,
 ) {
-    // A connection on which no head arrives must not hold its slot for long.
-    let head = tokio::select! {
-        head = tokio::time::timeout(HEAD_TIMEOUT, wait_for_head(&stream)) => head,
-        _ = stop.wait_for(|stop| *stop) => return,
-    };
-    match head {
+    match wait_for_first_head(&stream, &mut stop).await {
         Ok(true) => {}
         Ok(false) => return,
         Err(_) => {
@@ -337,6 +396,9 @@
     let mut stopping = false;
     loop {
         tokio::select! {
+            // The connection goes first, so that it reads a request that has arrived before it is
+            // told to accept no more.
+            biased;
             ended = connection.as_mut() => {
                 if let Err(e) = ended {
                     log::debug!("event=connection_ended error={:?}", e.to_string());
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -54,6 +54,11 @@
     leaving: bool,
     /// Whether the member registration was deleted because this sidecar is leaving.
     deregistered: bool,
+    /// Whether the current or latest read of the store began while this sidecar was leaving.
+    reads_leaving: bool,
+    /// Whether `members` was read while this sidecar was leaving, so that it shows every sidecar
+    /// that registered before.
+    members_recent: bool,
     /// Whether ranges moved or an offer failed since the last snapshot of the store; no range is
     /// offered before the next snapshot.
     snapshot_stale: bool,
@@ -84,6 +89,8 @@
             last_refresh: time::Duration::ZERO,
             leaving: false,
             deregistered: false,
+            reads_leaving: false,
+            members_recent: false,
             snapshot_stale: false,
             read_stale: false,
         }
@@ -102,6 +109,8 @@
             self.lease = None;
         }
         self.leaving = leaving;
+        self.reads_leaving = false;
+        self.members_recent = false;
         self.next_refresh = time::Duration::ZERO;
     }
 
@@ -173,6 +182,7 @@
             let interval = if self.leaving { MIN_REFRESH_INTERVAL } else { REFRESH_INTERVAL };
             self.last_refresh = now.mono;
             self.read_stale = false;
+            self.reads_leaving = self.leaving;
             self.next_refresh = now.mono + interval;
             self.start_call(claim::Call::Read, calls);
         }
@@ -255,9 +265,16 @@
             .min_by_key(|(_, count)| *count)
     }
 
-    /// Whether the last snapshot showed another member, which could take ranges.
-    pub fn has_successor(&self) -> bool {
-        self.lease.is_some() && self.members.keys().any(|instance| *instance != self.instance)
+    /// Whether a leaving sidecar has handed over all ranges, or no other sidecar can take them.
+    ///
+    /// The latter is known only from a read of the store since it began to leave: other sidecars
+    /// may have registered after an earlier read.
+    pub fn has_handed_over(&self) -> bool {
+        if self.owned.is_empty() || self.lease.is_none() {
+            return true;
+        }
+        let has_successor = self.members.keys().any(|instance| *instance != self.instance);
+        self.members_recent && !has_successor
     }
 
     /// Returns the number of ranges per member if they are divided evenly, rounded up.
@@ -299,6 +316,7 @@
                 self.snapshot_stale = false;
                 self.owners = owners;
                 self.members = members;
+                self.members_recent = self.reads_leaving;
                 self.apply_snapshot(now, &ever_owned, calls, changes);
             }
             claim::Reply::Claimed { lease, ranges, fence, never_owned } => {
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -1,9 +1,11 @@
 //! Client side of the protocol between the system's own processes.
 
+use std::error::Error as _;
 use std::net;
 use std::time;
 
 use http_body_util::BodyExt as _;
+use hyper_util::client::legacy;
 
 use crate::http;
 use crate::id;
@@ -21,8 +23,8 @@
 /// A request to another process that failed.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum PeerError {
-    /// The connection could not be opened; nothing was sent.
-    #[display("could not connect to {address}; the process may have stopped")]
+    /// The connection could not be opened, or the peer shut it down without processing the request.
+    #[display("{address} took no request; the process may have stopped")]
     NotSent {
         /// Address of the process.
         address: net::SocketAddr,
@@ -80,7 +82,8 @@
 /// Sends a message and returns the frames of the answer.
 ///
 /// # Errors
-/// Fails if the connection cannot be opened, or breaks before the head of the answer.
+/// Fails if the connection cannot be opened, or breaks before the head of the answer. The error
+/// tells whether the peer may have processed the message.
 pub async fn request_frames(
     client: &http::Client,
     address: net::SocketAddr,
@@ -89,12 +92,42 @@
 ) -> Result<Frames, PeerError> {
     let sent = client.request(http::post(address, path, body)).await;
     let response = sent.map_err(|e| {
-        if e.is_connect() { PeerError::NotSent { address } } else { PeerError::Broken { address } }
+        if is_unprocessed(&e) {
+            PeerError::NotSent { address }
+        } else {
+            PeerError::Broken { address }
+        }
     })?;
     let decoder = wire::Decoder::new(MAX_FRAME_BYTES);
     Ok(Frames { address, body: response.into_body(), decoder })
 }
 
+/// Whether a failed request was certainly not processed by the peer.
+///
+/// A peer that shuts an HTTP/2 connection down names the last stream that it processes; the others
+/// end with this error (RFC 9113, section 6.8).
+fn is_unprocessed(error: &legacy::Error) -> bool {
+    if error.is_connect() {
+        return true;
+    }
+    let mut cause = error.source();
+    while let Some(current) = cause {
+        if let Some(http) = current.downcast_ref::<hyper::Error>()
+            && http.is_canceled()
+        {
+            // The request was still queued in the client.
+            return true;
+        }
+        if let Some(stream) = current.downcast_ref::<h2::Error>() {
+            let is_shutdown = stream.is_go_away() && stream.reason() == Some(h2::Reason::NO_ERROR);
+            let is_refused = stream.reason() == Some(h2::Reason::REFUSED_STREAM);
+            return stream.is_remote() && (is_shutdown || is_refused);
+        }
+        cause = current.source();
+    }
+    false
+}
+
 /// Encodes a message as a frame and appends a raw body.
 pub fn encode_with_body<T: serde::Serialize>(message: &T, body: &[u8]) -> bytes::Bytes {
     let head = wire::encode(message);
--- a/lib/src/sidecar.rs
+++ b/lib/src/sidecar.rs
@@ -351,8 +351,7 @@
     /// Whether the process may end: the sidecar drains, no attempt is open, and all key ranges are
     /// handed over or no other sidecar can take them.
     pub fn is_drained(&self) -> bool {
-        let is_handed_over = self.ownership.range_count() == 0 || !self.ownership.has_successor();
-        self.is_draining() && self.ledger.open_count() == 0 && is_handed_over
+        self.is_draining() && self.ledger.open_count() == 0 && self.ownership.has_handed_over()
     }
 
     /// Adds or removes a reason to drain. With the first one the key ranges are handed over, and
--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -33,6 +33,8 @@
 
 /// Interval of the reducer's ticks.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time that connections have to end once the server closes.
+const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Capacity of the channels into the event loop; senders wait while one is full.
 const CHANNEL_CAPACITY: usize = 1_024;
 
@@ -113,8 +115,7 @@
         tokio::spawn(registry::register(store.clone(), settings.instance.clone(), process))
             .abort_handle(),
     ];
-    let (close, closing) = watch::channel(false);
-    let server = tokio::spawn(http::serve(listener, handler, closing));
+    let server = http::RunningServer::spawn(listener, handler);
     let shell = Shell {
         reducer,
         clock,
@@ -137,9 +138,7 @@
         stop_timeout: settings.stop_ms.duration(),
         settings,
     };
-    shell.run(inbox, part_inbox, stop).await;
-    close.send_replace(true);
-    let _ = http::with_timeout(time::Duration::from_secs(2), server).await;
+    shell.run(inbox, part_inbox, stop, server).await;
     for task in background {
         task.abort();
     }
@@ -212,11 +211,14 @@
         mut inbox: mpsc::Receiver<sidecar_http::Message>,
         mut parts: mpsc::Receiver<(id::AttemptId, upstream::Part)>,
         mut stop: watch::Receiver<bool>,
+        mut server: http::RunningServer,
     ) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut active_config = self.active_config.clone();
         let mut stop_at = None;
+        // Set once the server closes. Messages that were on the way then are still answered.
+        let mut end_at: Option<tokio::time::Instant> = None;
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.step(sidecar::Event::Tick),
@@ -230,12 +232,19 @@
                     stop_at = Some(tokio::time::Instant::now() + self.stop_timeout);
                     self.step(sidecar::Event::Drain(sidecar::DrainCause::Signal, true));
                 }
+                () = server.closed() => break,
             }
             self.publish_status();
+            let now = tokio::time::Instant::now();
+            if end_at.is_some_and(|end| now >= end) {
+                break;
+            }
             if let Some(deadline) = stop_at
-                && (self.reducer.is_drained() || tokio::time::Instant::now() >= deadline)
+                && end_at.is_none()
+                && (self.reducer.is_drained() || now >= deadline)
             {
-                break;
+                server.close();
+                end_at = Some(now + CLOSE_TIMEOUT);
             }
         }
         if let Some(lease) = self.reducer.lease_id() {
--- /dev/null
+++ b/lib/tests/test_http.rs
@@ -0,0 +1,149 @@
+//! Stop of the HTTP server under load: connections that were established before the stop, and
+//! requests that cross it.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use bramleyshelf_lib::{http, peer};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::sync::watch;
+
+/// Connections that are established before each stop.
+const CONNECTIONS: usize = 24;
+const HEAD: &[u8] = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n";
+/// Time within which a stopped server without work has to end.
+const END_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+#[derive(Clone)]
+struct Echo;
+
+impl http::Handler for Echo {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        http::respond(200, "text/plain", request.uri().path().to_owned())
+    }
+}
+
+async fn listen() -> (tokio::net::TcpListener, net::SocketAddr) {
+    let listener = http::listen(([127, 0, 0, 1], 0).into()).await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    (listener, address)
+}
+
+/// Reads until the server closes the connection; empty if it closed without an answer.
+async fn read_answer(mut stream: tokio::net::TcpStream) -> String {
+    let mut answer = Vec::new();
+    // A reset counts as no answer, like a close.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn serve_answers_requests_established_before_the_stop() {
+    let (listener, address) = listen().await;
+    let mut clients = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = tokio::net::TcpStream::connect(address).await.expect("a backlog");
+        stream.write_all(HEAD).await.expect("an open connection");
+        clients.push(stream);
+    }
+    let (_stop, stopping) = watch::channel(true);
+    let server = tokio::spawn(http::serve(listener, Echo, stopping));
+    for (number, stream) in clients.into_iter().enumerate() {
+        let answer = read_answer(stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "connection {number}: {answer:?}");
+    }
+    tokio::time::timeout(END_LIMIT, server).await.expect("it ends").expect("no panic");
+}
+
+#[tokio::test]
+async fn serve_answers_heads_in_transit_at_the_stop() {
+    let (listener, address) = listen().await;
+    let (stop, stopping) = watch::channel(false);
+    let server = tokio::spawn(http::serve(listener, Echo, stopping));
+    let mut clients = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = tokio::net::TcpStream::connect(address).await.expect("a listener");
+        stream.write_all(&HEAD[..10]).await.expect("an open connection");
+        clients.push(stream);
+    }
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    stop.send_replace(true);
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    for stream in &mut clients {
+        stream.write_all(&HEAD[10..]).await.expect("an open connection");
+    }
+    for (number, stream) in clients.into_iter().enumerate() {
+        let answer = read_answer(stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "connection {number}: {answer:?}");
+    }
+    tokio::time::timeout(END_LIMIT, server).await.expect("it ends").expect("no panic");
+}
+
+#[tokio::test]
+async fn serve_ends_despite_silent_connections() {
+    let (listener, address) = listen().await;
+    let (stop, stopping) = watch::channel(false);
+    let server = tokio::spawn(http::serve(listener, Echo, stopping));
+    let silent = tokio::net::TcpStream::connect(address).await.expect("a listener");
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    stop.send_replace(true);
+    tokio::time::timeout(END_LIMIT, server).await.expect("it ends").expect("no panic");
+    assert_eq!(read_answer(silent).await, "");
+}
+
+/// Answers after a pause and counts the requests that reached it.
+#[derive(Clone, Default)]
+struct SlowCounter {
+    requests: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl http::Handler for SlowCounter {
+    async fn handle(
+        &self,
+        _request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+        tokio::time::sleep(time::Duration::from_millis(30)).await;
+        http::respond(200, "text/plain", "")
+    }
+}
+
+#[tokio::test]
+async fn request_frames_tells_whether_a_stopping_peer_processed_it() {
+    for round in 0..20 {
+        let (listener, address) = listen().await;
+        let (stop, stopping) = watch::channel(false);
+        let counter = SlowCounter::default();
+        let server = tokio::spawn(http::serve(listener, counter.clone(), stopping));
+        let client = http::peer_client();
+        let mut requests = tokio::task::JoinSet::new();
+        for number in 0..200 {
+            let client = client.clone();
+            requests.spawn(async move {
+                let body = bytes::Bytes::from_static(b"x");
+                peer::request_frames(&client, address, "/", body).await.map(|_| ())
+            });
+            if number == 100 {
+                stop.send_replace(true);
+            }
+            if number % 4 == 0 {
+                tokio::time::sleep(time::Duration::from_micros(200)).await;
+            }
+        }
+        let mut answered = 0;
+        while let Some(result) = requests.join_next().await {
+            match result.expect("no panic") {
+                Ok(()) => answered += 1,
+                Err(peer::PeerError::NotSent { .. }) => {}
+                Err(e) => panic!("round {round}: {e}"),
+            }
+        }
+        assert_eq!(answered, counter.requests.load(atomic::Ordering::Relaxed), "round {round}");
+        tokio::time::timeout(END_LIMIT, server).await.expect("it ends").expect("no panic");
+    }
+}
--- a/lib/tests/test_ownership.rs
+++ b/lib/tests/test_ownership.rs
@@ -244,3 +244,80 @@
         }
     }
 }
+
+/// Returns a sidecar that owns all ranges and has read a store without other members.
+fn sole_owner() -> ownership::Ownership {
+    let mut owner = ownership::Ownership::new(instance(0), address(0), incarnation(0));
+    let now = Fleet::now(time::Duration::ZERO);
+    let granted = claim::Reply::LeaseGranted { id: 1, requested_at: now, ttl: TTL };
+    owner.reply(now, granted, &mut Vec::new(), &mut Vec::new());
+    let snapshot = claim::Reply::Snapshot {
+        owners: wire::Owners::new(),
+        members: claim::Members::new(),
+        ever_owned: collections::BTreeSet::new(),
+    };
+    owner.reply(now, snapshot, &mut Vec::new(), &mut Vec::new());
+    let ranges = (0..key::RANGE_COUNT).collect();
+    let fence = id::FencingToken(2);
+    let claimed = claim::Reply::Claimed { lease: 1, ranges, fence, never_owned: true };
+    owner.reply(now, claimed, &mut Vec::new(), &mut Vec::new());
+    owner
+}
+
+/// Returns the claims that the sidecar of `sole_owner` has in the store.
+fn all_ranges_owned() -> wire::Owners {
+    let owner = wire::Owner {
+        instance: instance(0),
+        address: address(0),
+        incarnation: incarnation(0),
+        fence: id::FencingToken(2),
+    };
+    (0..key::RANGE_COUNT).map(|range| (range, owner.clone())).collect()
+}
+
+/// Ticks once and returns the calls other than those about the lease.
+fn tick_calls(owner: &mut ownership::Ownership, at: time::Duration) -> Vec<claim::Call> {
+    let mut calls = Vec::new();
+    owner.tick(Fleet::now(at), |_| true, &mut calls);
+    calls.retain(|call| !call.is_lease_call());
+    calls
+}
+
+// Other sidecars may have registered since the last read of the store, which is seconds ago.
+#[test]
+fn has_handed_over_waits_for_members_read_while_leaving() {
+    let mut owner = sole_owner();
+    let at = time::Duration::from_millis(400);
+    owner.set_leaving(true);
+    assert!(!owner.has_handed_over(), "no member was read since the stop");
+    assert!(matches!(tick_calls(&mut owner, at)[..], [claim::Call::Deregister]));
+    let failed = claim::Reply::Failed;
+    owner.reply(Fleet::now(at), failed, &mut Vec::new(), &mut Vec::new());
+    assert!(matches!(tick_calls(&mut owner, at)[..], [claim::Call::Read]));
+    assert!(!owner.has_handed_over(), "the read has not been answered");
+    let member = claim::Member { address: address(1), incarnation: incarnation(1) };
+    let snapshot = claim::Reply::Snapshot {
+        owners: all_ranges_owned(),
+        members: claim::Members::from([(instance(1), member)]),
+        ever_owned: (0..key::RANGE_COUNT).collect(),
+    };
+    owner.reply(Fleet::now(at), snapshot, &mut Vec::new(), &mut Vec::new());
+    assert!(!owner.has_handed_over(), "another member can take the ranges");
+}
+
+#[test]
+fn has_handed_over_without_other_members() {
+    let mut owner = sole_owner();
+    let at = time::Duration::from_millis(400);
+    owner.set_leaving(true);
+    tick_calls(&mut owner, at);
+    owner.reply(Fleet::now(at), claim::Reply::Failed, &mut Vec::new(), &mut Vec::new());
+    tick_calls(&mut owner, at);
+    let snapshot = claim::Reply::Snapshot {
+        owners: all_ranges_owned(),
+        members: claim::Members::new(),
+        ever_owned: (0..key::RANGE_COUNT).collect(),
+    };
+    owner.reply(Fleet::now(at), snapshot, &mut Vec::new(), &mut Vec::new());
+    assert!(owner.has_handed_over(), "no other sidecar can take the ranges");
+}
