placement, batch: one engine for long shared parts, stages next to their inputs

Cause: every region had an engine of its own for each shared prompt part, and batch calls went to any idle upstream, so that most inputs and heavy results crossed failure domains.

- Shared parts that take longer to process than another region is away go to one engine of the whole fleet, chosen by rendezvous hash; the stages of such a request run in the region of that engine.
Short ones stay in the gateway's region.
- Heavy results that the engine reads are made in its failure domain if an upstream there is idle.
- A group whose inputs are in another failure domain waits for an upstream there while it would still be on time after a full call.
The rest of a split group stays where its first pieces ran.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -57,8 +57,9 @@
     pub rank: u8,
     /// Typical size of the result.
     pub result_size: unit::ByteSize,
-    /// Failure domain that holds most of the inputs; `None` if they are small or there are none.
-    pub input_domain: Option<id::DomainId>,
+    /// Failure domain that the piece should run in, as it holds most of the inputs or the upstream
+    /// that reads the result; `None` if these are small.
+    pub near_domain: Option<id::DomainId>,
 }
 
 /// Identifies a batch call, unique within the gateway process.
@@ -95,14 +96,32 @@
         self.pieces.values().next().map_or(u8::MAX, |piece| piece.rank)
     }
 
-    /// Returns the failure domain that holds its inputs, if they are large.
-    fn input_domain(&self) -> Option<&id::DomainId> {
-        self.pieces.values().next().and_then(|piece| piece.input_domain.as_ref())
+    /// Returns the time by which its stage should end.
+    fn due(&self) -> time::Duration {
+        self.pieces.values().next().map_or(time::Duration::ZERO, |piece| piece.due)
     }
 
-    /// Returns whether its inputs would have to be transferred from another failure domain.
-    fn has_remote_inputs(&self, domain: &id::DomainId) -> bool {
-        self.input_domain().is_some_and(|inputs| inputs != domain)
+    /// Returns the failure domain that its pieces should run in, if any.
+    fn near_domain(&self) -> Option<&id::DomainId> {
+        self.pieces.values().next().and_then(|piece| piece.near_domain.as_ref())
+    }
+
+    /// Returns whether its pieces should run in another failure domain.
+    fn is_remote_from(&self, domain: &id::DomainId) -> bool {
+        self.near_domain().is_some_and(|near| near != domain)
+    }
+
+    /// Returns whether its results fill a large part of an upstream's memory.
+    fn is_heavy(&self) -> bool {
+        self.pieces.values().next().is_some_and(|piece| piece.result_size.0 >= HEAVY_BYTES)
+    }
+
+    /// Makes a group of which pieces were sent to a failure domain prefer that one for the rest, so
+    /// that the next stage finds all results in one place.
+    fn stay_near(&mut self, domain: &id::DomainId) {
+        for piece in self.pieces.values_mut() {
+            piece.near_domain.get_or_insert_with(|| domain.clone());
+        }
     }
 
     /// Returns the memory that the results of its queued pieces will take, in bytes.
@@ -243,13 +262,10 @@
         fleet: &fleet::Fleet,
     ) -> Option<Dispatch> {
         let queue = self.queues.get_mut(pool)?;
-        if queue.is_empty() {
-            return None;
-        }
-        let next_group = queue
-            .values()
-            .min_by_key(|group| (classify(now, group, batching), group.priority_time()))?;
-        let (instance, upstream) = pick_upstream(now, pool, batching, next_group, fleet)?;
+        let usable = UsableUpstreams::find(now, pool, batching, fleet)?;
+        let mut groups: Vec<_> = queue.values().collect();
+        groups.sort_by_key(|group| (classify(now, group, batching), group.priority_time()));
+        let (instance, upstream) = groups.into_iter().find_map(|group| usable.pick(group))?;
         let held = upstream.held_bytes(now).0;
         let free_memory = upstream.usable_memory(batching.result_memory).0.saturating_sub(held);
         let domain = &upstream.entry.domain;
@@ -268,12 +284,13 @@
             max_remote,
         }
         .take(queue, domain, |group| {
-            let delay = if group.has_remote_inputs(domain) {
+            let delay = if group.is_remote_from(domain) {
                 REMOTE_INPUT_DELAY
             } else {
                 time::Duration::ZERO
             };
-            (classify(now, group, batching), group.priority_time() + delay)
+            let order = (classify(now, group, batching), group.priority_time() + delay);
+            usable.may_run(group, domain).then_some(order)
         });
         if pieces.is_empty() {
             return None;
@@ -332,10 +349,9 @@
 /// Returns the scheduling class of a group. The group can be on time if a call that carries only
 /// its pieces and starts now would end by its due time, with some grace.
 fn classify(now: time::Duration, group: &QueuedGroup, batching: &table::Batching) -> Class {
-    let due = group.pieces.values().next().map_or(time::Duration::ZERO, |piece| piece.due);
     if group.is_started {
         Class::Started
-    } else if due + DUE_GRACE >= now + batching.duration(group.pieces.len()) {
+    } else if group.due() + DUE_GRACE >= now + batching.duration(group.pieces.len()) {
         Class::OnTime
     } else {
         Class::Late
@@ -358,14 +374,16 @@
 }
 
 impl CallBuilder {
-    /// Takes groups in the given order until no place or memory is left.
+    /// Takes groups in the given order until no place or memory is left. Groups without a place in
+    /// the order stay in the queue.
     fn take(
         mut self,
         queue: &mut collections::BTreeMap<GroupId, QueuedGroup>,
         domain: &id::DomainId,
-        order: impl Fn(&QueuedGroup) -> (Class, time::Duration),
+        order: impl Fn(&QueuedGroup) -> Option<(Class, time::Duration)>,
     ) -> Vec<QueuedPiece> {
-        let mut order: Vec<_> = queue.iter().map(|(id, group)| (order(group), *id)).collect();
+        let mut order: Vec<_> =
+            queue.iter().filter_map(|(id, group)| Some((order(group)?, *id))).collect();
         order.sort_unstable();
         let mut taken = Vec::new();
         for (_, id) in order {
@@ -373,12 +391,14 @@
                 break;
             }
             let Some(group) = queue.get_mut(&id) else { continue };
-            if taken.len() >= self.max_remote && group.has_remote_inputs(domain) {
+            if taken.len() >= self.max_remote && group.is_remote_from(domain) {
                 continue;
             }
             self.take_group(group, &mut taken);
             if group.pieces.is_empty() {
                 queue.remove(&id);
+            } else if group.is_started {
+                group.stay_near(domain);
             }
         }
         taken
@@ -415,26 +435,61 @@
     }
 }
 
-/// Picks an idle upstream of the pool for a group. Prefers upstreams with few calls of other
-/// gateways, then those with enough memory, then those in the failure domain of the inputs, then
-/// those that hold the fewest bytes of results.
-fn pick_upstream<'a>(
+/// Upstreams of a pool that may get calls, at least one of which is idle.
+struct UsableUpstreams<'a> {
     now: time::Duration,
-    pool: &'a roster::PoolId,
-    batching: &table::Batching,
-    group: &QueuedGroup,
-    fleet: &'a fleet::Fleet,
-) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
-    let usable: Vec<_> = fleet.pool_upstreams(pool).filter(|(_, up)| up.is_usable(now)).collect();
-    let lowest_slowness = usable.iter().map(|(_, up)| up.slowness(now)).min_by(f64::total_cmp)?;
-    usable
-        .into_iter()
-        .filter(|(_, up)| {
-            up.in_flight == 0 && up.slowness(now) <= lowest_slowness * MAX_SLOWNESS_RATIO
-        })
-        .min_by_key(|(_, up)| {
-            let held = up.held_bytes(now).0;
-            let is_full = up.usable_memory(batching.result_memory).0 < held + group.result_bytes();
-            (up.foreign_calls(now), is_full, group.has_remote_inputs(&up.entry.domain), held)
-        })
+    batching: &'a table::Batching,
+    upstreams: Vec<(&'a id::InstanceId, &'a fleet::Upstream)>,
+}
+
+impl<'a> UsableUpstreams<'a> {
+    /// Finds the upstreams of a pool that may get calls and are not much slower than its fastest
+    /// one. Returns `None` if none of them is idle.
+    fn find(
+        now: time::Duration,
+        pool: &'a roster::PoolId,
+        batching: &'a table::Batching,
+        fleet: &'a fleet::Fleet,
+    ) -> Option<Self> {
+        let mut upstreams: Vec<_> =
+            fleet.pool_upstreams(pool).filter(|(_, up)| up.is_usable(now)).collect();
+        let lowest = upstreams.iter().map(|(_, up)| up.slowness(now)).min_by(f64::total_cmp)?;
+        upstreams.retain(|(_, up)| up.slowness(now) <= lowest * MAX_SLOWNESS_RATIO);
+        let has_idle = upstreams.iter().any(|(_, up)| up.in_flight == 0);
+        has_idle.then_some(Self { now, batching, upstreams })
+    }
+
+    /// Picks an idle upstream for a group. Prefers upstreams with few calls of other gateways, then
+    /// those with enough memory, then those in the failure domain that the group should run in,
+    /// then those that hold the fewest bytes of results.
+    fn pick(&self, group: &QueuedGroup) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
+        let idle = self.upstreams.iter().filter(|(_, up)| up.in_flight == 0);
+        let allowed = idle.filter(|(_, up)| self.may_run(group, &up.entry.domain));
+        let best = allowed.min_by_key(|(_, up)| {
+            let is_remote = group.is_remote_from(&up.entry.domain);
+            let held = up.held_bytes(self.now).0;
+            (up.foreign_calls(self.now), !self.has_room(up, group), is_remote, held)
+        });
+        best.copied()
+    }
+
+    /// Returns whether a group may run in a failure domain now. A group that should run in another
+    /// one waits for an upstream there while it would still be on time after a full call. Groups
+    /// with heavy results do not wait, as they come last before the answer.
+    fn may_run(&self, group: &QueuedGroup, domain: &id::DomainId) -> bool {
+        let Some(near) = group.near_domain().filter(|near| *near != domain) else { return true };
+        let wait = self.batching.duration(self.batching.max_pieces);
+        let end = self.now + wait + self.batching.duration(group.pieces.len());
+        let is_near = |up: &fleet::Upstream| up.entry.domain == *near && self.has_room(up, group);
+        let can_wait = !group.is_heavy()
+            && group.due() >= end
+            && self.upstreams.iter().any(|(_, up)| is_near(up));
+        !can_wait
+    }
+
+    /// Returns whether an upstream has memory for the results of a group.
+    fn has_room(&self, upstream: &fleet::Upstream, group: &QueuedGroup) -> bool {
+        let held = upstream.held_bytes(self.now).0;
+        held + group.result_bytes() <= upstream.usable_memory(self.batching.result_memory).0
+    }
 }
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -7,6 +7,7 @@
 use crate::gateway;
 use crate::gateway::request;
 use crate::id;
+use crate::placement;
 use crate::refusal;
 use crate::roster;
 use crate::table;
@@ -99,7 +100,9 @@
         };
         let regions = self.regions_for(route);
         let now = self.now.mono;
-        let region = regions.first().cloned().unwrap_or_else(|| self.settings.own_region());
+        let region = self.region_with_engine(service, &arrival.prompt_parts, &regions);
+        let region = region.or_else(|| regions.first().cloned());
+        let region = region.unwrap_or_else(|| self.settings.own_region());
         let mut request =
             request::Request::new(now, arrival, route, team.as_ref(), service.clone(), region)
                 .map_err(|message| reject(Kind::BadRequest, message))?;
@@ -135,6 +138,26 @@
         self.fleet.regions().into_iter().filter(can_serve).collect()
     }
 
+    /// Returns the region of the engine that all gateways prefer for a prompt, if the prompt is
+    /// worth the distance and the region has an upstream for each stage.
+    fn region_with_engine(
+        &self,
+        service: &id::ServiceId,
+        parts: &[placement::PromptPart],
+        regions: &[id::RegionId],
+    ) -> Option<id::RegionId> {
+        if !placement::is_worth_distance(parts) {
+            return None;
+        }
+        let now = self.now.mono;
+        let usable = self.fleet.service_upstreams(service).filter(|(_, up)| {
+            let region = self.fleet.region(&up.entry.domain);
+            up.is_usable(now) && region.is_some_and(|region| regions.contains(region))
+        });
+        let engine = placement::preferred_engine(parts, usable.map(|(instance, _)| instance))?;
+        self.fleet.region(&self.fleet.get(engine)?.entry.domain).cloned()
+    }
+
     /// Moves a request to the region with the lowest estimate if it is expected to be late in its
     /// own one. Returns the estimate for its final region.
     fn choose_region(
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -105,6 +105,8 @@
             .with("upstream", &choice.instance)
             .with("reason", reason)
             .with("cost_ms", choice.cost_ms.round())
+            .with("tokens", choice.tokens)
+            .with("preferred", choice.is_preferred)
             .with("budget_ms", budget.as_millis())
             .with("repeat", !is_first)
             .with("waited_ms", self.now.mono.saturating_sub(request.arrived).as_millis());
@@ -138,9 +140,17 @@
         Some((choice.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))?, "least_work"))
     }
 
+    /// Returns the usable engine that all gateways prefer for the prompt of a request, in the
+    /// region of its stages.
+    pub(super) fn preferred_engine(&self, request: &request::Request) -> Option<id::InstanceId> {
+        let candidates = self.candidates(request, &[]);
+        let engines = candidates.iter().map(|candidate| &candidate.instance);
+        placement::preferred_engine(&request.prompt_parts, engines).cloned()
+    }
+
     /// Returns the upstreams that may answer a request: those that were not tried and are usable;
     /// otherwise those that were not tried; otherwise all. For a generation, they are limited to
-    /// the gateway's region if it has any.
+    /// the region of its stages if it has any, and otherwise to the nearest one.
     fn candidates(
         &self,
         request: &request::Request,
@@ -158,13 +168,18 @@
         let Some(subset) = subsets.into_iter().find(|subset| !subset.is_empty()) else {
             return Vec::new();
         };
+        let is_in_region =
+            |up: &fleet::Upstream| self.fleet.region(&up.entry.domain) == Some(&request.region);
         let is_generation = !request.prompt_parts.is_empty();
+        let has_own_region = subset.iter().any(|(_, up)| is_in_region(up));
         let nearest = subset.iter().map(|(_, up)| up.tier).min().unwrap_or(routing::Tier::Remote);
         let max_tier =
             if is_generation { nearest.max(routing::Tier::Region) } else { routing::Tier::Remote };
         subset
             .into_iter()
-            .filter(|(_, up)| up.tier <= max_tier)
+            .filter(|(_, up)| {
+                if is_generation && has_own_region { is_in_region(up) } else { up.tier <= max_tier }
+            })
             .map(|(instance, up)| self.candidate(instance, up, results))
             .collect()
     }
@@ -429,5 +444,5 @@
     };
     let calls = f64::from(candidate.in_flight + 1);
     let cost_ms = NOMINAL_CALL_MS * candidate.slowness * (1.0 + 0.3 * (calls - 1.0)) + distance;
-    placement::Choice { instance: candidate.instance, cost_ms, tokens: 0 }
+    placement::Choice { instance: candidate.instance, cost_ms, tokens: 0, is_preferred: false }
 }
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -55,8 +55,9 @@
     pub result_size: unit::ByteSize,
     /// What the pieces are computed from.
     pub input: gateway::PieceInput,
-    /// Failure domain that holds most of the input; `None` if it is small or there is none.
-    pub input_domain: Option<id::DomainId>,
+    /// Failure domain that the pieces should run in, as it holds most of the input or the upstream
+    /// that reads the results; `None` if these are small.
+    pub near_domain: Option<id::DomainId>,
     /// Outcome of each piece by its index; `None` while it is unfinished.
     pub pieces: collections::BTreeMap<u32, Option<handoff::Outcome>>,
     /// Number of failures of pieces so far.
@@ -127,7 +128,7 @@
             rank: group.rank,
             result_size: group.result_size,
             input: group.input.clone(),
-            input_domain: group.input_domain.clone(),
+            near_domain: group.near_domain.clone(),
         };
         let line = telemetry::Line::new("hand_over")
             .with("request", &group.external_id)
@@ -185,7 +186,7 @@
             rank: message.rank,
             result_size: message.result_size,
             input: message.input,
-            input_domain: message.input_domain,
+            near_domain: message.near_domain,
             pieces: message.pieces.into_iter().map(|piece| (piece, None)).collect(),
             failures: 0,
             handed_to: None,
@@ -435,13 +436,13 @@
 impl Group {
     /// Returns one of its pieces in the form in which it is queued.
     fn queued_piece(&self, id: batch::PieceId) -> batch::QueuedPiece {
-        let input_domain = self.input_domain.clone();
+        let near_domain = self.near_domain.clone();
         batch::QueuedPiece {
             id,
             due: self.due,
             rank: self.rank,
             result_size: self.result_size,
-            input_domain,
+            near_domain,
         }
     }
 }
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -176,7 +176,8 @@
         self.route.stages[stage].depends_on.iter().all(|dependency| self.is_stage_done(*dependency))
     }
 
-    fn is_heavy_final(&self, stage: usize) -> bool {
+    /// Returns whether a stage is final and its results are heavy.
+    pub fn is_heavy_final(&self, stage: usize) -> bool {
         self.route.stages[stage].result_size.0 >= batch::HEAVY_BYTES
             && self.route.final_stages().any(|last| last == stage)
     }
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -10,6 +10,7 @@
 use crate::gateway::request;
 use crate::handoff;
 use crate::id;
+use crate::placement;
 use crate::pool_rate;
 use crate::refusal;
 use crate::roster;
@@ -56,10 +57,12 @@
         let group = batch::GroupId(self.next_serial());
         let Some(request) = self.requests.get(&id) else { return };
         let due = request.due.saturating_sub(self.remaining_time(request, stage));
+        let engine_domain = self.engine_domain(request, stage);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let route_stage = &request.route.stages[stage];
         let results = request.stage_results(route_stage.depends_on.iter().copied());
-        let input_domain = main_domain(&self.fleet, &results, request.stages[stage].len());
+        let near_domain = main_domain(&self.fleet, &results, request.stages[stage].len());
+        let near_domain = near_domain.or_else(|| engine_domain.clone());
         let input = if route_stage.depends_on.is_empty() {
             gateway::PieceInput::Key(request.input_key.clone().unwrap_or_default())
         } else {
@@ -83,7 +86,7 @@
             rank: request.rank,
             result_size,
             input,
-            input_domain,
+            near_domain,
             pieces,
             failures: 0,
             handed_to: None,
@@ -91,6 +94,16 @@
         self.start_group(group, state, effects);
     }
 
+    /// Returns the failure domain of the engine that is going to read the heavy results of a final
+    /// stage, if the shared parts of the prompt decide which engine that is.
+    fn engine_domain(&self, request: &request::Request, stage: usize) -> Option<id::DomainId> {
+        if !request.is_heavy_final(stage) || !placement::is_worth_distance(&request.prompt_parts) {
+            return None;
+        }
+        let engine = self.preferred_engine(request)?;
+        Some(self.fleet.get(&engine)?.entry.domain.clone())
+    }
+
     /// Handles the outcomes of all pieces of a group: continues the request, computes lost inputs
     /// again, or refuses the request.
     pub(super) fn stage_finished(
--- a/lib/src/handoff.rs
+++ b/lib/src/handoff.rs
@@ -47,11 +47,11 @@
     /// What the pieces are computed from.
     #[serde(rename = "source")]
     pub input: gateway::PieceInput,
-    /// Failure domain that holds most of the input, if it is large. Gateways of earlier releases do
-    /// not send this field.
+    /// Failure domain that the pieces should run in, as it holds most of the input or the upstream
+    /// that reads the results. Gateways of earlier releases do not send this field.
     #[serde(default)]
     #[serde(rename = "inputs")]
-    pub input_domain: Option<id::DomainId>,
+    pub near_domain: Option<id::DomainId>,
 }
 
 /// Outcomes of pieces that were handed over.
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -20,6 +20,8 @@
 const CACHE_LIFETIME: time::Duration = time::Duration::from_secs(10);
 /// Number of recorded parts of one engine from which outdated ones are removed.
 const MAX_CACHED_PARTS: usize = 4_000;
+/// Milliseconds for a request to another region and the start of its answer to cross the link.
+const REMOTE_ROUND_TRIP_MS: f64 = 40.0;
 /// Milliseconds to transfer a megabyte from another failure domain of the region.
 const REGION_MS_PER_MB: f64 = 10.0;
 /// Milliseconds to transfer a megabyte from another region.
@@ -93,6 +95,8 @@
     /// Prompt tokens that it is assumed to process, as they are not in its cache; 0 without an
     /// engine.
     pub tokens: u64,
+    /// Whether it is the engine that every gateway prefers for the shared parts of the prompt.
+    pub is_preferred: bool,
 }
 
 /// Prompt parts that the engines are assumed to have in their caches.
@@ -115,11 +119,11 @@
         parts: &[PromptPart],
         candidates: &[Candidate],
     ) -> Option<Choice> {
-        let preferred = Self::preferred_engine(parts, candidates);
+        let engines = candidates.iter().map(|candidate| &candidate.instance);
+        let preferred = preferred_engine(parts, engines);
         // Other gateways send prompts with the shared parts to the preferred engine, which keeps
         // them in its cache. Every other engine is charged with the time to process them.
-        let shared: u64 = parts.iter().rev().skip(1).map(|part| part.tokens).sum();
-        let shared_read_ms = shared as f64 / TOKENS_PER_MS;
+        let shared_read_ms = shared_tokens(parts) as f64 / TOKENS_PER_MS;
         let empty = Cache::default();
         candidates
             .iter()
@@ -127,10 +131,11 @@
                 let cache = self.caches.get(&candidate.instance).unwrap_or(&empty);
                 let tokens = cache.count_missing(now, parts);
                 let mut cost_ms = estimate_cost_ms(candidate, tokens);
-                if Some(&candidate.instance) != preferred.as_ref() {
+                let is_preferred = Some(&candidate.instance) == preferred;
+                if !is_preferred {
                     cost_ms += shared_read_ms;
                 }
-                Choice { instance: candidate.instance.clone(), cost_ms, tokens }
+                Choice { instance: candidate.instance.clone(), cost_ms, tokens, is_preferred }
             })
             .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     }
@@ -139,24 +144,34 @@
     pub fn record(&mut self, now: time::Duration, instance: &id::InstanceId, parts: &[PromptPart]) {
         self.caches.entry(instance.clone()).or_default().record(now, parts);
     }
+}
 
-    /// Returns the engine that every gateway of the region prefers for the shared parts: the one
-    /// with the highest rendezvous hash, whatever its load.
-    fn preferred_engine(parts: &[PromptPart], candidates: &[Candidate]) -> Option<id::InstanceId> {
-        // The last part belongs to a single request or session. Of the shared parts, the one before
-        // it is common to the fewest prompts.
-        let key = match parts {
-            [] => return None,
-            [only] => only.id,
-            [.., shared, _] => shared.id,
-        };
-        candidates
-            .iter()
-            .max_by_key(|candidate| {
-                xxhash_rust::xxh3::xxh3_64_with_seed(candidate.instance.as_str().as_bytes(), key)
-            })
-            .map(|candidate| candidate.instance.clone())
-    }
+/// Returns the engine that every gateway prefers for the shared parts of a prompt: the one with the
+/// highest rendezvous hash, whatever its load. `None` without parts or engines.
+pub fn preferred_engine<'a>(
+    parts: &[PromptPart],
+    engines: impl Iterator<Item = &'a id::InstanceId>,
+) -> Option<&'a id::InstanceId> {
+    // The last part belongs to a single request or session. Of the shared parts, the one before it
+    // is common to the fewest prompts.
+    let key = match parts {
+        [] => return None,
+        [only] => only.id,
+        [.., shared, _] => shared.id,
+    };
+    engines
+        .max_by_key(|engine| xxhash_rust::xxh3::xxh3_64_with_seed(engine.as_str().as_bytes(), key))
+}
+
+/// Returns whether the shared parts of a prompt take longer to process than another region is away,
+/// so that an engine there that has them in its cache answers sooner than a near one without them.
+pub fn is_worth_distance(parts: &[PromptPart]) -> bool {
+    shared_tokens(parts) as f64 / TOKENS_PER_MS > REMOTE_ROUND_TRIP_MS
+}
+
+/// Returns the length of all parts but the last, which belongs to a single request or session.
+fn shared_tokens(parts: &[PromptPart]) -> u64 {
+    parts.iter().rev().skip(1).map(|part| part.tokens).sum()
 }
 
 /// Estimates the time to the first token of a prompt of which `tokens` are not cached.
