batch: groups that no call can carry whole are split

Cause: groups with heavy results were split only at an upstream without any results. A request with 10 pieces in a pool whose calls carry 8 waited until its caller gave up, and the memory that it reserved in each call kept other heavy groups waiting. Ruled out: lost handovers (the batcher had taken the groups).

Now such a group is split once a call can carry at least half of what any call could.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -267,7 +267,8 @@
         groups.sort_by_key(|group| (classify(now, group, batching), group.priority_time()));
         let (instance, upstream) = groups.into_iter().find_map(|group| usable.pick(group))?;
         let held = upstream.held_bytes(now).0;
-        let free_memory = upstream.usable_memory(batching.result_memory).0.saturating_sub(held);
+        let total_memory = upstream.usable_memory(batching.result_memory).0;
+        let free_memory = total_memory.saturating_sub(held);
         let domain = &upstream.entry.domain;
         let queued: usize = queue.values().map(|group| group.pieces.len()).sum();
         let on_time_before = count_on_time(now, queue, batching);
@@ -278,7 +279,9 @@
         };
         let pieces = CallBuilder {
             free_memory,
+            total_memory,
             free_places: batching.max_pieces,
+            total_places: batching.max_pieces,
             upstream_empty: held == 0,
             has_reservation: false,
             max_remote,
@@ -362,8 +365,12 @@
 struct CallBuilder {
     /// Memory for results that is still free at the upstream, in bytes.
     free_memory: u64,
+    /// Memory for results that the upstream has for this gateway, in bytes.
+    total_memory: u64,
     /// Number of pieces that can still be added.
     free_places: usize,
+    /// Number of pieces that a call carries.
+    total_places: usize,
     /// Whether the upstream holds no results of this gateway, so that one piece is sent in any
     /// case.
     upstream_empty: bool,
@@ -419,8 +426,13 @@
             return;
         }
         // A heavy group is not split, because the results of one part would occupy memory until the
-        // rest is done.
-        let can_split = !is_heavy || group.is_started || taken.is_empty() && self.upstream_empty;
+        // rest is done. One that no call can carry whole is split once a call can carry much of it.
+        let most = self.total_memory.checked_div(size).unwrap_or(u64::MAX);
+        let most = usize::try_from(most).unwrap_or(usize::MAX).min(self.total_places);
+        let is_oversized = group.pieces.len() > most && 2 * count >= most;
+        let can_split = !is_heavy
+            || group.is_started
+            || taken.is_empty() && (self.upstream_empty || is_oversized);
         if count < group.pieces.len() && !can_split {
             self.has_reservation = true;
             return;
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -138,6 +138,23 @@
     assert_eq!(groups(&call), [3, 3], "only three heavy results fit; light groups may overtake");
 }
 
+// Load pattern: a request has more pieces than one call carries, and upstreams always hold results
+// of others. The group can only be split; it must not wait for an empty upstream until its caller
+// gives up, nor keep other heavy groups waiting.
+#[test]
+fn batch_splits_heavy_groups_larger_than_a_call() {
+    let mut fleet = fleet_of(&[("u1", "a")]);
+    let upstream = fleet.get_mut(&name("u1")).expect("it is listed");
+    upstream.add_result(gateway::Handle("h".into()), unit::ByteSize(3_000_000), ms(9_000));
+    let mut queues = batch::Queues::default();
+    push(&mut queues, 1, 10, 5_000, 3_000_000);
+    push(&mut queues, 2, 2, 5_100, 3_000_000);
+    let first = queues.dispatch(ms(0), &pool(), &batching(), &fleet).expect("it is idle");
+    assert_eq!(groups(&first), [1; 8]);
+    let rest = queues.dispatch(ms(0), &pool(), &batching(), &fleet).expect("it is idle");
+    assert_eq!(groups(&rest), [1, 1, 2, 2]);
+}
+
 #[test]
 fn batch_prefers_upstreams_near_its_inputs() {
     let mut fleet = fleet_of(&[("u1", "a"), ("u2", "b")]);
