batch: groups wait for their failure domain only without a backlog

Cause: while a burst built up, groups that waited for an upstream next to their inputs left others idle, which showed on small pools. Now they wait only while fewer pieces are queued than half of what one call to each upstream carries.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -263,14 +263,15 @@
     ) -> Option<Dispatch> {
         let queue = self.queues.get_mut(pool)?;
         let usable = UsableUpstreams::find(now, pool, batching, fleet)?;
+        let queued: usize = queue.values().map(|group| group.pieces.len()).sum();
+        let has_backlog = 2 * queued > batching.max_pieces * usable.upstreams.len();
         let mut groups: Vec<_> = queue.values().collect();
         groups.sort_by_key(|group| (classify(now, group, batching), group.priority_time()));
-        let (instance, upstream) = groups.into_iter().find_map(|group| usable.pick(group))?;
+        let (instance, upstream) = groups.into_iter().find_map(|group| usable.pick(group, has_backlog))?;
         let held = upstream.held_bytes(now).0;
         let total_memory = upstream.usable_memory(batching.result_memory).0;
         let free_memory = total_memory.saturating_sub(held);
         let domain = &upstream.entry.domain;
-        let queued: usize = queue.values().map(|group| group.pieces.len()).sum();
         let on_time_before = count_on_time(now, queue, batching);
         let max_remote = if queued > 2 * batching.max_pieces {
             batching.max_pieces
@@ -293,7 +294,7 @@
                 time::Duration::ZERO
             };
             let order = (classify(now, group, batching), group.priority_time() + delay);
-            usable.may_run(group, domain).then_some(order)
+            (has_backlog || usable.may_run(group, domain)).then_some(order)
         });
         if pieces.is_empty() {
             return None;
@@ -474,9 +475,14 @@
     /// Picks an idle upstream for a group. Prefers upstreams with few calls of other gateways, then
     /// those with enough memory, then those in the failure domain that the group should run in,
     /// then those that hold the fewest bytes of results.
-    fn pick(&self, group: &QueuedGroup) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
+    fn pick(
+        &self,
+        group: &QueuedGroup,
+        has_backlog: bool,
+    ) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
         let idle = self.upstreams.iter().filter(|(_, up)| up.in_flight == 0);
-        let allowed = idle.filter(|(_, up)| self.may_run(group, &up.entry.domain));
+        let allowed =
+            idle.filter(|(_, up)| has_backlog || self.may_run(group, &up.entry.domain));
         let best = allowed.min_by_key(|(_, up)| {
             let is_remote = group.is_remote_from(&up.entry.domain);
             let held = up.held_bytes(self.now).0;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -20,8 +20,8 @@
 const CACHE_LIFETIME: time::Duration = time::Duration::from_secs(10);
 /// Number of recorded parts of one engine from which outdated ones are removed.
 const MAX_CACHED_PARTS: usize = 4_000;
-/// Milliseconds for a request to another region and the start of its answer to cross the link.
-const REMOTE_ROUND_TRIP_MS: f64 = 40.0;
+/// Time for a request to another region and the start of its answer to cross the link.
+const REMOTE_ROUND_TRIP: time::Duration = time::Duration::from_millis(40);
 /// Milliseconds to transfer a megabyte from another failure domain of the region.
 const REGION_MS_PER_MB: f64 = 10.0;
 /// Milliseconds to transfer a megabyte from another region.
@@ -123,7 +123,7 @@
         let preferred = preferred_engine(parts, engines);
         // Other gateways send prompts with the shared parts to the preferred engine, which keeps
         // them in its cache. Every other engine is charged with the time to process them.
-        let shared_read_ms = shared_tokens(parts) as f64 / TOKENS_PER_MS;
+        let shared_read_ms = shared_read_time(parts).as_secs_f64() * 1_000.0;
         let empty = Cache::default();
         candidates
             .iter()
@@ -166,12 +166,14 @@
 /// Returns whether the shared parts of a prompt take longer to process than another region is away,
 /// so that an engine there that has them in its cache answers sooner than a near one without them.
 pub fn is_worth_distance(parts: &[PromptPart]) -> bool {
-    shared_tokens(parts) as f64 / TOKENS_PER_MS > REMOTE_ROUND_TRIP_MS
+    shared_read_time(parts) > REMOTE_ROUND_TRIP
 }
 
-/// Returns the length of all parts but the last, which belongs to a single request or session.
-fn shared_tokens(parts: &[PromptPart]) -> u64 {
-    parts.iter().rev().skip(1).map(|part| part.tokens).sum()
+/// Returns the time to process all parts but the last, which belongs to a single request or
+/// session.
+pub fn shared_read_time(parts: &[PromptPart]) -> time::Duration {
+    let shared: u64 = parts.iter().rev().skip(1).map(|part| part.tokens).sum();
+    time::Duration::from_secs_f64(shared as f64 / TOKENS_PER_MS / 1_000.0)
 }
 
 /// Estimates the time to the first token of a prompt of which `tokens` are not cached.
