gateway: only whole events count as progress of a stream

- A byte now and then restarted the time in which a resumable stream has to go on, so that one that stalled that way was kept until the deadline.
Now only a whole event extends the time.
- A stream whose body ended properly but inside an event reached the caller as complete, with the broken event at its end.
It counts as broken off now; a resumable one goes on at another upstream.
- An event without end was read until its size limit although its time was over.

Heads without end were already cut off by the clients; two tests show it.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -267,7 +267,8 @@
         let has_backlog = 2 * queued > batching.max_pieces * usable.upstreams.len();
         let mut groups: Vec<_> = queue.values().collect();
         groups.sort_by_key(|group| (classify(now, group, batching), group.priority_time()));
-        let (instance, upstream) = groups.into_iter().find_map(|group| usable.pick(group, has_backlog))?;
+        let (instance, upstream) =
+            groups.into_iter().find_map(|group| usable.pick(group, has_backlog))?;
         let held = upstream.held_bytes(now).0;
         let total_memory = upstream.usable_memory(batching.result_memory).0;
         let free_memory = total_memory.saturating_sub(held);
@@ -481,8 +482,7 @@
         has_backlog: bool,
     ) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
         let idle = self.upstreams.iter().filter(|(_, up)| up.in_flight == 0);
-        let allowed =
-            idle.filter(|(_, up)| has_backlog || self.may_run(group, &up.entry.domain));
+        let allowed = idle.filter(|(_, up)| has_backlog || self.may_run(group, &up.entry.domain));
         let best = allowed.min_by_key(|(_, up)| {
             let is_remote = group.is_remote_from(&up.entry.domain);
             let held = up.held_bytes(self.now).0;
--- a/lib/src/event_stream.rs
+++ b/lib/src/event_stream.rs
@@ -56,6 +56,12 @@
         Ok((start > 0).then(|| self.buffer.split_to(start).freeze()))
     }
 
+    /// Returns whether more than line ends followed the last whole event. A stream that ends there
+    /// has broken off.
+    pub fn is_inside_event(&self) -> bool {
+        self.buffer.iter().any(|byte| !byte.is_ascii_whitespace())
+    }
+
     /// Returns the bytes after the last whole event.
     pub fn rest(&mut self) -> bytes::Bytes {
         self.buffer.split().freeze()
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -143,7 +143,7 @@
     }
 
     /// Relays a stream to the caller, whole events only. `first_timeout` is the time until the
-    /// first bytes.
+    /// first event.
     async fn relay(
         &self,
         request_call: &gateway::RequestCall,
@@ -155,15 +155,19 @@
         let mut splitter = event_stream::Splitter::resume_after(request_call.last_event);
         let (parts, mut body) = response.into_parts();
         let mut stream = None;
-        let mut timeout = first_timeout;
+        // Bytes that complete no event are no progress, so only whole events extend the time.
+        let mut event_due = time::Instant::now() + first_timeout;
         let outcome = loop {
+            let timeout = event_due.saturating_duration_since(time::Instant::now());
             let step = match &mut stream {
+                _ if timeout.is_zero() => StreamStep::Broken,
                 None => StreamStep::from_frame(http::with_timeout(timeout, body.frame()).await),
                 Some(out) => read_or_caller_gone(out, &mut body, timeout).await,
             };
             let broken = gateway::Outcome::Broken { last: splitter.last_id() };
             let data = match step {
                 StreamStep::Data(data) => data,
+                StreamStep::End if splitter.is_inside_event() => break broken,
                 StreamStep::End => break gateway::Outcome::Ended,
                 StreamStep::Broken => break broken,
                 StreamStep::CallerGone => {
@@ -175,13 +179,13 @@
             let Some(events) = events else { continue };
             if stream.is_none() {
                 stream = self.begin_stream(request_call, original, &parts).await;
-                timeout = gap_timeout(request_call);
             }
             let Some(out) = &mut stream else { break broken };
             if !out.send(events).await {
                 self.report(gateway::Event::CallerGone(request_call.request)).await;
                 break broken;
             }
+            event_due = time::Instant::now() + gap_timeout(request_call);
         };
         self.end_relay(request_call, original, &parts, stream, &mut splitter, connection, outcome)
             .await
@@ -337,7 +341,7 @@
 /// Time without an event after which a resumable stream is continued at another upstream.
 const GAP_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 
-/// Returns the time to wait for the next bytes of a stream that has begun. A call whose timeout is
+/// Returns the time to wait for the next event of a stream that has begun. A call whose timeout is
 /// below its budget may be continued elsewhere.
 fn gap_timeout(request_call: &gateway::RequestCall) -> time::Duration {
     match request_call.kind {
--- a/lib/tests/test_http.rs
+++ b/lib/tests/test_http.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic;
 use std::time;
 
-use bramleyshelf_lib::{http, peer};
+use bramleyshelf_lib::{http, peer, upstream_pool};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::sync::watch;
 
@@ -147,3 +147,42 @@
         tokio::time::timeout(END_LIMIT, server).await.expect("it ends").expect("no panic");
     }
 }
+
+/// Serves one connection with header lines without end; returns the bytes that it could send before
+/// the client closed.
+async fn send_endless_head(listener: tokio::net::TcpListener) -> usize {
+    let (mut stream, _) = listener.accept().await.expect("a client");
+    let line = b"x-filler: 0123456789\r\n".repeat(64);
+    let mut sent = stream.write(b"HTTP/1.1 200 OK\r\n").await.expect("an open connection");
+    while let Ok(bytes) = stream.write(&line).await {
+        sent += bytes;
+    }
+    sent
+}
+
+/// Bytes that a client may receive of a head that it does not accept, socket buffers included.
+const HEAD_LIMIT: usize = 8 << 20;
+
+#[tokio::test]
+async fn client_ends_a_head_without_end() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(send_endless_head(listener));
+    let sent = http::client(true).request(http::post(address, "/a", "x")).await;
+    assert!(sent.is_err(), "it is no answer");
+    let bytes = tokio::time::timeout(END_LIMIT, server).await.expect("it is closed");
+    assert!(bytes.expect("no panic") < HEAD_LIMIT);
+}
+
+#[tokio::test]
+async fn pool_ends_a_head_without_end() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(send_endless_head(listener));
+    let pool = upstream_pool::Pool::default();
+    let mut request = http::post(address, "/a", "x");
+    *request.uri_mut() = hyper::Uri::from_static("/a");
+    let sent = pool.send(address, 1, request).await;
+    // The request was sent, so it may have run.
+    assert!(matches!(sent, Err(upstream_pool::SendError::Broken)));
+    let bytes = tokio::time::timeout(END_LIMIT, server).await.expect("it is closed");
+    assert!(bytes.expect("no panic") < HEAD_LIMIT);
+}
