table, config: a configuration cannot crash or stall a gateway

Now a route whose stages cannot be run is logged (`route_unusable`) and its requests are refused at once as not run, while other routes are served.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -230,6 +230,14 @@
             .with("before", self.table.version)
             .with("routes", table.routes.len());
         effects.push(Effect::Log(line));
+        for route in &table.routes {
+            if let Err(e) = route.check_stages() {
+                let line = telemetry::Line::new("route_unusable")
+                    .with("route", &route.name)
+                    .with("fault", e);
+                effects.push(Effect::Log(line));
+            }
+        }
         self.table = table;
         self.has_table = true;
     }
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -94,6 +94,7 @@
             });
         };
         let team = self.authenticate(&table, route, arrival)?;
+        route.check_stages().map_err(|e| reject(Kind::NoUpstream, e.to_string()))?;
         let draw = self.rng.f64();
         let Some(service) = route.pick_service(draw) else {
             return Err(reject(Kind::NoUpstream, "the route names no service"));
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -153,6 +153,25 @@
     pub result_size: unit::ByteSize,
 }
 
+/// Stages of a route that cannot be run.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq)]
+pub enum StageError {
+    /// A stage depends on one that the route does not have.
+    #[display("stage {stage} depends on stage {missing}, which does not exist; correct its index")]
+    Missing {
+        /// Index of the stage.
+        stage: usize,
+        /// Index that it depends on.
+        missing: usize,
+    },
+    /// A stage needs its own result.
+    #[display("stage {stage} depends on itself; remove one dependency of the cycle")]
+    Cycle {
+        /// Index of the first stage that can never start.
+        stage: usize,
+    },
+}
+
 /// Properties of a service's upstreams.
 #[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 pub struct Service {
@@ -206,11 +225,19 @@
     pub token_capacity: u64,
 }
 
+/// Returns the host of a `Host` header without its port. An IPv6 address is in brackets there.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
 impl Table {
     /// Returns the route of a request: the one of its host with the longest matching prefix.
     /// A port in `host` is ignored.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let host = without_port(host);
         self.routes
             .iter()
             .filter(|route| {
@@ -229,8 +256,8 @@
     /// Returns the service that answers a request, chosen by weight. `draw` is a random number from
     /// 0 up to 1, exclusively. Returns `None` if no service has a weight.
     pub fn pick_service(&self, draw: f64) -> Option<&id::ServiceId> {
-        let total: u32 = self.split.iter().map(|(_, weight)| weight).sum();
-        let mut left = draw * f64::from(total);
+        let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut left = draw * total;
         for (service, weight) in &self.split {
             left -= f64::from(*weight);
             if left < 0.0 {
@@ -240,6 +267,29 @@
         None
     }
 
+    /// Checks that the stages can be run one after the other.
+    ///
+    /// # Errors
+    /// Fails if a stage depends on one that the route does not have, or on itself, directly or
+    /// through others.
+    pub fn check_stages(&self) -> Result<(), StageError> {
+        let count = self.stages.len();
+        let mut done = vec![false; count];
+        // Each pass runs at least one stage that is left, unless there is a cycle.
+        for _ in 0..count {
+            for (index, stage) in self.stages.iter().enumerate() {
+                if let Some(missing) = stage.depends_on.iter().find(|other| **other >= count) {
+                    return Err(StageError::Missing { stage: index, missing: *missing });
+                }
+                done[index] = stage.depends_on.iter().all(|other| done[*other]);
+            }
+        }
+        match done.iter().position(|is_done| !is_done) {
+            Some(stage) => Err(StageError::Cycle { stage }),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the stages on which no other stage depends. Their results are the input of the
     /// upstream that answers.
     pub fn final_stages(&self) -> impl Iterator<Item = usize> + '_ {
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -279,6 +279,41 @@
     assert_eq!(refusal_of(&effects), Some((Kind::NotReady, refusal::Ran::No)));
 }
 
+#[test]
+fn route_with_unusable_stages_is_refused_alone() {
+    // Dependencies of the two stages.
+    let cases: [[&[usize]; 2]; 4] = [[&[1], &[0]], [&[0], &[]], [&[], &[2]], [&[], &[1]]];
+    for dependencies in cases {
+        let mut harness = Harness::new();
+        let mut table = (*table(6, &["key"])).clone();
+        let mut guide = (*staged_route()).clone();
+        for (stage, depends_on) in guide.stages.iter_mut().zip(dependencies) {
+            stage.depends_on = depends_on.to_vec();
+        }
+        let last = table.routes.last_mut().expect("the staged route");
+        *last = sync::Arc::new(guide);
+        harness.apply_table(&sync::Arc::new(table));
+        let (_, effects) = harness.arrive("/guide/1");
+        let refused = Some((refusal::Kind::NoUpstream, refusal::Ran::No));
+        assert_eq!(refusal_of(&effects), refused, "{dependencies:?}");
+        let (_, effects) = harness.arrive("/stock/1");
+        assert!(request_call(&effects).is_some(), "other routes are served");
+    }
+}
+
+#[test]
+fn find_route_ignores_the_port() {
+    let route = table::Route {
+        host: "[2001:db8::1]".to_owned(),
+        ..(*route("/a/", table::RequestKind::Idempotent, 1)).clone()
+    };
+    let routes = vec![sync::Arc::new(route)];
+    let table = table::Table { routes, ..table::Table::default() };
+    for host in ["[2001:db8::1]", "[2001:db8::1]:8080", "[2001:DB8::1]:80"] {
+        assert!(table.find_route(host, "/a/1").is_some(), "{host}");
+    }
+}
+
 #[test]
 fn tick_ends_requests_at_their_deadline() {
     let mut harness = Harness::new();
