--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -270,17 +270,24 @@
 /// Number of ports in the range.
 const PORT_COUNT: u32 = 22_000;
 
+/// Returns a loopback address that only this process uses, so that concurrent test programs cannot
+/// be given the same port before one of them listens on it.
+fn own_host() -> net::Ipv4Addr {
+    // Process ids have at most 22 bits.
+    let [_, high, mid, low] = process::id().to_be_bytes();
+    net::Ipv4Addr::new(127, 64 | high, mid, low)
+}
+
 /// Returns a loopback address on which no process listens.
 ///
 /// # Panics
-/// Panics if the machine has no free port.
+/// Panics if the process has no free port.
 pub fn free_address() -> net::SocketAddr {
     static NEXT: sync::atomic::AtomicU32 = sync::atomic::AtomicU32::new(0);
     for _ in 0..PORT_COUNT {
-        // Test programs that run concurrently start at different ports of the range.
         let step = NEXT.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let port = FIRST_PORT + (process::id() * 131 + step) % PORT_COUNT;
-        let address = loopback(u16::try_from(port).expect("the range is below 65536"));
+        let port = u16::try_from(FIRST_PORT + step % PORT_COUNT).expect("the range is below 65536");
+        let address = (own_host(), port).into();
         if net::TcpListener::bind(address).is_ok() {
             return address;
         }
