--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -6,6 +6,8 @@
 //! so that calls grow with the load. Pieces of requests that can still be on time are sent first,
 //! ordered by their remaining time.
 
+mod usable_upstreams;
+
 use std::collections;
 use std::time;
 
@@ -16,8 +18,6 @@
 use crate::table;
 use crate::unit;
 
-/// Slowness relative to the fastest usable upstream above which an upstream gets no calls.
-const MAX_SLOWNESS_RATIO: f64 = 2.0;
 /// Result size from which a group is heavy: its results fill a large part of an upstream's memory.
 pub const HEAVY_BYTES: u64 = 500_000;
 /// Delay added to the due time of a request for each rank that it is below the highest.
@@ -262,13 +262,11 @@
         fleet: &fleet::Fleet,
     ) -> Option<Dispatch> {
         let queue = self.queues.get_mut(pool)?;
-        let usable = UsableUpstreams::find(now, pool, batching, fleet)?;
         let queued: usize = queue.values().map(|group| group.pieces.len()).sum();
-        let has_backlog = 2 * queued > batching.max_pieces * usable.upstreams.len();
+        let usable = usable_upstreams::UsableUpstreams::find(now, pool, batching, fleet, queued)?;
         let mut groups: Vec<_> = queue.values().collect();
         groups.sort_by_key(|group| (classify(now, group, batching), group.priority_time()));
-        let (instance, upstream) =
-            groups.into_iter().find_map(|group| usable.pick(group, has_backlog))?;
+        let (instance, upstream) = groups.into_iter().find_map(|group| usable.pick(group))?;
         let held = upstream.held_bytes(now).0;
         let total_memory = upstream.usable_memory(batching.result_memory).0;
         let free_memory = total_memory.saturating_sub(held);
@@ -295,7 +293,7 @@
                 time::Duration::ZERO
             };
             let order = (classify(now, group, batching), group.priority_time() + delay);
-            (has_backlog || usable.may_run(group, domain)).then_some(order)
+            usable.may_run(group, domain).then_some(order)
         });
         if pieces.is_empty() {
             return None;
@@ -448,66 +446,3 @@
         }
     }
 }
-
-/// Upstreams of a pool that may get calls, at least one of which is idle.
-struct UsableUpstreams<'a> {
-    now: time::Duration,
-    batching: &'a table::Batching,
-    upstreams: Vec<(&'a id::InstanceId, &'a fleet::Upstream)>,
-}
-
-impl<'a> UsableUpstreams<'a> {
-    /// Finds the upstreams of a pool that may get calls and are not much slower than its fastest
-    /// one. Returns `None` if none of them is idle.
-    fn find(
-        now: time::Duration,
-        pool: &'a roster::PoolId,
-        batching: &'a table::Batching,
-        fleet: &'a fleet::Fleet,
-    ) -> Option<Self> {
-        let mut upstreams: Vec<_> =
-            fleet.pool_upstreams(pool).filter(|(_, up)| up.is_usable(now)).collect();
-        let lowest = upstreams.iter().map(|(_, up)| up.slowness(now)).min_by(f64::total_cmp)?;
-        upstreams.retain(|(_, up)| up.slowness(now) <= lowest * MAX_SLOWNESS_RATIO);
-        let has_idle = upstreams.iter().any(|(_, up)| up.in_flight == 0);
-        has_idle.then_some(Self { now, batching, upstreams })
-    }
-
-    /// Picks an idle upstream for a group. Prefers upstreams with few calls of other gateways, then
-    /// those with enough memory, then those in the failure domain that the group should run in,
-    /// then those that hold the fewest bytes of results.
-    fn pick(
-        &self,
-        group: &QueuedGroup,
-        has_backlog: bool,
-    ) -> Option<(&'a id::InstanceId, &'a fleet::Upstream)> {
-        let idle = self.upstreams.iter().filter(|(_, up)| up.in_flight == 0);
-        let allowed = idle.filter(|(_, up)| has_backlog || self.may_run(group, &up.entry.domain));
-        let best = allowed.min_by_key(|(_, up)| {
-            let is_remote = group.is_remote_from(&up.entry.domain);
-            let held = up.held_bytes(self.now).0;
-            (up.foreign_calls(self.now), !self.has_room(up, group), is_remote, held)
-        });
-        best.copied()
-    }
-
-    /// Returns whether a group may run in a failure domain now. A group that should run in another
-    /// one waits for an upstream there while it would still be on time after a full call. Groups
-    /// with heavy results do not wait, as they come last before the answer.
-    fn may_run(&self, group: &QueuedGroup, domain: &id::DomainId) -> bool {
-        let Some(near) = group.near_domain().filter(|near| *near != domain) else { return true };
-        let wait = self.batching.duration(self.batching.max_pieces);
-        let end = self.now + wait + self.batching.duration(group.pieces.len());
-        let is_near = |up: &fleet::Upstream| up.entry.domain == *near && self.has_room(up, group);
-        let can_wait = !group.is_heavy()
-            && group.due() >= end
-            && self.upstreams.iter().any(|(_, up)| is_near(up));
-        !can_wait
-    }
-
-    /// Returns whether an upstream has memory for the results of a group.
-    fn has_room(&self, upstream: &fleet::Upstream, group: &QueuedGroup) -> bool {
-        let held = upstream.held_bytes(self.now).0;
-        held + group.result_bytes() <= upstream.usable_memory(self.batching.result_memory).0
-    }
-}
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -200,6 +200,18 @@
     }
 }
 
+#[test]
+fn batch_leaves_no_upstream_idle_with_a_backlog() {
+    let mut fleet = fleet_of(&[("u1", "a"), ("u2", "b")]);
+    fleet.record_sent(&name("u1"), 0);
+    let mut queues = batch::Queues::default();
+    // Calls carry 8 pieces, and there are two upstreams.
+    push_with_inputs(&mut queues, 1, 8, 5_000, 8_000, Some("a"));
+    assert!(queues.dispatch(ms(0), &pool(), &batching(), &fleet).is_none(), "it waits");
+    push_with_inputs(&mut queues, 2, 1, 5_000, 8_000, Some("a"));
+    assert!(queues.dispatch(ms(0), &pool(), &batching(), &fleet).is_some());
+}
+
 #[test]
 fn batch_keeps_a_split_group_in_one_failure_domain() {
     let mut fleet = fleet_of(&[("u1", "a"), ("u2", "b")]);
