relay: gateways pass on what changed instead of whole lists

Cause: each gateway of a failure domain asks its reader for reads twice a second, and each response held the whole list of gateways, and the whole list of upstreams whenever any of them had changed.

A response now states the changes since the list that the requester has, if the reader still knows that one, and leaves out the list of gateways if it is the same. Digests make sure that changes only apply to their own list. The message version is 2: during an upgrade gateways of both versions read the store themselves.

The new tests use functions that did not exist before, so they were not seen failing on the earlier code.

--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -153,7 +153,9 @@
         }
         let parts = match (table, fleet, peers) {
             (Ok(table), Ok(fleet), Ok(peers)) => {
-                return Some(relay::Snapshot::new(sent, table, fleet, peers));
+                let newest = self.newest.borrow();
+                let reads = relay::Snapshot::new(sent, table, fleet, peers);
+                return Some(reads.following(newest.as_ref()));
             }
             (table, fleet, peers) => [
                 table.ok().map(|table| gateway::Event::TableRead { sent, table }),
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -8,6 +8,9 @@
 //! Reads that are passed on keep their age. The gateway that asks counts the age from the time at
 //! which it sent its request. So a read never appears younger than it is, however long the answer
 //! takes and even if one of the processes is suspended.
+//!
+//! In a large fleet the lists are long and change a little at a time, so a response contains only
+//! what changed since the reads that the requester has.
 
 use std::collections;
 use std::sync;
@@ -21,7 +24,7 @@
 use crate::unit;
 
 /// Version of the messages; a gateway refuses other versions.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// Path for messages of type `ReadsRequest`.
 pub const READS_PATH: &str = "/relay/reads";
 /// Age from which reads are not passed on. By then the gateway cannot reach the store, and
@@ -29,6 +32,8 @@
 pub const MAX_AGE: time::Duration = time::Duration::from_millis(1_900);
 /// Time for which a gateway that had no recent reads is not asked.
 const AVOID_TIME: time::Duration = time::Duration::from_secs(3);
+/// Number of earlier lists of upstreams from which a response can state the changes.
+const MAX_CHANGES: usize = 8;
 /// Seed of the rendezvous hash that chooses the reader.
 const READER_SEED: u64 = 0x7265_6164;
 
@@ -43,6 +48,20 @@
     /// Digest of the list of upstreams that the requester has; 0 if it has none.
     #[serde(rename = "fleet")]
     pub fleet_digest: u64,
+    /// Digest of the list of gateways that the requester has; 0 if it has none.
+    #[serde(rename = "peers")]
+    pub peers_digest: u64,
+}
+
+/// Differences between two lists of upstreams.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct FleetChanges {
+    /// Digest of the list that they apply to.
+    pub base: u64,
+    /// Entries that are new or differ.
+    pub changed: Vec<fleet::ListEntry>,
+    /// Upstreams that are not listed any more.
+    pub removed: Vec<id::InstanceId>,
 }
 
 /// Latest reads of a gateway.
@@ -54,13 +73,17 @@
     pub age_ms: unit::Millis,
     /// Routing table; `None` if the requester has this version.
     pub table: Option<sync::Arc<table::Table>>,
-    /// List of upstreams; `None` if the requester has the list with this digest.
+    /// List of upstreams; `None` if the requester has the list with this digest or gets `changes`.
     pub fleet: Option<Vec<fleet::ListEntry>>,
     /// Digest of the list of upstreams.
     #[serde(rename = "digest")]
     pub fleet_digest: u64,
-    /// Gateways that are alive.
-    pub peers: Vec<roster::Peer>,
+    /// Differences of the list of upstreams from the one that the requester has.
+    pub changes: Option<FleetChanges>,
+    /// Gateways that are alive; `None` if the requester has the list with this digest.
+    pub peers: Option<Vec<roster::Peer>>,
+    /// Digest of the list of gateways.
+    pub peers_digest: u64,
 }
 
 /// Reads of the store that were sent at the same time.
@@ -70,11 +93,15 @@
     pub sent: clock::Now,
     /// Routing table.
     pub table: sync::Arc<table::Table>,
-    /// List of upstreams.
+    /// List of upstreams, ordered by instance.
     pub fleet: sync::Arc<Vec<fleet::ListEntry>>,
     /// Gateways that are alive.
     pub peers: Vec<roster::Peer>,
     fleet_digest: u64,
+    peers_digest: u64,
+    /// Changes between the latest lists of upstreams, the oldest ones first. Each applies to the
+    /// list that the one before it results in, and the last one results in `fleet`.
+    changes: collections::VecDeque<FleetChanges>,
 }
 
 impl Snapshot {
@@ -82,18 +109,44 @@
     pub fn new(
         sent: clock::Now,
         table: sync::Arc<table::Table>,
-        fleet: Vec<fleet::ListEntry>,
+        mut fleet: Vec<fleet::ListEntry>,
         peers: Vec<roster::Peer>,
     ) -> Self {
-        let fleet_digest = fleet_digest(&fleet);
-        Self { sent, table, fleet: sync::Arc::new(fleet), peers, fleet_digest }
+        fleet.sort_by(|a, b| a.instance.cmp(&b.instance));
+        Self {
+            sent,
+            table,
+            fleet_digest: digest(&fleet),
+            fleet: sync::Arc::new(fleet),
+            peers_digest: digest(&peers),
+            peers,
+            changes: collections::VecDeque::new(),
+        }
+    }
+
+    /// Records what changed since an earlier snapshot, so that responses can state it.
+    #[must_use]
+    pub fn following(mut self, earlier: Option<&Self>) -> Self {
+        let Some(earlier) = earlier else { return self };
+        self.changes.clone_from(&earlier.changes);
+        if earlier.fleet_digest != self.fleet_digest {
+            self.changes.push_back(find_changes(earlier, &self.fleet));
+        }
+        while self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self
     }
 
     /// Returns the request to send, given the snapshot that is available here.
     pub fn to_request(available: Option<&Self>) -> ReadsRequest {
-        let versions = available.map(|reads| (reads.table.version, reads.fleet_digest));
-        let (table_version, fleet_digest) = versions.unwrap_or_default();
-        ReadsRequest { version: VERSION, table_version, fleet_digest }
+        let empty = ReadsRequest { version: VERSION, ..ReadsRequest::default() };
+        available.map_or(empty, |reads| ReadsRequest {
+            version: VERSION,
+            table_version: reads.table.version,
+            fleet_digest: reads.fleet_digest,
+            peers_digest: reads.peers_digest,
+        })
     }
 
     /// Returns the response to a request, or `None` if the reads are too old to be passed on.
@@ -102,14 +155,42 @@
         if age > MAX_AGE {
             return None;
         }
+        let is_same_fleet = request.fleet_digest == self.fleet_digest;
+        let changes = if is_same_fleet { None } else { self.changes_since(request.fleet_digest) };
+        let needs_fleet = !is_same_fleet && changes.is_none();
         Some(ReadsResponse {
             version: VERSION,
             age_ms: unit::Millis(unit::Millis::from(age).0 + 1),
             table: (request.table_version != self.table.version)
                 .then(|| sync::Arc::clone(&self.table)),
-            fleet: (request.fleet_digest != self.fleet_digest).then(|| self.fleet.to_vec()),
+            fleet: needs_fleet.then(|| self.fleet.to_vec()),
             fleet_digest: self.fleet_digest,
-            peers: self.peers.clone(),
+            changes,
+            peers: (request.peers_digest != self.peers_digest).then(|| self.peers.clone()),
+            peers_digest: self.peers_digest,
+        })
+    }
+
+    /// Returns the changes since the list with the given digest; `None` if that one is not known
+    /// any more or the changes are as long as the list.
+    fn changes_since(&self, base: u64) -> Option<FleetChanges> {
+        let first = self.changes.iter().position(|changes| changes.base == base)?;
+        let mut changed = collections::BTreeMap::new();
+        let mut removed = collections::BTreeSet::new();
+        for changes in self.changes.iter().skip(first) {
+            for entry in &changes.changed {
+                removed.remove(&entry.instance);
+                changed.insert(entry.instance.clone(), entry.clone());
+            }
+            for instance in &changes.removed {
+                changed.remove(instance);
+                removed.insert(instance.clone());
+            }
+        }
+        (changed.len() + removed.len() < self.fleet.len()).then(|| FleetChanges {
+            base,
+            changed: changed.into_values().collect(),
+            removed: removed.into_iter().collect(),
         })
     }
 
@@ -127,23 +208,53 @@
         let table = response
             .table
             .or_else(|| available.map(|available| sync::Arc::clone(&available.table)))?;
-        let fleet = match response.fleet {
-            Some(fleet) => sync::Arc::new(fleet),
-            None => available.map(|available| sync::Arc::clone(&available.fleet))?,
+        let fleet = match (response.fleet, response.changes) {
+            (Some(fleet), _) => fleet,
+            (None, Some(changes)) => apply_changes(available?, changes)?,
+            (None, None) => available?.fleet.to_vec(),
         };
-        Some(Self {
-            sent,
-            table,
-            fleet,
-            peers: response.peers,
-            fleet_digest: response.fleet_digest,
-        })
+        let peers = response.peers.or_else(|| Some(available?.peers.clone()))?;
+        let reads = Self::new(sent, table, fleet, peers);
+        // Another digest means that the lists differ from those of the gateway that responded.
+        let is_complete = reads.fleet_digest == response.fleet_digest
+            && reads.peers_digest == response.peers_digest;
+        is_complete.then(|| reads.following(available))
+    }
+}
+
+/// Returns the changes from an earlier list of upstreams to a later one.
+fn find_changes(earlier: &Snapshot, later: &[fleet::ListEntry]) -> FleetChanges {
+    let mut left: collections::BTreeMap<_, _> =
+        earlier.fleet.iter().map(|entry| (&entry.instance, entry)).collect();
+    let changed = later
+        .iter()
+        .filter(|entry| left.remove(&entry.instance).is_none_or(|old| old != *entry))
+        .cloned()
+        .collect();
+    FleetChanges {
+        base: earlier.fleet_digest,
+        changed,
+        removed: left.into_keys().cloned().collect(),
+    }
+}
+
+/// Applies changes to a list of upstreams; `None` if they refer to another list.
+fn apply_changes(available: &Snapshot, changes: FleetChanges) -> Option<Vec<fleet::ListEntry>> {
+    if changes.base != available.fleet_digest {
+        return None;
+    }
+    let mut entries: collections::BTreeMap<_, _> =
+        available.fleet.iter().map(|entry| (entry.instance.clone(), entry.clone())).collect();
+    for instance in &changes.removed {
+        entries.remove(instance);
     }
+    entries.extend(changes.changed.into_iter().map(|entry| (entry.instance.clone(), entry)));
+    Some(entries.into_values().collect())
 }
 
-/// Returns a digest of a list of upstreams, to find out whether two gateways have the same list.
-fn fleet_digest(fleet: &[fleet::ListEntry]) -> u64 {
-    let text = rmp_serde::to_vec(fleet).expect("a list of upstreams can be encoded");
+/// Returns a digest of a list, to find out whether two gateways have the same one.
+fn digest(list: &impl serde::Serialize) -> u64 {
+    let text = rmp_serde::to_vec(list).expect("lists of instances can be encoded");
     xxhash_rust::xxh3::xxh3_64(&text)
 }
 
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -85,6 +85,56 @@
     assert!(response.table.is_some() && response.fleet.is_some());
 }
 
+#[test]
+fn response_states_changes_since_a_known_list() {
+    let first = snapshot(at(1_000), 3, &["u1", "u2", "u3", "u4", "u6", "u7"]);
+    let second = snapshot(at(2_000), 3, &["u1", "u3", "u4", "u5", "u6", "u7"]);
+    let second = second.following(Some(&first));
+    let mut leaving = snapshot(at(3_000), 3, &["u1", "u3", "u4", "u6", "u7"]);
+    let mut list = leaving.fleet.to_vec();
+    list[0].leaving = true;
+    leaving = relay::Snapshot::new(at(3_000), leaving.table, list, leaving.peers);
+    let latest = leaving.following(Some(&second));
+    for available in [&first, &second] {
+        let request = relay::Snapshot::to_request(Some(available));
+        let response = latest.to_response(at(3_100), request).expect("it is fresh");
+        assert!(response.fleet.is_none() && response.peers.is_none());
+        let changes = response.changes.clone().expect("the list is known");
+        assert_eq!(changes.changed.len(), 1, "{changes:?}");
+        let received = relay::Snapshot::from_response(at(3_100), response.clone(), Some(available))
+            .expect("the changes apply");
+        assert_eq!(received.fleet, latest.fleet);
+        // The changes do not apply to any other list.
+        let other = snapshot(at(2_500), 3, &["u1", "u9", "u6"]);
+        assert!(relay::Snapshot::from_response(at(3_100), response, Some(&other)).is_none());
+    }
+    let unknown = snapshot(at(500), 3, &["u8"]);
+    let request = relay::Snapshot::to_request(Some(&unknown));
+    let response = latest.to_response(at(3_100), request).expect("it is fresh");
+    assert!(response.fleet.is_some() && response.changes.is_none());
+}
+
+// Load pattern: every gateway of a failure domain asks its reader twice a second. The lists of the
+// planned fleet have hundreds of kilobytes, and a small instance has a link of 10 Mbit/s.
+#[test]
+fn response_is_short_in_a_large_fleet() {
+    /// Bytes of a response: with two a second, the 2 kB a second that control may take.
+    const MAX_BYTES: usize = 1_000;
+    let names: Vec<_> = (0..3_000).map(|number| format!("upstream-{number:04}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let peers: Vec<_> = (0..360).map(|number| peer(&format!("g-{number}"), "a")).collect();
+    let of = |names: &[&str]| {
+        let reads = snapshot(at(5_000), 3, names);
+        relay::Snapshot::new(reads.sent, reads.table, reads.fleet.to_vec(), peers.clone())
+    };
+    let available = of(&names[1..]);
+    let latest = of(&names[..2_999]).following(Some(&available));
+    let request = relay::Snapshot::to_request(Some(&available));
+    let response = latest.to_response(at(5_100), request).expect("it is fresh");
+    let bytes = rmp_serde::to_vec(&response).expect("it can be encoded").len();
+    assert!(bytes < MAX_BYTES, "{bytes} bytes");
+}
+
 #[test]
 fn response_is_equal_after_encoding() {
     let latest = snapshot(at(5_000), 3, &["u1"]);
