--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -99,13 +99,14 @@
     }
 }
 
-/// Decodes a message and checks its version.
+/// Decodes a message and checks that it has the expected version.
 fn decode<T: serde::de::DeserializeOwned>(
     body: &[u8],
+    expected: u16,
     version: impl Fn(&T) -> u16,
 ) -> Result<T, PeerRequestError> {
     match rmp_serde::from_slice::<T>(body) {
-        Ok(message) if version(&message) == handoff::VERSION => Ok(message),
+        Ok(message) if version(&message) == expected => Ok(message),
         Ok(_) => Err(PeerRequestError::Version),
         Err(_) => Err(PeerRequestError::Unreadable),
     }
@@ -140,7 +141,8 @@
         &self,
         body: &[u8],
     ) -> Result<hyper::Response<http::Body>, PeerRequestError> {
-        let message: handoff::Handover = decode(body, |m: &handoff::Handover| m.version)?;
+        let message: handoff::Handover =
+            decode(body, handoff::VERSION, |m: &handoff::Handover| m.version)?;
         let handover = self.serial.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let handover = gateway::HandoverId(handover);
         let (reply, outcomes) = oneshot::channel();
@@ -156,7 +158,8 @@
 
     /// Passes a release to the event loop.
     async fn release(&self, body: &[u8]) -> Result<hyper::Response<http::Body>, PeerRequestError> {
-        let message: handoff::Release = decode(body, |m: &handoff::Release| m.version)?;
+        let message: handoff::Release =
+            decode(body, handoff::VERSION, |m: &handoff::Release| m.version)?;
         self.messages
             .send(Message::ReleaseReceived(message))
             .await
@@ -166,7 +169,8 @@
 
     /// Answers with the newest reads of the store.
     fn serve_reads(&self, body: &[u8]) -> Result<hyper::Response<http::Body>, PeerRequestError> {
-        let request: relay::ReadsRequest = decode(body, |m: &relay::ReadsRequest| m.version)?;
+        let request: relay::ReadsRequest =
+            decode(body, relay::VERSION, |m: &relay::ReadsRequest| m.version)?;
         let reads = self.reads.borrow();
         let response =
             reads.as_ref().and_then(|reads| reads.to_response(self.clock.now(), request));
@@ -189,7 +193,9 @@
         let body = http::read_body(response.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await;
         let body = body.ok()?;
         connection.release();
-        is_success.then(|| decode(&body, |m: &relay::ReadsResponse| m.version).ok()).flatten()
+        is_success
+            .then(|| decode(&body, relay::VERSION, |m: &relay::ReadsResponse| m.version).ok())
+            .flatten()
     };
     http::with_timeout(READS_TIMEOUT, work).await.flatten()
 }
