gateway: calls that broke off state what broke them

Callers saw streams that were short but framed as complete. The logs could not tell a body that ended inside an event from a lost connection or a timeout; the outcome of a call now has its cause. No change of behaviour; tests of the library pass.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -18,8 +18,8 @@
 mod stages;
 
 pub use messages::{
-    Arrival, BatchCall, BatchItem, BatchOutcome, CallId, Effect, Event, Handle, HandoverId,
-    Outcome, PieceInput, PieceOutcome, RequestCall,
+    Arrival, BatchCall, BatchItem, BatchOutcome, BreakCause, CallId, Effect, Event, Handle,
+    HandoverId, Outcome, PieceInput, PieceOutcome, RequestCall,
 };
 
 use std::collections;
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -305,7 +305,7 @@
                 self.fleet.record_success(self.now.mono, &call.instance, None);
                 self.finish_request(call.request, took, effects);
             }
-            gateway::Outcome::Broken { last } => {
+            gateway::Outcome::Broken { last, .. } => {
                 self.record_upstream_failure(&call.instance, effects);
                 self.call_broken(call.request, last, effects);
             }
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -161,9 +161,31 @@
     Broken {
         /// Number of the last event that the caller received.
         last: Option<u64>,
+        /// What broke the answer.
+        cause: BreakCause,
     },
 }
 
+/// What kept an answer from being complete and valid.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub enum BreakCause {
+    /// The connection ended before the length, the last chunk or the head of the answer.
+    #[display("connection_lost")]
+    ConnectionLost,
+    /// The body ended as a complete one does, but inside an event.
+    #[display("inside_event")]
+    InsideEvent,
+    /// The answer or its next event did not arrive in time.
+    #[display("timeout")]
+    Timeout,
+    /// The answer is another request's, lacks the upstream's mark or breaks the order of events.
+    #[display("invalid")]
+    Invalid,
+    /// The caller disconnected.
+    #[display("caller_gone")]
+    CallerGone,
+}
+
 /// How one piece of a batch ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PieceOutcome {
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -87,12 +87,16 @@
         request_call: &gateway::RequestCall,
         original: &OriginalRequest,
     ) -> CallResult {
-        let broken = (gateway::Outcome::Broken { last: request_call.last_event }, None);
+        let last = request_call.last_event;
+        let broken = |cause| (gateway::Outcome::Broken { last, cause }, None);
         let started = time::Instant::now();
         let request = self.build_request(request_call, original);
         let sent = self.pool.send(request_call.address, request_call.max_connections, request);
         let (response, connection) = match http::with_timeout(request_call.timeout, sent).await {
-            None | Some(Err(upstream_pool::SendError::Broken)) => return broken,
+            None => return broken(gateway::BreakCause::Timeout),
+            Some(Err(upstream_pool::SendError::Broken)) => {
+                return broken(gateway::BreakCause::ConnectionLost);
+            }
             Some(Err(upstream_pool::SendError::Unsent)) => return (gateway::Outcome::Unsent, None),
             Some(Ok(answered)) => answered,
         };
@@ -101,7 +105,7 @@
         // The answer belongs to an earlier request on the connection. Dropping the connection also
         // drops the answer that is still to come.
         if head.is_mismatched {
-            return broken;
+            return broken(gateway::BreakCause::Invalid);
         }
         if head.not_run || head.wrong_instance {
             let outcome = gateway::Outcome::NotRun {
@@ -113,7 +117,7 @@
         }
         // A success without the upstream's mark is not the upstream's answer.
         if status < 300 && !head.is_sealed {
-            return broken;
+            return broken(gateway::BreakCause::Invalid);
         }
         if request_call.kind.is_stream() && status == 200 {
             let left = request_call.timeout.saturating_sub(started.elapsed());
@@ -122,7 +126,10 @@
         }
         let (parts, body) = response.into_parts();
         let read = http::read_body(body, MAX_ANSWER_BYTES, request_call.budget).await;
-        let Ok(body) = read else { return broken };
+        let body = match read {
+            Ok(body) => body,
+            Err(e) => return broken(break_cause(e)),
+        };
         connection.release();
         let headers = self.dialect.answer_headers(&parts.headers);
         let answer = Answer { status, headers, body };
@@ -160,30 +167,35 @@
         let outcome = loop {
             let timeout = event_due.saturating_duration_since(time::Instant::now());
             let step = match &mut stream {
-                _ if timeout.is_zero() => StreamStep::Broken,
+                _ if timeout.is_zero() => StreamStep::Broken(gateway::BreakCause::Timeout),
                 None => StreamStep::from_frame(http::with_timeout(timeout, body.frame()).await),
                 Some(out) => read_or_caller_gone(out, &mut body, timeout).await,
             };
-            let broken = gateway::Outcome::Broken { last: splitter.last_id() };
+            let last = splitter.last_id();
+            let broken = |cause| gateway::Outcome::Broken { last, cause };
             let data = match step {
                 StreamStep::Data(data) => data,
-                StreamStep::End if splitter.is_inside_event() => break broken,
+                StreamStep::End if splitter.is_inside_event() => {
+                    break broken(gateway::BreakCause::InsideEvent);
+                }
                 StreamStep::End => break gateway::Outcome::Ended,
-                StreamStep::Broken => break broken,
+                StreamStep::Broken(cause) => break broken(cause),
                 StreamStep::CallerGone => {
                     self.report(gateway::Event::CallerGone(request_call.request)).await;
-                    break broken;
+                    break broken(gateway::BreakCause::CallerGone);
                 }
             };
-            let Ok(events) = splitter.push(&data) else { break broken };
+            let Ok(events) = splitter.push(&data) else {
+                break broken(gateway::BreakCause::Invalid);
+            };
             let Some(events) = events else { continue };
             if stream.is_none() {
                 stream = self.begin_stream(request_call, original, &parts).await;
             }
-            let Some(out) = &mut stream else { break broken };
+            let Some(out) = &mut stream else { break broken(gateway::BreakCause::CallerGone) };
             if !out.send(events).await {
                 self.report(gateway::Event::CallerGone(request_call.request)).await;
-                break broken;
+                break broken(gateway::BreakCause::CallerGone);
             }
             event_due = time::Instant::now() + gap_timeout(request_call);
         };
@@ -215,7 +227,8 @@
             stream = self.begin_stream(request_call, original, parts).await;
         }
         let Some(mut stream) = stream else {
-            return gateway::Outcome::Broken { last: splitter.last_id() };
+            let cause = gateway::BreakCause::CallerGone;
+            return gateway::Outcome::Broken { last: splitter.last_id(), cause };
         };
         if !rest.is_empty() {
             stream.send(rest).await;
@@ -338,6 +351,15 @@
     request
 }
 
+/// Returns why an answer could not be read whole.
+fn break_cause(error: http::ReadError) -> gateway::BreakCause {
+    match error {
+        http::ReadError::TooLarge => gateway::BreakCause::Invalid,
+        http::ReadError::Timeout => gateway::BreakCause::Timeout,
+        http::ReadError::Incomplete => gateway::BreakCause::ConnectionLost,
+    }
+}
+
 /// Time without an event after which a resumable stream is continued at another upstream.
 const GAP_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 
@@ -359,7 +381,7 @@
     /// The stream ended whole.
     End,
     /// The stream broke off, or no bytes arrived in time.
-    Broken,
+    Broken(gateway::BreakCause),
     /// The caller disconnected.
     CallerGone,
 }
@@ -370,7 +392,8 @@
 impl StreamStep {
     fn from_frame(frame: Option<Frame>) -> Self {
         match frame {
-            None | Some(Some(Err(_))) => Self::Broken,
+            None => Self::Broken(gateway::BreakCause::Timeout),
+            Some(Some(Err(_))) => Self::Broken(gateway::BreakCause::ConnectionLost),
             Some(None) => Self::End,
             Some(Some(Ok(frame))) => Self::Data(frame.into_data().unwrap_or_default()),
         }
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -200,7 +200,7 @@
     // never told that it did not run.
     use gateway::Outcome;
     let not_run = Outcome::NotRun { elsewhere: false, inputs_gone: false };
-    let broken = Outcome::Broken { last: None };
+    let broken = Outcome::Broken { last: None, cause: gateway::BreakCause::ConnectionLost };
     // Path, outcome of the first call, whether a second call follows, and otherwise whether the
     // request may have run.
     let cases = [
@@ -213,7 +213,12 @@
         ("/stock/1", Outcome::Answered { status: 200 }, false, None),
         ("/chat/1", broken, false, Some(refusal::Ran::Unknown)),
         ("/chat/1", not_run, true, None),
-        ("/again/1", Outcome::Broken { last: Some(3) }, true, None),
+        (
+            "/again/1",
+            Outcome::Broken { last: Some(3), cause: gateway::BreakCause::ConnectionLost },
+            true,
+            None,
+        ),
     ];
     for (path, outcome, is_retried, ran) in cases {
         let mut harness = Harness::new();
@@ -224,7 +229,7 @@
         assert_eq!(second.is_some(), is_retried, "{path} {outcome:?}");
         if let Some(second) = second {
             assert_ne!(second.instance, first.instance, "{path} {outcome:?}");
-            let last = if let Outcome::Broken { last } = outcome { last } else { None };
+            let last = if let Outcome::Broken { last, .. } = outcome { last } else { None };
             assert_eq!(
                 second.last_event, last,
                 "it resumes after the last event that the caller has"
@@ -240,9 +245,15 @@
     harness.list_upstreams(&["u1", "u2", "u3", "u4"]);
     let (_, effects) = harness.arrive("/stock/1");
     let first = request_call(&effects).expect("it is sent").call;
-    let effects = harness.end_call(first, gateway::Outcome::Broken { last: None });
+    let effects = harness.end_call(
+        first,
+        gateway::Outcome::Broken { last: None, cause: gateway::BreakCause::ConnectionLost },
+    );
     let second = request_call(&effects).expect("one repeat is allowed").call;
-    let effects = harness.end_call(second, gateway::Outcome::Broken { last: None });
+    let effects = harness.end_call(
+        second,
+        gateway::Outcome::Broken { last: None, cause: gateway::BreakCause::ConnectionLost },
+    );
     assert!(request_call(&effects).is_none());
     assert_eq!(refusal_of(&effects).map(|(_, ran)| ran), Some(refusal::Ran::Unknown));
 }
@@ -566,7 +577,7 @@
             let outcome = match outcome % 4 {
                 0 => gateway::Outcome::Unsent,
                 1 => gateway::Outcome::NotRun { elsewhere: false, inputs_gone: false },
-                2 => gateway::Outcome::Broken { last: None },
+                2 => gateway::Outcome::Broken { last: None, cause: gateway::BreakCause::ConnectionLost },
                 _ => gateway::Outcome::Answered { status: 503 },
             };
             may_have_run = matches!(
