--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 pub mod model;
 pub mod plain;
+pub mod raw_server;
 pub mod server;
 pub mod soak;
 pub mod values;
--- /dev/null
+++ b/lib/testutils/src/raw_server.rs
@@ -0,0 +1,123 @@
+//! A server that writes the bytes of its answers itself, so that a test decides how they are framed
+//! and how their connection ends.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+/// How an answer states where it ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// The head states the length.
+    Length,
+    /// The body is sent as one chunk and the final one.
+    Chunks,
+    /// Like `Chunks`, without the final chunk.
+    MissingChunk,
+    /// The answer ends with its connection.
+    Connection,
+}
+
+/// How a connection ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// It is closed, so that the peer reads the end of the data.
+    Close,
+    /// It is reset.
+    Reset,
+}
+
+/// An answer and the end of its connection.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Header lines besides those of the framing, each with its line end.
+    pub headers: String,
+    /// How the answer states where it ends.
+    pub framing: Framing,
+    /// Body.
+    pub body: String,
+    /// How the connection ends.
+    pub end: End,
+}
+
+impl Answer {
+    fn to_text(&self) -> String {
+        let Self { headers, framing, body, .. } = self;
+        let length = body.len();
+        let head = format!("HTTP/1.1 200 OK\r\n{headers}connection: close\r\n");
+        match framing {
+            Framing::Length => format!("{head}content-length: {length}\r\n\r\n{body}"),
+            Framing::Connection => format!("{head}\r\n{body}"),
+            Framing::Chunks | Framing::MissingChunk => {
+                let chunk = if body.is_empty() {
+                    String::new()
+                } else {
+                    format!("{length:x}\r\n{body}\r\n")
+                };
+                let last = if *framing == Framing::Chunks { "0\r\n\r\n" } else { "" };
+                format!("{head}transfer-encoding: chunked\r\n\r\n{chunk}{last}")
+            }
+        }
+    }
+}
+
+/// Time between the last byte of an answer and the end of its connection, so that a reset does not
+/// overtake the answer.
+const END_DELAY: time::Duration = time::Duration::from_millis(30);
+
+/// Serves on a free loopback port until the runtime ends. `answer` gets the head of each request.
+///
+/// # Panics
+/// Panics if no port is free.
+pub async fn serve(answer: impl Fn(&str) -> Answer + Send + Sync + 'static) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    let answer = sync::Arc::new(answer);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                // A peer that has disconnected needs no answer.
+                let _ = serve_once(stream, &*answer).await;
+            });
+        }
+    });
+    address
+}
+
+async fn serve_once(
+    mut stream: tokio::net::TcpStream,
+    answer: &(impl Fn(&str) -> Answer + Sync),
+) -> std::io::Result<()> {
+    let mut received = Vec::new();
+    let head_end = loop {
+        if let Some(at) = received.windows(4).position(|window| window == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(&mut received).await? == 0 {
+            return Ok(());
+        }
+    };
+    let head = String::from_utf8_lossy(&received[..head_end]).to_ascii_lowercase();
+    let length = header(&head, "content-length").parse().unwrap_or(0);
+    while received.len() < head_end + length {
+        if stream.read_buf(&mut received).await? == 0 {
+            return Ok(());
+        }
+    }
+    let answer = answer(&head);
+    stream.write_all(answer.to_text().as_bytes()).await?;
+    tokio::time::sleep(END_DELAY).await;
+    if answer.end == End::Reset {
+        socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO))?;
+    }
+    Ok(())
+}
+
+/// Returns the value of a header in a head in lower case; empty if it has none.
+pub fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
+}
