gateway: an event stream on any route is checked for its end

Callers of routes that are no streams could get an event stream that ends inside an event as a complete answer, and callers of streams an answer without any event, if the upstream's connection was closed while it crashed.

Cause: the end of a body counted as the end of the answer. Only the relay of streams looked at the last event, since. Now each event stream is checked, and a stream that has neither a length nor chunks must have begun.

--- a/lib/src/event_stream.rs
+++ b/lib/src/event_stream.rs
@@ -1,5 +1,7 @@
 //! Splits a stream of server-sent events into whole events and checks that their ids increase.
 
+/// Media type of streams of server-sent events.
+pub const MEDIA_TYPE: &str = "text/event-stream";
 /// Longest accepted event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -169,7 +169,8 @@
 /// What kept an answer from being complete and valid.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
 pub enum BreakCause {
-    /// The connection ended before the length, the last chunk or the head of the answer.
+    /// The connection ended before the head, the stated length or the last chunk of the answer, or
+    /// before the first event of a stream that has neither a length nor chunks.
     #[display("connection_lost")]
     ConnectionLost,
     /// The body ended as a complete one does, but inside an event.
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -130,6 +130,9 @@
             Ok(body) => body,
             Err(e) => return broken(break_cause(e)),
         };
+        if let Some(cause) = find_break(&parts.headers, &body) {
+            return broken(cause);
+        }
         connection.release();
         let headers = self.dialect.answer_headers(&parts.headers);
         let answer = Answer { status, headers, body };
@@ -178,6 +181,9 @@
                 StreamStep::End if splitter.is_inside_event() => {
                     break broken(gateway::BreakCause::InsideEvent);
                 }
+                StreamStep::End if stream.is_none() && ends_with_connection(&parts.headers) => {
+                    break broken(gateway::BreakCause::ConnectionLost);
+                }
                 StreamStep::End => break gateway::Outcome::Ended,
                 StreamStep::Broken(cause) => break broken(cause),
                 StreamStep::CallerGone => {
@@ -351,6 +357,30 @@
     request
 }
 
+/// Returns whether an answer has neither a length nor chunks, so that the end of its connection is
+/// the only sign of its end.
+fn ends_with_connection(headers: &hyper::HeaderMap) -> bool {
+    !headers.contains_key(hyper::header::CONTENT_LENGTH)
+        && !headers.contains_key(hyper::header::TRANSFER_ENCODING)
+}
+
+/// Returns why an answer that was read to its end is no complete stream; `None` if it is one or is
+/// no stream. An event without its end, or a connection that ends before the first event, shows
+/// that the upstream broke off.
+fn find_break(headers: &hyper::HeaderMap, body: &[u8]) -> Option<gateway::BreakCause> {
+    let media = headers.get(hyper::header::CONTENT_TYPE)?;
+    if !media.as_bytes().starts_with(event_stream::MEDIA_TYPE.as_bytes()) {
+        return None;
+    }
+    let mut splitter = event_stream::Splitter::default();
+    match splitter.push(body) {
+        Err(_) => Some(gateway::BreakCause::Invalid),
+        Ok(_) if splitter.is_inside_event() => Some(gateway::BreakCause::InsideEvent),
+        Ok(None) if ends_with_connection(headers) => Some(gateway::BreakCause::ConnectionLost),
+        Ok(_) => None,
+    }
+}
+
 /// Returns why an answer could not be read whole.
 fn break_cause(error: http::ReadError) -> gateway::BreakCause {
     match error {
