upstream: the end mark of a stream is a whole line with its blank line

On the sidecar's path a stream counted as complete if its last 32 bytes contained the end mark: also inside an event that was cut, and inside the text of another event. Now the last line has to be the mark, and its event has to be ended.

--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 
 use crate::config;
+use crate::event_stream;
 use crate::http;
 use crate::id;
 use crate::order;
@@ -23,9 +24,9 @@
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Header with the team that the request is charged to.
 pub const TEAM_HEADER: &str = "x-team";
-/// Last event of a stream in the style of `OpenAI`.
-const STREAM_END: &[u8] = b"data: [DONE]";
-/// Number of bytes at the end of a stream that are searched for [`STREAM_END`].
+/// Last line of a stream in the style of `OpenAI`, with the end of the line before it.
+const STREAM_END: &[u8] = b"\ndata: [DONE]";
+/// Number of bytes at the end of a stream that are compared with [`STREAM_END`].
 const TAIL_BYTES: usize = 32;
 
 /// A call to the upstream.
@@ -107,18 +108,27 @@
     check_offset(call, &response)?;
     let media = response.headers().get(hyper::header::CONTENT_TYPE);
     let media = media.and_then(|value| value.to_str().ok()).unwrap_or("application/octet-stream");
-    let is_stream = media.starts_with("text/event-stream");
+    let is_stream = media.starts_with(event_stream::MEDIA_TYPE);
     let head = wire::Head { status, media: media.to_owned() };
     send(parts, call.attempt, Part::Head(head)).await?;
     let tail = forward_body(response.into_body(), call.attempt, parts).await?;
     // A stream without its last event was truncated, even if the connection ended cleanly.
-    let has_end = tail.windows(STREAM_END.len()).any(|window| window == STREAM_END);
-    if is_stream && !has_end {
+    if is_stream && !has_stream_end(&tail) {
         return Err(sidecar::CallError::Broken);
     }
     Ok(status)
 }
 
+/// Returns whether the last bytes of a stream are its last line and the blank line that ends an
+/// event. The same text elsewhere in an event does not end the stream.
+fn has_stream_end(tail: &[u8]) -> bool {
+    // The last line may be the only one.
+    let mut text = b"\n".to_vec();
+    text.extend(tail.iter().filter(|byte| **byte != b'\r'));
+    let lines = text.trim_ascii_end();
+    lines.ends_with(STREAM_END) && text[lines.len()..].starts_with(b"\n\n")
+}
+
 /// Checks that the upstream resumes a stream at the requested offset. An upstream that does not
 /// support resuming starts from the beginning and does not echo the offset.
 fn check_offset(
--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -45,6 +45,8 @@
     let cases = [
         ("data: 1\n\ndata: [DONE]\n\n", true),
         ("data: 1\r\n\r\ndata: [DONE]\r\n\r\n", true),
+        ("data: [DONE]\n\n", true),
+        ("event: end\ndata: [DONE]\n\n\n", true),
         ("data: 1\n\n", false),
         ("", false),
         ("data: 1\n\ndata: [DONE]", false),
