http: a stream to an HTTP/1.0 caller that breaks off resets its connection

Such a caller knows no chunks, so that a stream ends with its connection. One that broke off was closed like a complete one. The socket now notes whether it carries such answers and is reset unless the server shut it down in order.

--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -15,6 +15,8 @@
 use hyper_util::server::conn::auto;
 use tokio::sync::{oneshot, watch};
 
+use crate::caller_socket;
+
 /// Time within which a client has to send the head of its first request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// Time after which an idle connection is closed. It is longer than the usual idle timeout of
@@ -387,11 +389,14 @@
         .adaptive_window(true)
         .max_header_list_size(MAX_HEAD_BYTES as u32)
         .max_concurrent_streams(MAX_STREAMS);
-    let service = hyper::service::service_fn(move |request| {
+    let unframed = caller_socket::Unframed::default();
+    let socket = caller_socket::CallerSocket::new(stream, unframed.clone());
+    let service = hyper::service::service_fn(move |request: hyper::Request<_>| {
+        unframed.note(request.version());
         let handler = handler.clone();
         async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
     });
-    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    let connection = builder.serve_connection(rt::TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut stopping = false;
     loop {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod attempt_client;
 pub mod auth;
 pub mod batch;
+pub mod caller_socket;
 pub mod check;
 pub mod claim;
 pub mod clock;
