--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -17,6 +17,8 @@
 /// has stopped sending new connections, and a request that is admitted later could not end before
 /// the process stops.
 const DRAIN_ADMIT_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// Largest number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
 /// Time that is added to estimates for the stages of a request running in another region.
 const REGION_PENALTY: time::Duration = time::Duration::from_millis(250);
 
@@ -64,7 +66,8 @@
             .with("late_ms", estimate.late.as_millis())
             .with("target_ms", estimate.target.as_millis())
             .with("budget_ms", estimate.budget.as_millis())
-            .with("return", estimate.is_retry);
+            .with("return", estimate.is_retry)
+            .with("parts", part_names(&request.prompt_parts));
         effects.push(gateway::Effect::Log(line));
     }
 
@@ -205,6 +208,15 @@
     }
 }
 
+/// Returns the ids of the parts of a prompt that other prompts may share, for logs.
+fn part_names(parts: &[placement::PromptPart]) -> String {
+    let names: Vec<_> = placement::shared_parts(parts)
+        .map(|part| format!("{:x}", part.id))
+        .take(MAX_LOGGED_PARTS)
+        .collect();
+    names.join(",")
+}
+
 /// Makes a rejection of a request that has not run, with the usual delay for its kind.
 fn reject(kind: refusal::Kind, message: impl Into<String>) -> admission::Rejection {
     let refusal = refusal::Refusal::new(kind, refusal::Ran::No, message);
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -36,6 +36,11 @@
     pub tokens: u64,
 }
 
+/// Returns the parts of a prompt that other prompts may share: all but the last one.
+pub fn shared_parts(parts: &[PromptPart]) -> impl Iterator<Item = &PromptPart> {
+    parts.iter().take(parts.len().saturating_sub(1))
+}
+
 /// Prompt parts that an engine is assumed to have in its cache, with the time of their last use.
 #[derive(Clone, Debug, Default)]
 struct Cache {
