quarantine: prompts with a part that crashes engines are held back

Cause: a gateway did not relate a crash to what the engine was about to answer, and gateways did not tell each other. Each prompt with the part, and each repeat, went to the next engine.

Gateways now relate each crash to the parts of the prompts that had not begun to be answered, report that under a key of their own beside their announcements, where the reads that they make anyway find it, and hold back prompts with a part that explains three crashes. A part of a sound answer after a crash is not to blame for it, and a crash that a held part explains says nothing about others, so that sound prompts that share parts or the caller are served. After 20 s one prompt is let through, in case the hold was a mistake.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet;
 use crate::gateway;
+use crate::quarantine;
 use crate::refusal;
 use crate::roster;
 use crate::table;
@@ -114,8 +115,14 @@
     /// Removes the announcement.
     fn withdraw(&self) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Reads the announced gateways.
-    fn peers(&self) -> impl Future<Output = Result<Vec<roster::Peer>, StoreError>> + Send;
+    /// Reads the announced gateways and the reports about crashes.
+    fn gateways(&self) -> impl Future<Output = Result<roster::Listing, StoreError>> + Send;
+
+    /// Replaces the report of a gateway about crashes. It outlives the gateway for some minutes.
+    fn report_crashes(
+        &self,
+        report: &quarantine::GatewayReport,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Reads the list of upstreams.
     fn fleet(&self) -> impl Future<Output = Result<Vec<fleet::ListEntry>, StoreError>> + Send;
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -13,6 +13,7 @@
 mod batches;
 mod calls;
 mod groups;
+mod holds;
 mod messages;
 mod request;
 mod stages;
@@ -34,12 +35,14 @@
 use crate::id;
 use crate::placement;
 use crate::pool_rate;
+use crate::quarantine;
 use crate::refusal;
 use crate::retry;
 use crate::roster;
 use crate::route_times;
 use crate::table;
 use crate::telemetry;
+use crate::unit;
 
 /// Settings of the reducer.
 #[derive(Clone, Debug)]
@@ -103,6 +106,9 @@
     /// Results to free at the next tick, by the upstream that stores them.
     unneeded_results: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
     retry_budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
+    quarantine: quarantine::Quarantine,
+    /// Calls whose answers have begun, with the time at which they count as sound.
+    sound_calls: collections::BTreeSet<(time::Duration, CallId)>,
     /// When the process was asked to stop; `None` before that.
     drain_started: Option<time::Duration>,
     /// Latest number that identifies a call, batch or group.
@@ -114,7 +120,8 @@
 impl Gateway {
     /// Makes a gateway without a table, upstreams or peers.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let rng = fastrand::Rng::with_seed(seed);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let quarantine = quarantine::Quarantine::new(rng.u64(..));
         Self {
             table: sync::Arc::default(),
             has_table: false,
@@ -136,6 +143,8 @@
             route_times: collections::BTreeMap::new(),
             unneeded_results: collections::BTreeMap::new(),
             retry_budgets: collections::BTreeMap::new(),
+            quarantine,
+            sound_calls: collections::BTreeSet::new(),
             drain_started: None,
             last_serial: 0,
             now: clock::Now::default(),
@@ -161,7 +170,7 @@
             Event::BatchEnded { batch, outcome, load } => {
                 self.batch_ended(batch, outcome, load, effects);
             }
-            Event::PeersListed(peers) => self.apply_peers(peers, effects),
+            Event::GatewaysListed(listing) => self.apply_gateways(listing, effects),
             Event::HandoverReceived(handover, message) => {
                 self.handover_received(handover, *message, effects);
             }
@@ -271,9 +280,11 @@
         }
     }
 
-    /// Applies a new list of live gateways, and logs what changed.
-    fn apply_peers(&mut self, peers: Vec<roster::Peer>, effects: &mut Vec<Effect>) {
-        let (joined, left) = self.roster.update(peers);
+    /// Applies a new listing of gateways, and logs what changed.
+    fn apply_gateways(&mut self, listing: roster::Listing, effects: &mut Vec<Effect>) {
+        let own_instance = &self.settings.instance;
+        self.quarantine.apply_reports(self.now.mono, own_instance, &listing.reports);
+        let (joined, left) = self.roster.update(listing.peers);
         for (event, instances) in [("peer_came", joined), ("peer_went", left)] {
             for instance in instances {
                 effects.push(Effect::Log(telemetry::Line::new(event).with("peer", instance)));
@@ -305,6 +316,8 @@
         }
         self.probe_holders(effects);
         self.free_unneeded_results(effects);
+        self.record_sound_calls();
+        self.update_quarantine(effects);
     }
 
     /// Ends a request that cannot be answered. If its answer has begun, the stream breaks off;
@@ -319,7 +332,11 @@
         let Some(request) = self.requests.get(&id) else { return };
         let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
         let refusal = refusal::Refusal::new(kind, ran, message);
-        let retry_after = (ran == refusal::Ran::No).then_some(admission::MIN_RETRY_DELAY);
+        let delay = match kind {
+            refusal::Kind::PromptHeld => kind.retry_after().map(unit::Millis::duration),
+            _ => Some(admission::MIN_RETRY_DELAY),
+        };
+        let retry_after = delay.filter(|_| ran == refusal::Ran::No);
         log_refusal(&request.external_id, &refusal, retry_after, effects);
         if !request.has_started {
             effects.push(Effect::Refuse { request: id, refusal, retry_after });
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -5,6 +5,7 @@
 
 use crate::admission;
 use crate::gateway;
+use crate::gateway::holds;
 use crate::gateway::request;
 use crate::id;
 use crate::placement;
@@ -117,7 +118,11 @@
         let spent = times.estimate_spent(request.deadline.saturating_sub(now));
         request.due = request.due.saturating_sub(spent);
         let estimate = self.choose_region(&mut request, &regions);
-        match admission::decide(&estimate)? {
+        let class = admission::decide(&estimate)?;
+        request.probed_part = self
+            .check_held(&arrival.prompt_parts)
+            .map_err(|_| reject(Kind::PromptHeld, holds::HELD_MESSAGE))?;
+        match class {
             // Late requests yield to others, so their latency says nothing about the estimates.
             admission::Class::Late => request.due = request.due.min(now),
             admission::Class::OnTime if estimate.is_retry => {}
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet;
 use crate::gateway;
+use crate::gateway::holds;
 use crate::gateway::request;
 use crate::id;
 use crate::placement;
@@ -30,11 +31,16 @@
 const FIRST_EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
 /// A call in flight that is to answer a request.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct PendingCall {
-    request: id::RequestId,
-    instance: id::InstanceId,
-    sent_at: time::Duration,
+    /// Request that it is for.
+    pub request: id::RequestId,
+    /// Upstream that was called.
+    pub instance: id::InstanceId,
+    /// When it was sent.
+    pub sent_at: time::Duration,
+    /// When the first event of its answer arrived; `None` before that.
+    pub begun_at: Option<time::Duration>,
     /// Prompt tokens that the upstream has yet to read; 0 for upstreams without an engine.
     tokens: u64,
 }
@@ -50,6 +56,10 @@
             self.refuse(id, Kind::NotReady, "the credential could not be confirmed", effects);
             return;
         }
+        if self.is_held(request) {
+            self.refuse(id, Kind::PromptHeld, holds::HELD_MESSAGE, effects);
+            return;
+        }
         if budget < MIN_BUDGET {
             self.refuse(id, Kind::DeadlineExceeded, "the time for the answer is over", effects);
             return;
@@ -117,6 +127,7 @@
             request: id,
             instance: choice.instance,
             sent_at: self.now.mono,
+            begun_at: None,
             tokens: choice.tokens,
         };
         self.calls.insert(call, state);
@@ -224,13 +235,18 @@
         effects: &mut Vec<gateway::Effect>,
     ) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let took = self.now.mono.saturating_sub(call.sent_at);
+        call.begun_at = Some(self.now.mono);
+        let sent_at = call.sent_at;
+        let took = self.now.mono.saturating_sub(sent_at);
         // The prompt has been read, so its tokens no longer count as work of the upstream.
         let tokens = std::mem::take(&mut call.tokens);
         let (request_id, instance) = (call.request, call.instance.clone());
         if let Some(upstream) = self.fleet.get_mut(&instance) {
             upstream.unread_tokens = upstream.unread_tokens.saturating_sub(tokens);
         }
+        let engine = self.engine_process(&instance);
+        self.quarantine.record_alive(sent_at, &engine);
+        self.watch_answer(id, self.now.mono);
         let Some(request) = self.requests.get_mut(&request_id) else { return };
         self.deadlines.remove(&(request.current_deadline(), request_id));
         request.has_started = true;
@@ -279,6 +295,11 @@
             .with("detail", format_args!("{outcome:?}"))
             .with("took_ms", self.now.mono.saturating_sub(call.sent_at).as_millis());
         effects.push(gateway::Effect::Log(line));
+        let parts = std::mem::take(&mut request.prompt_parts);
+        self.record_prompt_outcome(&call, &parts, outcome);
+        if let Some(request) = self.requests.get_mut(&call.request) {
+            request.prompt_parts = parts;
+        }
         match outcome {
             gateway::Outcome::Unsent => {
                 self.record_not_run(call.request);
@@ -377,7 +398,9 @@
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.last_event = last.or(request.last_event);
-        if self.try_spend_retry(id) {
+        let is_suspect =
+            request.probed_part.is_some() || self.quarantine.is_suspect(&request.prompt_parts);
+        if !is_suspect && self.try_spend_retry(id) {
             self.resume(id, effects);
             return;
         }
--- /dev/null
+++ b/lib/src/gateway/holds.rs
@@ -0,0 +1,121 @@
+//! Prompts that are held back because a part of them crashes engines.
+
+use std::time;
+
+use crate::gateway;
+use crate::gateway::calls;
+use crate::gateway::request;
+use crate::id;
+use crate::placement;
+use crate::quarantine;
+use crate::refusal;
+use crate::telemetry;
+
+/// Message to the callers of such prompts.
+pub(super) const HELD_MESSAGE: &str = "a part of the prompt has crashed several engines";
+
+impl gateway::Gateway {
+    /// Returns what other gateways are told about crashes.
+    pub fn crash_report(&self, now: crate::clock::Now) -> quarantine::Report {
+        self.quarantine.report(now.mono)
+    }
+
+    /// Returns whether a prompt that arrives is to be refused. One prompt with a held part may be
+    /// let through; the returned value then is `Ok` with that part.
+    pub(super) fn check_held(
+        &mut self,
+        parts: &[placement::PromptPart],
+    ) -> Result<Option<u64>, u64> {
+        let Some(part) = self.quarantine.held_part(parts) else { return Ok(None) };
+        let owner = self.roster.part_owner(part);
+        let is_owner = owner.is_none_or(|owner| *owner == self.settings.instance);
+        if is_owner && self.quarantine.take_probe(self.now.mono, part) {
+            return Ok(Some(part));
+        }
+        Err(part)
+    }
+
+    /// Returns whether a call for a request would reach an engine with a held part.
+    pub(super) fn is_held(&self, request: &request::Request) -> bool {
+        let held = self.quarantine.held_part(&request.prompt_parts);
+        held.is_some() && held != request.probed_part
+    }
+
+    /// Records how the call of a prompt ended.
+    pub(super) fn record_prompt_outcome(
+        &mut self,
+        call: &calls::PendingCall,
+        parts: &[placement::PromptPart],
+        outcome: gateway::Outcome,
+    ) {
+        use gateway::BreakCause;
+        match outcome {
+            gateway::Outcome::Ended => {
+                self.quarantine.record_sound(call.begun_at.unwrap_or(call.sent_at), parts);
+            }
+            gateway::Outcome::Answered { status } if status < 500 => {
+                self.quarantine.record_sound(call.sent_at, parts);
+            }
+            gateway::Outcome::Broken {
+                cause: BreakCause::ConnectionLost | BreakCause::InsideEvent,
+                ..
+            } => {
+                let engine = self.engine_process(&call.instance);
+                self.quarantine.record_crash(self.now.mono, engine, call.begun_at, parts);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the process of an engine as the latest list describes it.
+    pub(super) fn engine_process(&self, instance: &id::InstanceId) -> quarantine::EngineProcess {
+        let started_ms = self.fleet.get(instance).and_then(|up| up.entry.started_ms);
+        quarantine::EngineProcess { instance: instance.clone(), started_ms }
+    }
+
+    /// Records answers that have run for long enough to show that their prompts are sound.
+    pub(super) fn record_sound_calls(&mut self) {
+        while let Some((due, id)) = self.sound_calls.first().copied() {
+            if due > self.now.mono {
+                break;
+            }
+            self.sound_calls.remove(&(due, id));
+            let Some(call) = self.calls.get(&id) else { continue };
+            let Some(request) = self.requests.get(&call.request) else { continue };
+            let begun = call.begun_at.unwrap_or(call.sent_at);
+            self.quarantine.record_sound(begun, &request.prompt_parts);
+        }
+    }
+
+    /// Notes the time at which an answer that begins now shows that its prompt is sound.
+    pub(super) fn watch_answer(&mut self, id: gateway::CallId, begun: time::Duration) {
+        self.sound_calls.insert((begun + quarantine::SOUND_TIME, id));
+    }
+
+    /// Applies and logs changes of the held parts. Requests with a part that is held back from now
+    /// on end at once, also those that wait at an engine, unless their answer has begun.
+    pub(super) fn update_quarantine(&mut self, effects: &mut Vec<gateway::Effect>) {
+        let changes = self.quarantine.update(self.now.mono);
+        for change in &changes {
+            let event = if change.is_held { "part_held" } else { "part_released" };
+            metrics::counter!("gateway_quarantine_total", "event" => event).increment(1);
+            let line = telemetry::Line::new(event)
+                .with("part", format_args!("{:x}", change.part))
+                .with("reason", change.reason);
+            effects.push(gateway::Effect::Log(line));
+        }
+        if !changes.iter().any(|change| change.is_held) {
+            return;
+        }
+        let is_ended = |request: &request::Request| !request.has_started && self.is_held(request);
+        let ended: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| is_ended(request))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.refuse(id, refusal::Kind::PromptHeld, HELD_MESSAGE, effects);
+        }
+    }
+}
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -251,8 +251,8 @@
         /// Load that the upstream reported, if it did.
         load: Option<fleet::Load>,
     },
-    /// The store returned the list of live gateways.
-    PeersListed(Vec<roster::Peer>),
+    /// The store returned the listing of gateways.
+    GatewaysListed(roster::Listing),
     /// Another gateway hands pieces over to this one.
     HandoverReceived(HandoverId, Box<handoff::Handover>),
     /// The other gateway cancelled its handover.
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -75,6 +75,8 @@
     pub deadline: time::Duration,
     /// Parts of the prompt, empty if the request is no generation.
     pub prompt_parts: Vec<placement::PromptPart>,
+    /// Held part of the prompt with which it is let through to find out whether the part is sound.
+    pub probed_part: Option<u64>,
     /// Number of the last event that the caller received.
     pub last_event: Option<u64>,
     /// Input of the stages that depend on no other stage.
@@ -126,6 +128,7 @@
             start_deadline: now + budget.min(route.start_timeout),
             deadline: now + budget,
             prompt_parts: arrival.prompt_parts.clone(),
+            probed_part: None,
             last_event: arrival.last_event,
             input_key: arrival.input_key.clone(),
             stages,
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -12,6 +12,8 @@
 use crate::gateway_peers;
 use crate::gateway_settings;
 use crate::http;
+use crate::id;
+use crate::quarantine;
 use crate::relay;
 use crate::roster;
 use crate::upstream_pool;
@@ -26,14 +28,21 @@
 /// Pause between two announcements of this gateway, which expire unless they are renewed.
 const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Starts the tasks that read the store and announce this gateway; returns the handle of the one
-/// that announces it. Reads go to `events` for the reducer and to `newest` for other gateways.
+/// Pause between two reports about crashes, which limits the writes to the store.
+const REPORT_PAUSE: time::Duration = time::Duration::from_millis(600);
+/// Pause before a report about crashes that has not changed is written again, as it expires.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(240);
+
+/// Starts the tasks that read the store, announce this gateway and write its reports about crashes;
+/// returns the handle of the one that announces it. Reads go to `events` for the reducer and to
+/// `newest` for other gateways.
 pub fn spawn<S: dialect::GatewayStore>(
     settings: &gateway_settings::Settings,
     store: &S,
     clock: clock::SystemClock,
     newest: watch::Sender<Option<relay::Snapshot>>,
     events: &mpsc::Sender<gateway::Event>,
+    reports: watch::Receiver<quarantine::Report>,
 ) -> tokio::task::JoinHandle<()> {
     let me = roster::Peer {
         instance: settings.instance.clone(),
@@ -51,6 +60,7 @@
         health: ["table", "fleet", "peers"].map(|read| ReadHealth { read, is_lost: false }),
     };
     tokio::spawn(reader.run(settings.poll_ms.duration()));
+    tokio::spawn(report_crashes(store.clone(), me.instance.clone(), reports));
     tokio::spawn(announce(store.clone(), me))
 }
 
@@ -116,7 +126,7 @@
     /// Returns reads and whether they come from the store itself; `None` if every source failed.
     async fn read(&mut self) -> Option<(relay::Snapshot, bool)> {
         let newest = self.newest.borrow().clone();
-        let peers = newest.as_ref().map(|newest| newest.peers.clone()).unwrap_or_default();
+        let peers = newest.as_ref().map(|newest| newest.gateways.peers.clone()).unwrap_or_default();
         let reader = self.readers.reader(self.clock.now().mono, &peers).cloned();
         if let Some(reader) = reader
             && let Some(reads) = self.fetch_from_peer(&reader, newest.as_ref()).await
@@ -142,25 +152,25 @@
     /// is returned that could be relayed to other gateways.
     async fn read_store(&mut self) -> Option<relay::Snapshot> {
         let sent = self.clock.now();
-        let (table, fleet, peers) = tokio::join!(
+        let (table, fleet, gateways) = tokio::join!(
             with_read_timeout(self.store.table()),
             with_read_timeout(self.store.fleet()),
-            with_read_timeout(self.store.peers()),
+            with_read_timeout(self.store.gateways()),
         );
-        let errors = [table.as_ref().err(), fleet.as_ref().err(), peers.as_ref().err()];
+        let errors = [table.as_ref().err(), fleet.as_ref().err(), gateways.as_ref().err()];
         for (health, error) in self.health.iter_mut().zip(errors) {
             health.record(error);
         }
-        let parts = match (table, fleet, peers) {
-            (Ok(table), Ok(fleet), Ok(peers)) => {
+        let parts = match (table, fleet, gateways) {
+            (Ok(table), Ok(fleet), Ok(gateways)) => {
                 let newest = self.newest.borrow();
-                let reads = relay::Snapshot::new(sent, table, fleet, peers);
+                let reads = relay::Snapshot::new(sent, table, fleet, gateways);
                 return Some(reads.following(newest.as_ref()));
             }
-            (table, fleet, peers) => [
+            (table, fleet, gateways) => [
                 table.ok().map(|table| gateway::Event::TableRead { sent, table }),
                 fleet.ok().map(gateway::Event::UpstreamsListed),
-                peers.ok().map(gateway::Event::PeersListed),
+                gateways.ok().map(gateway::Event::GatewaysListed),
             ],
         };
         for part in parts.into_iter().flatten() {
@@ -210,10 +220,10 @@
     reads: relay::Snapshot,
     events: &mpsc::Sender<gateway::Event>,
 ) -> Result<(), mpsc::error::SendError<gateway::Event>> {
-    let relay::Snapshot { sent, table, fleet, peers, .. } = reads;
+    let relay::Snapshot { sent, table, fleet, gateways, .. } = reads;
     events.send(gateway::Event::TableRead { sent, table }).await?;
     events.send(gateway::Event::UpstreamsListed(fleet.to_vec())).await?;
-    events.send(gateway::Event::PeersListed(peers)).await
+    events.send(gateway::Event::GatewaysListed(gateways)).await
 }
 
 /// Announces this gateway until the task is aborted.
@@ -226,6 +236,33 @@
     }
 }
 
+/// Writes the reports of this gateway about crashes until the event loop ends.
+async fn report_crashes<S: dialect::GatewayStore>(
+    store: S,
+    instance: id::InstanceId,
+    mut reports: watch::Receiver<quarantine::Report>,
+) {
+    let mut health = ReadHealth { read: "report_crashes", is_lost: false };
+    loop {
+        match http::with_timeout(REPORT_INTERVAL, reports.changed()).await {
+            Some(Ok(())) => {}
+            Some(Err(_)) => return,
+            None if reports.borrow().is_empty() => continue,
+            None => {}
+        }
+        loop {
+            let report = reports.borrow_and_update().clone();
+            let report = quarantine::GatewayReport { instance: instance.clone(), report };
+            let result = with_read_timeout(store.report_crashes(&report)).await;
+            health.record(result.as_ref().err());
+            tokio::time::sleep(REPORT_PAUSE).await;
+            if result.is_ok() {
+                break;
+            }
+        }
+    }
+}
+
 /// Removes the announcement of this gateway, so that others hand no more pieces over to it.
 pub async fn withdraw<S: dialect::GatewayStore>(store: S) {
     if let Err(e) = with_read_timeout(store.withdraw()).await {
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -21,6 +21,7 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::quarantine;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -67,8 +68,17 @@
     answers: collections::BTreeMap<gateway::CallId, gateway_calls::Answer>,
     /// Buffer that is reused between steps.
     effects: Vec<gateway::Effect>,
+    outputs: Outputs,
+}
+
+/// What other tasks of the process follow.
+struct Outputs {
+    /// Whether the balancer should send new requests.
     ready: watch::Sender<bool>,
+    /// Limits on requests, from the routing table in force.
     limits: watch::Sender<table::Limits>,
+    /// What other gateways are told about crashes.
+    crash_reports: watch::Sender<quarantine::Report>,
 }
 
 /// Runs a gateway until it is asked to stop and its callers' connections have ended, at most
@@ -120,8 +130,11 @@
         clock,
     };
     tokio::spawn(http::serve(peer_listener, peer_handler, stopped_receiver));
-    let announcer = gateway_reads::spawn(&settings, &store, clock, newest, &read_events);
-    let mut shell = Shell::new(&settings, clock, dialect, reports, ready, limits);
+    let (crash_reports, crash_receiver) = watch::channel(quarantine::Report::default());
+    let announcer =
+        gateway_reads::spawn(&settings, &store, clock, newest, &read_events, crash_receiver);
+    let outputs = Outputs { ready, limits, crash_reports };
+    let mut shell = Shell::new(&settings, clock, dialect, reports, outputs);
     let mut tick = tokio::time::interval(TICK_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut prune = tokio::time::interval(PRUNE_INTERVAL);
@@ -213,8 +226,7 @@
         clock: clock::SystemClock,
         dialect: D,
         reports: mpsc::Sender<gateway_calls::CallReport>,
-        ready: watch::Sender<bool>,
-        limits: watch::Sender<table::Limits>,
+        outputs: Outputs,
     ) -> Self {
         let pool = upstream_pool::Pool::default();
         let peers = upstream_pool::Pool::default();
@@ -228,8 +240,7 @@
             handover_replies: collections::BTreeMap::new(),
             answers: collections::BTreeMap::new(),
             effects: Vec::new(),
-            ready,
-            limits,
+            outputs,
         }
     }
 
@@ -381,11 +392,14 @@
         }
     }
 
-    /// Publishes readiness to the probe handler and limits to the caller handler.
+    /// Publishes readiness to the probe handler, limits to the caller handler and reports about
+    /// crashes to the task that writes them.
     fn publish(&mut self) {
         let is_ready = self.reducer.is_ready(self.clock.now());
-        let changed =
-            self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
+        let changed = self
+            .outputs
+            .ready
+            .send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
         if changed {
             let age = self.reducer.table_age(self.clock.now()).unwrap_or_default();
             let version = self.reducer.table_version();
@@ -395,6 +409,14 @@
             );
         }
         let limits = self.reducer.limits();
-        self.limits.send_if_modified(|current| std::mem::replace(current, limits) != limits);
+        self.outputs
+            .limits
+            .send_if_modified(|current| std::mem::replace(current, limits) != limits);
+        let report = self.reducer.crash_report(self.clock.now());
+        self.outputs.crash_reports.send_if_modified(|current| {
+            let is_changed = *current != report;
+            *current = report;
+            is_changed
+        });
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod plan;
 pub mod pool_rate;
 pub mod probe;
+pub mod quarantine;
 pub mod queue;
 pub mod refusal;
 pub mod registry;
--- /dev/null
+++ b/lib/src/quarantine.rs
@@ -0,0 +1,460 @@
+//! Prompt parts that crash engines, and the prompts that are held back because of them.
+//!
+//! Load pattern: one part of some prompts crashes each engine that begins to answer them, and such
+//! prompts keep arriving at any gateway. Each crash also breaks the other answers of the engine. So
+//! gateways relate crashes to the parts of the prompts that an engine had not begun, or had just
+//! begun, to answer. They report this to each other, and hold back prompts with a part that explains
+//! several crashes.
+//!
+//! Most prompts share parts with others, so a part is not to blame just because it was there: an
+//! answer that has run for a while shows that none of its parts crashes engines, and a crash that is
+//! explained by one part says nothing about the others. Crashes are identified by the process that
+//! crashed, so that gateways need not compare their clocks.
+
+use std::collections;
+use std::time;
+
+use crate::id;
+use crate::placement;
+
+/// Time that an answer has to run to show that its prompt does not crash the engine.
+pub const SOUND_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time after the start of a sound answer in which a crash says nothing about its parts. It also
+/// follows the start of the gateway, which then does not know yet which parts are sound.
+const SOUND_MARGIN: time::Duration = time::Duration::from_secs(2);
+/// Crashes after which a part that was never part of a sound answer is held back.
+const CRASH_LIMIT: usize = 3;
+/// Crashes in a row after which any other part is held back.
+const CRASH_LIMIT_ONCE_SOUND: usize = 5;
+/// Time after a crash of a call of this gateway in which other gateways may report that another
+/// part explains it.
+const OWN_SETTLE_TIME: time::Duration = time::Duration::from_millis(1_200);
+/// The same for a crash that another gateway reported.
+const REPORTED_SETTLE_TIME: time::Duration = time::Duration::from_millis(600);
+/// Time for which a part is held back, and for which crashes count.
+const HOLD_TIME: time::Duration = time::Duration::from_secs(600);
+/// Time for which crashes are remembered, so that late reports do not count them again.
+const CRASH_MEMORY: time::Duration = time::Duration::from_secs(1_800);
+/// Largest number of remembered crashes.
+const MAX_CRASHES: usize = 256;
+/// Largest number of parts of which the last sound answer is remembered.
+const MAX_SOUND_PARTS: usize = 4_096;
+/// Time after the start of a hold after which one prompt is let through, in case it was a mistake.
+const PROBE_DELAY: time::Duration = time::Duration::from_secs(20);
+/// Time after the release of a part in which reports that it is held back are outdated.
+const RELEASE_MEMORY: time::Duration = time::Duration::from_secs(30);
+/// Time for which a crash is reported to other gateways.
+const REPORT_TIME: time::Duration = time::Duration::from_secs(30);
+/// Largest number of crashes, of parts of one crash, and of sound parts in a report.
+const MAX_REPORTED: usize = 16;
+
+/// One process of an engine.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+pub struct EngineProcess {
+    /// Instance id of the engine.
+    pub instance: id::InstanceId,
+    /// Start time in milliseconds since the Unix epoch; `None` if it is not known.
+    pub started_ms: Option<u64>,
+}
+
+/// A crash as one gateway saw it.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Crash {
+    /// Process that crashed.
+    pub engine: EngineProcess,
+    /// Parts that may have caused it.
+    pub parts: Vec<u64>,
+}
+
+/// A part that was suspected and then shown to be sound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct SoundPart {
+    /// Id of the part.
+    pub part: u64,
+    /// Number that differs each time that the part is shown to be sound.
+    pub serial: u64,
+}
+
+/// A part that is held back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct HeldPart {
+    /// Id of the part.
+    pub part: u64,
+    /// Whether a prompt with it was let through since.
+    pub is_probed: bool,
+}
+
+/// What one gateway tells the others about crashes.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Report {
+    /// Crashes of calls of this gateway.
+    pub crashes: Vec<Crash>,
+    /// Parts that it has shown to be sound.
+    pub sound: Vec<SoundPart>,
+    /// Parts that it holds back and that no other gateway reported first.
+    pub held: Vec<HeldPart>,
+}
+
+impl Report {
+    /// Returns whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// A report with the gateway that wrote it.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct GatewayReport {
+    /// Instance id of the gateway.
+    pub instance: id::InstanceId,
+    /// Its report.
+    pub report: Report,
+}
+
+/// Why a part is held back no longer or from now on.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub enum Reason {
+    /// It explains this many crashes.
+    #[display("crashes:{_0}")]
+    Crashes(usize),
+    /// Another gateway reported it.
+    #[display("reported")]
+    Reported,
+    /// A sound answer showed that it does not crash engines.
+    #[display("sound")]
+    Sound,
+    /// The time for which parts are held back is over.
+    #[display("expired")]
+    Expired,
+}
+
+/// A part that is held back from now on, or no longer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// Id of the part.
+    pub part: u64,
+    /// Whether it is held back.
+    pub is_held: bool,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// What is known about one crash.
+#[derive(Debug)]
+struct CrashState {
+    /// When this gateway saw it or read of it.
+    learned: time::Duration,
+    /// Parts of calls of this gateway.
+    own_parts: collections::BTreeSet<u64>,
+    /// Parts of calls of all gateways.
+    parts: collections::BTreeSet<u64>,
+    /// Parts that were shown to be sound since.
+    cleared: collections::BTreeSet<u64>,
+}
+
+impl CrashState {
+    fn new(learned: time::Duration) -> Self {
+        Self {
+            learned,
+            own_parts: collections::BTreeSet::new(),
+            parts: collections::BTreeSet::new(),
+            cleared: collections::BTreeSet::new(),
+        }
+    }
+
+    fn age(&self, now: time::Duration) -> time::Duration {
+        now.saturating_sub(self.learned)
+    }
+
+    /// Returns whether other gateways have had the time to report what they saw of it.
+    fn is_settled(&self, now: time::Duration) -> bool {
+        let settle_time =
+            if self.own_parts.is_empty() { REPORTED_SETTLE_TIME } else { OWN_SETTLE_TIME };
+        self.age(now) >= settle_time
+    }
+
+    fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
+        self.parts.difference(&self.cleared).copied()
+    }
+}
+
+/// State of a part that is held back.
+#[derive(Debug)]
+struct Hold {
+    since: time::Duration,
+    is_probed: bool,
+    /// Whether this gateway reports it.
+    is_reported: bool,
+}
+
+/// Crashes, sound parts and held parts that a gateway knows of.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    /// When the gateway first used it.
+    started: Option<time::Duration>,
+    crashes: collections::BTreeMap<EngineProcess, CrashState>,
+    /// Start of the last sound answer by part.
+    sound: collections::BTreeMap<u64, time::Duration>,
+    /// Parts that were suspected and that this gateway has shown to be sound.
+    reported_sound: collections::BTreeMap<u64, u64>,
+    /// Serials of sound parts that were read, by gateway and part.
+    read_sound: collections::BTreeMap<(id::InstanceId, u64), u64>,
+    /// Held parts in the latest reports, by gateway and part.
+    read_held: collections::BTreeSet<(id::InstanceId, u64)>,
+    held: collections::BTreeMap<u64, Hold>,
+    /// Parts that are held back no longer, with the time of their release.
+    released: collections::BTreeMap<u64, time::Duration>,
+    /// Changes since they were last taken.
+    changes: Vec<Change>,
+    last_serial: u64,
+}
+
+impl Quarantine {
+    /// Makes an empty quarantine. The serials in its reports count from `origin`, which should
+    /// differ with each start of the gateway.
+    pub fn new(origin: u64) -> Self {
+        Self { last_serial: origin, ..Self::default() }
+    }
+
+    /// Records that a call broke off because its engine closed the connection. `begun` is when the
+    /// first event of its answer arrived, if one did.
+    pub fn record_crash(
+        &mut self,
+        now: time::Duration,
+        engine: EngineProcess,
+        begun: Option<time::Duration>,
+        parts: &[placement::PromptPart],
+    ) {
+        self.started.get_or_insert(now);
+        if let Some(begun) = begun
+            && now.saturating_sub(begun) >= SOUND_TIME
+        {
+            self.record_sound(begun, parts);
+            return;
+        }
+        let crash = self.crashes.entry(engine).or_insert_with(|| CrashState::new(now));
+        for part in placement::shared_parts(parts) {
+            crash.own_parts.insert(part.id);
+            crash.parts.insert(part.id);
+        }
+        self.forget_oldest_crash();
+    }
+
+    /// Records an answer that began at `begun` and ended whole, or has run for a while.
+    pub fn record_sound(&mut self, begun: time::Duration, parts: &[placement::PromptPart]) {
+        self.started.get_or_insert(begun);
+        for part in placement::shared_parts(parts) {
+            let last = self.sound.entry(part.id).or_insert(begun);
+            *last = begun.max(*last);
+            if self.clear(part.id, begun) {
+                self.last_serial = self.last_serial.wrapping_add(1);
+                self.reported_sound.insert(part.id, self.last_serial);
+            }
+        }
+        if self.sound.len() > MAX_SOUND_PARTS {
+            let latest = self.sound.values().max().copied().unwrap_or_default();
+            let kept_since = latest.saturating_sub(HOLD_TIME / 10);
+            self.sound.retain(|_, last| *last >= kept_since);
+        }
+    }
+
+    /// Records that an engine began an answer to a call that was sent at `sent`. A crash that was
+    /// assumed before was none.
+    pub fn record_alive(&mut self, sent: time::Duration, engine: &EngineProcess) {
+        if self.crashes.get(engine).is_some_and(|crash| sent > crash.learned) {
+            self.crashes.remove(engine);
+        }
+    }
+
+    /// Applies the latest reports of all gateways, including an earlier process of this one.
+    pub fn apply_reports(
+        &mut self,
+        now: time::Duration,
+        own_instance: &id::InstanceId,
+        reports: &[GatewayReport],
+    ) {
+        self.started.get_or_insert(now);
+        // A report does not order sound parts and crashes, so that what is known to be sound is
+        // applied only to earlier crashes.
+        for GatewayReport { instance, report } in reports {
+            for sound in &report.sound {
+                let key = (instance.clone(), sound.part);
+                if self.read_sound.insert(key, sound.serial) != Some(sound.serial) {
+                    self.clear(sound.part, now);
+                }
+            }
+        }
+        let mut read_held = collections::BTreeSet::new();
+        for GatewayReport { instance, report } in reports {
+            for crash in &report.crashes {
+                let state = self
+                    .crashes
+                    .entry(crash.engine.clone())
+                    .or_insert_with(|| CrashState::new(now));
+                state.parts.extend(&crash.parts);
+            }
+            for held in &report.held {
+                let key = (instance.clone(), held.part);
+                let is_new = !self.read_held.contains(&key);
+                read_held.insert(key);
+                self.apply_held(now, *held, is_new, instance == own_instance);
+            }
+        }
+        self.read_held = read_held;
+        self.forget_oldest_crash();
+    }
+
+    /// Applies a report that a part is held back.
+    fn apply_held(&mut self, now: time::Duration, held: HeldPart, is_new: bool, is_own: bool) {
+        if let Some(hold) = self.held.get_mut(&held.part) {
+            hold.is_probed |= held.is_probed;
+            return;
+        }
+        let is_released = self
+            .released
+            .get(&held.part)
+            .is_some_and(|at| now.saturating_sub(*at) < RELEASE_MEMORY);
+        if !is_new || is_released {
+            return;
+        }
+        let hold = Hold { since: now, is_probed: held.is_probed, is_reported: is_own };
+        self.held.insert(held.part, hold);
+        self.changes.push(Change { part: held.part, is_held: true, reason: Reason::Reported });
+    }
+
+    /// Clears a part of crashes before `begun`, and releases it if it was held back before. Returns
+    /// whether it was suspected.
+    fn clear(&mut self, part: u64, begun: time::Duration) -> bool {
+        let mut was_suspected = false;
+        for crash in self.crashes.values_mut() {
+            if crash.learned < begun && crash.parts.contains(&part) {
+                was_suspected |= crash.cleared.insert(part);
+            }
+        }
+        if self.held.get(&part).is_some_and(|hold| hold.since < begun) {
+            self.release(part, begun, Reason::Sound);
+            was_suspected = true;
+        }
+        was_suspected
+    }
+
+    fn release(&mut self, part: u64, now: time::Duration, reason: Reason) {
+        self.held.remove(&part);
+        self.released.insert(part, now);
+        self.changes.push(Change { part, is_held: false, reason });
+    }
+
+    /// Decides which parts are held back from now on. Returns all changes since the last call.
+    pub fn update(&mut self, now: time::Duration) -> Vec<Change> {
+        self.expire(now);
+        while let Some((crashes, parts)) = self.worst_parts(now) {
+            for part in parts {
+                let is_reported = !self.read_held.iter().any(|(_, other)| *other == part);
+                self.held.insert(part, Hold { since: now, is_probed: false, is_reported });
+                let reason = Reason::Crashes(crashes);
+                self.changes.push(Change { part, is_held: true, reason });
+            }
+        }
+        std::mem::take(&mut self.changes)
+    }
+
+    fn expire(&mut self, now: time::Duration) {
+        let is_over = |hold: &Hold| now.saturating_sub(hold.since) >= HOLD_TIME;
+        let over: Vec<_> =
+            self.held.iter().filter(|(_, hold)| is_over(hold)).map(|(part, _)| *part).collect();
+        for part in over {
+            self.release(part, now, Reason::Expired);
+        }
+        self.crashes.retain(|_, crash| crash.age(now) < CRASH_MEMORY);
+        self.released.retain(|_, at| now.saturating_sub(*at) < RELEASE_MEMORY);
+    }
+
+    /// Returns the parts that explain the most crashes that no held part explains, and the number
+    /// of these crashes; `None` if no part reaches its limit. Of parts that explain equally many,
+    /// those that were never part of a sound answer go first.
+    fn worst_parts(&self, now: time::Duration) -> Option<(usize, Vec<u64>)> {
+        let started = self.started?;
+        let mut counts: collections::BTreeMap<u64, usize> = collections::BTreeMap::new();
+        for crash in self.crashes.values() {
+            let is_explained = crash.parts.iter().any(|part| self.held.contains_key(part));
+            if is_explained || crash.age(now) >= HOLD_TIME || !crash.is_settled(now) {
+                continue;
+            }
+            for part in crash.suspects() {
+                let last_sound = self.sound.get(&part).copied().unwrap_or(started);
+                if crash.learned.saturating_sub(last_sound) > SOUND_MARGIN {
+                    *counts.entry(part).or_default() += 1;
+                }
+            }
+        }
+        let limit = |part: &u64| {
+            if self.sound.contains_key(part) { CRASH_LIMIT_ONCE_SOUND } else { CRASH_LIMIT }
+        };
+        let rank = |part: &u64, count: &usize| (*count, !self.sound.contains_key(part));
+        counts.retain(|part, count| *count >= limit(part));
+        let worst = counts.iter().map(|(part, count)| rank(part, count)).max()?;
+        let parts = counts.iter().filter(|(part, count)| rank(part, count) == worst);
+        Some((worst.0, parts.map(|(part, _)| *part).collect()))
+    }
+
+    /// Returns the first part of a prompt that is held back.
+    pub fn held_part(&self, parts: &[placement::PromptPart]) -> Option<u64> {
+        if self.held.is_empty() {
+            return None;
+        }
+        let mut shared = placement::shared_parts(parts);
+        shared.find(|part| self.held.contains_key(&part.id)).map(|part| part.id)
+    }
+
+    /// Returns whether a prompt may be let through although a part of it is held back, and records
+    /// that it is. Only the gateway that is responsible for the part asks.
+    pub fn take_probe(&mut self, now: time::Duration, part: u64) -> bool {
+        let Some(hold) = self.held.get_mut(&part) else { return false };
+        if hold.is_probed || now.saturating_sub(hold.since) < PROBE_DELAY {
+            return false;
+        }
+        hold.is_probed = true;
+        hold.is_reported = true;
+        true
+    }
+
+    /// Returns whether a part of a prompt may have caused several crashes already, so that the
+    /// prompt should not be tried at another engine.
+    pub fn is_suspect(&self, parts: &[placement::PromptPart]) -> bool {
+        let count = |part: u64| {
+            let is_suspect = |crash: &&CrashState| crash.suspects().any(|other| other == part);
+            self.crashes.values().filter(is_suspect).count()
+        };
+        placement::shared_parts(parts)
+            .any(|part| !self.sound.contains_key(&part.id) && count(part.id) > 1)
+    }
+
+    /// Returns what this gateway tells the others.
+    pub fn report(&self, now: time::Duration) -> Report {
+        let recent = self.crashes.iter().filter(|(_, crash)| crash.age(now) < REPORT_TIME);
+        let crashes = recent.map(|(engine, crash)| {
+            let parts = crash.own_parts.difference(&crash.cleared);
+            Crash { engine: engine.clone(), parts: parts.copied().take(MAX_REPORTED).collect() }
+        });
+        let sound = self.reported_sound.iter().rev();
+        let held = self.held.iter().filter(|(_, hold)| hold.is_reported);
+        Report {
+            crashes: crashes.filter(|crash| !crash.parts.is_empty()).take(MAX_REPORTED).collect(),
+            sound: sound
+                .take(MAX_REPORTED)
+                .map(|(part, serial)| SoundPart { part: *part, serial: *serial })
+                .collect(),
+            held: held
+                .map(|(part, hold)| HeldPart { part: *part, is_probed: hold.is_probed })
+                .collect(),
+        }
+    }
+
+    fn forget_oldest_crash(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.learned);
+            let Some(engine) = oldest.map(|(engine, _)| engine.clone()) else { return };
+            self.crashes.remove(&engine);
+        }
+    }
+}
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -119,6 +119,9 @@
     /// A stage's answer is larger than allowed.
     #[display("answer_too_large")]
     AnswerTooLarge,
+    /// A part of the prompt has crashed several engines.
+    #[display("prompt_held")]
+    PromptHeld,
     /// The caller disconnected.
     #[display("cancelled")]
     Cancelled,
@@ -135,6 +138,8 @@
 const SOON: Option<unit::Millis> = Some(unit::Millis(1_000));
 /// Pause after which to retry when the cause lasts longer.
 const LATER: Option<unit::Millis> = Some(unit::Millis(5_000));
+/// Pause after which a prompt that crashes engines is tried again.
+const MUCH_LATER: Option<unit::Millis> = Some(unit::Millis(600_000));
 
 impl Kind {
     fn details(self) -> Details {
@@ -176,6 +181,7 @@
             }
             Self::StageFailed => (502, "see the stage and its status in the message", None),
             Self::AnswerTooLarge => (502, "ask for less or raise limits.answer_bytes", None),
+            Self::PromptHeld => (503, "send other prompts; operators: see part_held", MUCH_LATER),
             Self::Cancelled => (499, "send the request again", None),
         };
         Details { status, remedy, retry_after }
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -24,7 +24,7 @@
 use crate::unit;
 
 /// Version of the messages; a gateway refuses other versions.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 /// Path for messages of type `ReadsRequest`.
 pub const READS_PATH: &str = "/relay/reads";
 /// Age from which reads are not passed on. By then the gateway cannot reach the store, and
@@ -48,9 +48,9 @@
     /// Digest of the list of upstreams that the requester has; 0 if it has none.
     #[serde(rename = "fleet")]
     pub fleet_digest: u64,
-    /// Digest of the list of gateways that the requester has; 0 if it has none.
-    #[serde(rename = "peers")]
-    pub peers_digest: u64,
+    /// Digest of the listing of gateways that the requester has; 0 if it has none.
+    #[serde(rename = "gateways")]
+    pub gateways_digest: u64,
 }
 
 /// Differences between two lists of upstreams.
@@ -80,10 +80,10 @@
     pub fleet_digest: u64,
     /// Differences of the list of upstreams from the one that the requester has.
     pub changes: Option<FleetChanges>,
-    /// Gateways that are alive; `None` if the requester has the list with this digest.
-    pub peers: Option<Vec<roster::Peer>>,
-    /// Digest of the list of gateways.
-    pub peers_digest: u64,
+    /// Listing of gateways; `None` if the requester has the one with this digest.
+    pub gateways: Option<roster::Listing>,
+    /// Digest of the listing of gateways.
+    pub gateways_digest: u64,
 }
 
 /// Reads of the store that were sent at the same time.
@@ -95,10 +95,10 @@
     pub table: sync::Arc<table::Table>,
     /// List of upstreams, ordered by instance.
     pub fleet: sync::Arc<Vec<fleet::ListEntry>>,
-    /// Gateways that are alive.
-    pub peers: Vec<roster::Peer>,
+    /// Listing of gateways.
+    pub gateways: roster::Listing,
     fleet_digest: u64,
-    peers_digest: u64,
+    gateways_digest: u64,
     /// Changes between the latest lists of upstreams, the oldest ones first. Each applies to the
     /// list that the one before it results in, and the last one results in `fleet`.
     changes: collections::VecDeque<FleetChanges>,
@@ -110,7 +110,7 @@
         sent: clock::Now,
         table: sync::Arc<table::Table>,
         mut fleet: Vec<fleet::ListEntry>,
-        peers: Vec<roster::Peer>,
+        gateways: roster::Listing,
     ) -> Self {
         fleet.sort_by(|a, b| a.instance.cmp(&b.instance));
         Self {
@@ -118,8 +118,8 @@
             table,
             fleet_digest: digest(&fleet),
             fleet: sync::Arc::new(fleet),
-            peers_digest: digest(&peers),
-            peers,
+            gateways_digest: digest(&gateways),
+            gateways,
             changes: collections::VecDeque::new(),
         }
     }
@@ -145,7 +145,7 @@
             version: VERSION,
             table_version: reads.table.version,
             fleet_digest: reads.fleet_digest,
-            peers_digest: reads.peers_digest,
+            gateways_digest: reads.gateways_digest,
         })
     }
 
@@ -166,8 +166,9 @@
             fleet: needs_fleet.then(|| self.fleet.to_vec()),
             fleet_digest: self.fleet_digest,
             changes,
-            peers: (request.peers_digest != self.peers_digest).then(|| self.peers.clone()),
-            peers_digest: self.peers_digest,
+            gateways: (request.gateways_digest != self.gateways_digest)
+                .then(|| self.gateways.clone()),
+            gateways_digest: self.gateways_digest,
         })
     }
 
@@ -213,11 +214,11 @@
             (None, Some(changes)) => apply_changes(available?, changes)?,
             (None, None) => available?.fleet.to_vec(),
         };
-        let peers = response.peers.or_else(|| Some(available?.peers.clone()))?;
-        let reads = Self::new(sent, table, fleet, peers);
+        let gateways = response.gateways.or_else(|| Some(available?.gateways.clone()))?;
+        let reads = Self::new(sent, table, fleet, gateways);
         // Another digest means that the lists differ from those of the gateway that responded.
         let is_complete = reads.fleet_digest == response.fleet_digest
-            && reads.peers_digest == response.peers_digest;
+            && reads.gateways_digest == response.gateways_digest;
         is_complete.then(|| reads.following(available))
     }
 }
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -11,6 +11,7 @@
 use std::time;
 
 use crate::id;
+use crate::quarantine;
 
 /// Time for which a gateway that did not answer is not chosen.
 const SUSPECT_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -28,6 +29,21 @@
     pub weight: u32,
 }
 
+/// What the store lists about gateways.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Listing {
+    /// Gateways that are alive.
+    pub peers: Vec<Peer>,
+    /// Latest reports about crashes, also of gateways that are not alive any more.
+    pub reports: Vec<quarantine::GatewayReport>,
+}
+
+impl From<Vec<Peer>> for Listing {
+    fn from(peers: Vec<Peer>) -> Self {
+        Self { peers, reports: Vec::new() }
+    }
+}
+
 /// Identifies a pool: all upstreams of one service in one region.
 #[derive(Clone, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
 #[display("{service}@{region}")]
@@ -78,6 +94,13 @@
         self.suspects.insert(instance.clone(), now + SUSPECT_TIME);
     }
 
+    /// Returns the gateway that is responsible for a prompt part, or `None` if none is alive.
+    pub fn part_owner(&self, part: u64) -> Option<&id::InstanceId> {
+        let score = |peer: &Peer| rendezvous_score(peer, part);
+        let owner = self.peers.values().max_by(|a, b| score(a).total_cmp(&score(b)));
+        owner.map(|peer| &peer.instance)
+    }
+
     /// Returns the gateway that forms the batches for a pool, or `None` if the region has no live
     /// one.
     pub fn batcher(
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -438,7 +438,7 @@
         domain: name("a"),
         weight: 100,
     };
-    gateway::Event::PeersListed(instances.iter().map(peer).collect())
+    gateway::Event::GatewaysListed(instances.iter().map(peer).collect::<Vec<_>>().into())
 }
 
 fn handed_over(effects: &[gateway::Effect]) -> Option<batch::GroupId> {
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -35,7 +35,7 @@
     let version = table::Version(version);
     let table = sync::Arc::new(table::Table { version, ..table::Table::default() });
     let fleet = upstreams.iter().map(|name| entry(name)).collect();
-    relay::Snapshot::new(sent, table, fleet, vec![peer("g1", "a")])
+    relay::Snapshot::new(sent, table, fleet, vec![peer("g1", "a")].into())
 }
 
 #[test]
@@ -93,12 +93,12 @@
     let mut leaving = snapshot(at(3_000), 3, &["u1", "u3", "u4", "u6", "u7"]);
     let mut list = leaving.fleet.to_vec();
     list[0].leaving = true;
-    leaving = relay::Snapshot::new(at(3_000), leaving.table, list, leaving.peers);
+    leaving = relay::Snapshot::new(at(3_000), leaving.table, list, leaving.gateways);
     let latest = leaving.following(Some(&second));
     for available in [&first, &second] {
         let request = relay::Snapshot::to_request(Some(available));
         let response = latest.to_response(at(3_100), request).expect("it is fresh");
-        assert!(response.fleet.is_none() && response.peers.is_none());
+        assert!(response.fleet.is_none() && response.gateways.is_none());
         let changes = response.changes.clone().expect("the list is known");
         assert_eq!(changes.changed.len(), 1, "{changes:?}");
         let received = relay::Snapshot::from_response(at(3_100), response.clone(), Some(available))
@@ -125,7 +125,7 @@
     let peers: Vec<_> = (0..360).map(|number| peer(&format!("g-{number}"), "a")).collect();
     let of = |names: &[&str]| {
         let reads = snapshot(at(5_000), 3, names);
-        relay::Snapshot::new(reads.sent, reads.table, reads.fleet.to_vec(), peers.clone())
+        relay::Snapshot::new(reads.sent, reads.table, reads.fleet.to_vec(), peers.clone().into())
     };
     let available = of(&names[1..]);
     let latest = of(&names[..2_999]).following(Some(&available));
