--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -31,7 +31,7 @@
 /// Pause between two reports about crashes, which limits the writes to the store.
 const REPORT_PAUSE: time::Duration = time::Duration::from_millis(600);
 /// Pause before a report about crashes that has not changed is written again, as it expires.
-const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(240);
+const REPORT_INTERVAL: time::Duration = time::Duration::from_mins(4);
 
 /// Starts the tasks that read the store, announce this gateway and write its reports about crashes;
 /// returns the handle of the one that announces it. Reads go to `events` for the reducer and to
@@ -245,10 +245,9 @@
     let mut health = ReadHealth { read: "report_crashes", is_lost: false };
     loop {
         match http::with_timeout(REPORT_INTERVAL, reports.changed()).await {
-            Some(Ok(())) => {}
             Some(Err(_)) => return,
             None if reports.borrow().is_empty() => continue,
-            None => {}
+            Some(Ok(())) | None => {}
         }
         loop {
             let report = reports.borrow_and_update().clone();
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -32,9 +32,9 @@
 /// The same for a crash that another gateway reported.
 const REPORTED_SETTLE_TIME: time::Duration = time::Duration::from_millis(600);
 /// Time for which a part is held back, and for which crashes count.
-const HOLD_TIME: time::Duration = time::Duration::from_secs(600);
+const HOLD_TIME: time::Duration = time::Duration::from_mins(10);
 /// Time for which crashes are remembered, so that late reports do not count them again.
-const CRASH_MEMORY: time::Duration = time::Duration::from_secs(1_800);
+const CRASH_MEMORY: time::Duration = time::Duration::from_mins(30);
 /// Largest number of remembered crashes.
 const MAX_CRASHES: usize = 256;
 /// Largest number of parts of which the last sound answer is remembered.
