--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -128,6 +128,11 @@
     }
 
     fn arrive(&mut self, path: &str) -> (id::RequestId, Vec<gateway::Effect>) {
+        self.arrive_with(path, &[1])
+    }
+
+    /// Lets a request arrive whose prompt has parts with these ids.
+    fn arrive_with(&mut self, path: &str, parts: &[u64]) -> (id::RequestId, Vec<gateway::Effect>) {
         self.request_count += 1;
         let request = id::RequestId(self.request_count);
         let arrival = gateway::Arrival {
@@ -138,7 +143,10 @@
             budget: Some(ms(4_000)),
             piece_counts: if path.starts_with("/guide") { vec![1, 3] } else { Vec::new() },
             input_key: Some("k".to_owned()),
-            prompt_parts: vec![placement::PromptPart { id: 1, tokens: 100 }],
+            prompt_parts: parts
+                .iter()
+                .map(|id| placement::PromptPart { id: *id, tokens: 100 })
+                .collect(),
             ..gateway::Arrival::default()
         };
         (request, self.step(gateway::Event::RequestArrived(request, Box::new(arrival))))
@@ -594,3 +602,77 @@
         true
     }
 }
+
+/// Crashes engines until the gateway holds part 66 back. Each prompt goes to an engine of its own,
+/// which is started again.
+fn crash_engines(harness: &mut Harness) {
+    for number in 0..4_u64 {
+        let instances = [format!("u{}", 2 * number), format!("u{}", 2 * number + 1)];
+        harness.list_upstreams(&instances.each_ref().map(String::as_str));
+        let (_, effects) = harness.arrive_with("/chat/1", &[1, 66, 100 + number]);
+        let Some(sent) = request_call(&effects) else { return };
+        let cause = gateway::BreakCause::ConnectionLost;
+        harness.end_call(sent.call, gateway::Outcome::Broken { last: None, cause });
+        wait(harness, 700);
+    }
+    wait(harness, 2_000);
+}
+
+/// Lets time pass in which the table is confirmed.
+fn wait(harness: &mut Harness, millis: u64) {
+    harness.advance(ms(millis));
+    harness.apply_table(&table(5, &["key"]));
+}
+
+/// Serves a sound prompt with part 1.
+fn serve_sound_prompt(harness: &mut Harness, own: u64) -> bool {
+    let (_, effects) = harness.arrive_with("/chat/1", &[1, 2, own]);
+    let Some(sent) = request_call(&effects) else { return false };
+    harness.step(gateway::Event::AnswerStarted(sent.call));
+    harness.end_call(sent.call, gateway::Outcome::Ended);
+    true
+}
+
+#[test]
+fn prompt_with_a_part_that_crashes_engines_is_refused_as_not_run() {
+    use refusal::{Kind, Ran};
+    let mut harness = Harness::new();
+    wait(&mut harness, 2_000);
+    assert!(serve_sound_prompt(&mut harness, 200));
+    // A prompt waits at an engine while its part is not held yet.
+    let (_, effects) = harness.arrive_with("/chat/1", &[2, 66, 300]);
+    let waiting = request_call(&effects).expect("a call").call;
+    crash_engines(&mut harness);
+    let (_, effects) = harness.arrive_with("/chat/1", &[2, 66, 301]);
+    assert_eq!(refusal_of(&effects), Some((Kind::PromptHeld, Ran::No)));
+    assert!(request_call(&effects).is_none());
+    // The waiting one was ended and may have run; the end of its call changes nothing.
+    assert!(harness.end_call(waiting, gateway::Outcome::Ended).is_empty());
+    // Prompts that share the other parts are served.
+    assert!(serve_sound_prompt(&mut harness, 201));
+    // After a while one prompt is let through, in case the part is sound.
+    wait(&mut harness, 21_000);
+    let (_, effects) = harness.arrive_with("/chat/1", &[2, 66, 302]);
+    let probe = request_call(&effects).expect("a call").call;
+    let (_, effects) = harness.arrive_with("/chat/1", &[2, 66, 303]);
+    assert_eq!(refusal_of(&effects), Some((Kind::PromptHeld, Ran::No)));
+    harness.step(gateway::Event::AnswerStarted(probe));
+    harness.end_call(probe, gateway::Outcome::Ended);
+    let (_, effects) = harness.arrive_with("/chat/1", &[2, 66, 304]);
+    assert!(request_call(&effects).is_some(), "{effects:?}");
+}
+
+#[test]
+fn held_prompt_is_refused_before_its_stages_run() {
+    let mut harness = Harness::new();
+    wait(&mut harness, 2_000);
+    assert!(serve_sound_prompt(&mut harness, 200));
+    // It has a stage to run first.
+    let (_, effects) = harness.arrive_with("/guide/1", &[2, 66, 300]);
+    let batch = batch_call(&effects).clone();
+    crash_engines(&mut harness);
+    assert!(request_call(&harness.complete_batch(&batch)).is_none());
+    let (_, effects) = harness.arrive_with("/guide/1", &[2, 66, 301]);
+    assert_eq!(refusal_of(&effects), Some((refusal::Kind::PromptHeld, refusal::Ran::No)));
+    assert!(!effects.iter().any(|effect| matches!(effect, gateway::Effect::SendBatch(_))));
+}
