http: a connection that the network broke timed out

A gateway that is cut off from its engines loses its connections when bytes are not acknowledged in time. That counted as if the engines had ended them, so that it suspected the parts of the prompts there. Such calls now end with the cause Timeout, which says nothing about prompts; they are retried as before. The test feeds both kinds of errors through the HTTP client.

--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -176,7 +176,7 @@
     /// The body ended as a complete one does, but inside an event.
     #[display("inside_event")]
     InsideEvent,
-    /// The answer or its next event did not arrive in time.
+    /// The answer or its next event did not arrive in time, or the network broke the connection.
     #[display("timeout")]
     Timeout,
     /// The answer is another request's, lacks the upstream's mark or breaks the order of events.
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -93,7 +93,9 @@
         let request = self.build_request(request_call, original);
         let sent = self.pool.send(request_call.address, request_call.max_connections, request);
         let (response, connection) = match http::with_timeout(request_call.timeout, sent).await {
-            None => return broken(gateway::BreakCause::Timeout),
+            None | Some(Err(upstream_pool::SendError::TimedOut)) => {
+                return broken(gateway::BreakCause::Timeout);
+            }
             Some(Err(upstream_pool::SendError::Broken)) => {
                 return broken(gateway::BreakCause::ConnectionLost);
             }
@@ -423,6 +425,9 @@
     fn from_frame(frame: Option<Frame>) -> Self {
         match frame {
             None => Self::Broken(gateway::BreakCause::Timeout),
+            Some(Some(Err(e))) if http::is_timed_out(&e) => {
+                Self::Broken(gateway::BreakCause::Timeout)
+            }
             Some(Some(Err(_))) => Self::Broken(gateway::BreakCause::ConnectionLost),
             Some(None) => Self::End,
             Some(Some(Ok(frame))) => Self::Data(frame.into_data().unwrap_or_default()),
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP building blocks on `hyper` that all processes share: bodies, bounded reads, clients and a
 //! server with a graceful stop.
 
+use std::error;
 use std::future;
 use std::io;
 use std::net;
@@ -145,6 +146,20 @@
     Incomplete,
 }
 
+/// Returns whether the network, not the peer, ended a connection: bytes were not acknowledged in
+/// time, or the peer cannot be reached any more.
+pub fn is_timed_out(error: &(dyn error::Error + 'static)) -> bool {
+    let chain = std::iter::successors(Some(error), |error| error.source());
+    chain.filter_map(|error| error.downcast_ref::<io::Error>()).any(|error| {
+        matches!(
+            error.kind(),
+            io::ErrorKind::TimedOut
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+        )
+    })
+}
+
 /// Reads a whole body.
 ///
 /// # Errors
@@ -164,6 +179,7 @@
         Err(_) => Err(ReadError::Timeout),
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
+        Ok(Err(e)) if is_timed_out(&*e) => Err(ReadError::Timeout),
         Ok(Err(_)) => Err(ReadError::Incomplete),
     }
 }
--- a/lib/src/upstream_pool.rs
+++ b/lib/src/upstream_pool.rs
@@ -42,6 +42,18 @@
     /// The request may have reached the upstream.
     #[display("the connection broke; the request may have run")]
     Broken,
+    /// The same, and the network broke the connection, not the upstream.
+    #[display("the connection timed out; the request may have run")]
+    TimedOut,
+}
+
+/// Why a connection gave no answer.
+#[derive(Debug)]
+enum TrySendError {
+    /// No byte of the request was written.
+    Unsent(Box<hyper::Request<http::Body>>),
+    /// The request may have reached the upstream.
+    Failed(SendError),
 }
 
 #[derive(Debug)]
@@ -95,16 +107,16 @@
             match connection.try_send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 // The upstream closed the connection while it was idle.
-                Err(Some(unsent)) => request = unsent,
-                Err(None) => return Err(SendError::Broken),
+                Err(TrySendError::Unsent(unsent)) => request = *unsent,
+                Err(TrySendError::Failed(e)) => return Err(e),
             }
         }
         let mut connection =
             self.connect(address, max_connections).await.ok_or(SendError::Unsent)?;
         match connection.try_send(request).await {
             Ok(response) => Ok((response, connection)),
-            Err(Some(_)) => Err(SendError::Unsent),
-            Err(None) => Err(SendError::Broken),
+            Err(TrySendError::Unsent(_)) => Err(SendError::Unsent),
+            Err(TrySendError::Failed(e)) => Err(e),
         }
     }
 
@@ -188,15 +200,17 @@
 }
 
 impl PooledConnection {
-    /// Sends a request. An error contains the request if no byte of it was written.
+    /// Sends a request on this connection.
     async fn try_send(
         &mut self,
         request: hyper::Request<http::Body>,
-    ) -> Result<hyper::Response<hyper::body::Incoming>, Option<hyper::Request<http::Body>>> {
-        let Some(connection) = &mut self.connection else { return Err(Some(request)) };
+    ) -> Result<hyper::Response<hyper::body::Incoming>, TrySendError> {
+        let Some(connection) = &mut self.connection else {
+            return Err(TrySendError::Unsent(Box::new(request)));
+        };
         let ready = http::with_timeout(READY_TIMEOUT, connection.sender.ready()).await;
         if !matches!(ready, Some(Ok(()))) {
-            return Err(Some(request));
+            return Err(TrySendError::Unsent(Box::new(request)));
         }
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
@@ -205,7 +219,11 @@
                 }
                 Ok(response)
             }
-            Err(mut e) => Err(e.take_message()),
+            Err(mut e) => Err(match e.take_message() {
+                Some(unsent) => TrySendError::Unsent(Box::new(unsent)),
+                None if http::is_timed_out(e.error()) => TrySendError::Failed(SendError::TimedOut),
+                None => TrySendError::Failed(SendError::Broken),
+            }),
         }
     }
 
--- a/lib/tests/test_http.rs
+++ b/lib/tests/test_http.rs
@@ -1,13 +1,16 @@
 //! Stop of the HTTP server under load: connections that were established before the stop, and
 //! requests that cross it.
 
+use std::io;
 use std::net;
+use std::pin;
 use std::sync;
 use std::sync::atomic;
+use std::task;
 use std::time;
 
 use bramleyshelf_lib::{http, peer, upstream_pool};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::sync::watch;
 
 /// Connections that are established before each stop.
@@ -186,3 +189,58 @@
     let bytes = tokio::time::timeout(END_LIMIT, server).await.expect("it is closed");
     assert!(bytes.expect("no panic") < HEAD_LIMIT);
 }
+
+/// A connection that takes any request and ends with an error in place of an answer.
+struct FailingStream(io::ErrorKind);
+
+impl AsyncRead for FailingStream {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+        _: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        task::Poll::Ready(Err(self.0.into()))
+    }
+}
+
+impl AsyncWrite for FailingStream {
+    fn poll_write(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+        data: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        task::Poll::Ready(Ok(data.len()))
+    }
+
+    fn poll_flush(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        task::Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        task::Poll::Ready(Ok(()))
+    }
+}
+
+/// A crash of the peer ends its connections; a cut network only lets them time out.
+#[tokio::test]
+async fn is_timed_out_tells_the_network_from_the_peer() {
+    let cases = [
+        (io::ErrorKind::TimedOut, true),
+        (io::ErrorKind::HostUnreachable, true),
+        (io::ErrorKind::ConnectionReset, false),
+        (io::ErrorKind::BrokenPipe, false),
+    ];
+    for (kind, is_timed_out) in cases {
+        let stream = hyper_util::rt::TokioIo::new(FailingStream(kind));
+        let (_sender, connection) =
+            hyper::client::conn::http1::handshake::<_, http::Body>(stream).await.expect("a client");
+        let error = connection.await.expect_err("it ends with an error");
+        assert_eq!(http::is_timed_out(&error), is_timed_out, "{kind:?} {error:?}");
+    }
+}
