quarantine: an engine that answers again stays cleared

A report from before brought the crash back at the next read, and so did the gateway's own report. The crash is now remembered as none. Reports contain the latest crashes, not those with the lowest ids. Both tests fail on the code before.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -55,6 +55,8 @@
 const DECISION_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// Time for which a crash is reported to other gateways.
 const REPORT_TIME: time::Duration = time::Duration::from_secs(30);
+/// Crashes that a part may have caused from which a prompt with it is not sent again.
+const RETRY_CRASH_LIMIT: usize = 2;
 /// Largest number of crashes, of parts of one crash, and of sound parts in a report.
 const MAX_REPORTED: usize = 16;
 
@@ -164,6 +166,8 @@
     cleared: collections::BTreeSet<u64>,
     /// Whether all gateways that saw it had just started.
     is_early: bool,
+    /// Whether the engine answered again, so that it has not crashed.
+    is_refuted: bool,
 }
 
 impl CrashState {
@@ -174,6 +178,7 @@
             parts: collections::BTreeSet::new(),
             cleared: collections::BTreeSet::new(),
             is_early: true,
+            is_refuted: false,
         }
     }
 
@@ -189,7 +194,8 @@
     }
 
     fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
-        self.parts.difference(&self.cleared).copied()
+        let suspects = self.parts.difference(&self.cleared).copied();
+        suspects.filter(|_| !self.is_refuted)
     }
 }
 
@@ -312,8 +318,10 @@
     /// Records that an engine began an answer to a call that was sent at `sent`. A crash that was
     /// assumed before was none.
     pub fn record_alive(&mut self, sent: time::Duration, engine: &EngineProcess) {
-        if self.crashes.get(engine).is_some_and(|crash| sent > crash.learned) {
-            self.crashes.remove(engine);
+        if let Some(crash) = self.crashes.get_mut(engine)
+            && sent > crash.learned
+        {
+            crash.is_refuted = true;
         }
     }
 
@@ -325,8 +333,8 @@
         reports: &[GatewayReport],
     ) {
         self.started.get_or_insert(now);
-        // A report does not order sound parts and crashes, so that what is known to be sound is
-        // applied only to earlier crashes.
+        // Reports do not tell whether a sound answer or a crash came first, so a sound part is
+        // cleared only of crashes that were known before.
         let mut read_sound = collections::BTreeMap::new();
         for GatewayReport { instance, report } in reports {
             for sound in &report.sound {
@@ -486,13 +494,16 @@
             self.crashes.values().filter(is_suspect).count()
         };
         placement::shared_parts(parts)
-            .any(|part| !self.sound.contains_key(&part.id) && count(part.id) > 1)
+            .any(|part| !self.sound.contains_key(&part.id) && count(part.id) >= RETRY_CRASH_LIMIT)
     }
 
     /// Returns what this gateway tells the others.
     pub fn report(&self, now: time::Duration) -> Report {
-        let recent = self.crashes.iter().filter(|(_, crash)| crash.age(now) < REPORT_TIME);
-        let crashes = recent.map(|(engine, crash)| {
+        let is_recent = |crash: &CrashState| crash.age(now) < REPORT_TIME && !crash.is_refuted;
+        let mut recent: Vec<_> =
+            self.crashes.iter().filter(|(_, crash)| is_recent(crash)).collect();
+        recent.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.learned));
+        let crashes = recent.into_iter().map(|(engine, crash)| {
             let parts = crash.own_parts.difference(&crash.cleared);
             Crash {
                 engine: engine.clone(),
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -100,8 +100,24 @@
     for number in 0..3 {
         quarantine.record_crash(ms(READY), engine(number), None, &prompt(&[1, 66, 907]));
     }
+    let earlier = report("g1", quarantine.report(ms(READY)));
     quarantine.record_alive(ms(READY + 100), &engine(1));
+    // A report from before does not bring the crash back.
+    quarantine.apply_reports(ms(READY + 200), &name("g1"), &[earlier]);
     assert!(quarantine.update(ms(READY + SETTLED)).is_empty());
+    assert_eq!(quarantine.report(ms(READY + 200)).crashes.len(), 2);
+}
+
+#[test]
+fn latest_crashes_are_reported() {
+    let mut quarantine = experienced();
+    for number in 0..40 {
+        let now = ms(READY + number);
+        quarantine.record_crash(now, engine(number), None, &prompt(&[66, 933 + number]));
+    }
+    let crashes = quarantine.report(ms(READY + 40)).crashes;
+    assert_eq!(crashes.first().map(|crash| &crash.engine), Some(&engine(39)));
+    assert!(crashes.iter().all(|crash| crash.engine > engine(20)), "{crashes:?}");
 }
 
 #[test]
