--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -101,3 +101,30 @@
     let request = relay::ReadsRequest { version: relay::VERSION, ..Default::default() };
     assert!(gateway_peers::fetch_reads(&pool, address, request).await.is_none());
 }
+
+/// Server whose answers have no end.
+#[derive(Clone)]
+struct EndlessServer;
+
+impl http::Handler for EndlessServer {
+    async fn handle(
+        &self,
+        _: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        let (mut sender, body) = http::Body::stream(1);
+        tokio::spawn(async move { while sender.send(vec![0; 65_536].into()).await {} });
+        hyper::Response::new(body)
+    }
+}
+
+#[tokio::test]
+async fn endless_answer_of_a_gateway_ends() {
+    let listener = http::listen(([127, 0, 0, 1], 0).into()).await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    let _server = http::RunningServer::spawn(listener, EndlessServer);
+    let pool = upstream_pool::Pool::default();
+    let request = relay::ReadsRequest { version: relay::VERSION, ..Default::default() };
+    let reads = gateway_peers::fetch_reads(&pool, address, request);
+    let reads = http::with_timeout(time::Duration::from_secs(1), reads).await.expect("it ends");
+    assert!(reads.is_none());
+}
