--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -5,9 +5,9 @@
 
 use std::sync;
 
+use crate::crash_report;
 use crate::fleet;
 use crate::gateway;
-use crate::quarantine;
 use crate::refusal;
 use crate::roster;
 use crate::table;
@@ -121,7 +121,7 @@
     /// Replaces the report of a gateway about crashes. It outlives the gateway for some minutes.
     fn report_crashes(
         &self,
-        report: &quarantine::GatewayReport,
+        report: &crash_report::GatewayReport,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Reads the list of upstreams.
--- a/lib/src/gateway/holds.rs
+++ b/lib/src/gateway/holds.rs
@@ -3,6 +3,8 @@
 use std::time;
 
 use crate::admission;
+use crate::clock;
+use crate::crash_report;
 use crate::gateway;
 use crate::gateway::arrivals;
 use crate::gateway::calls;
@@ -18,7 +20,7 @@
 
 impl gateway::Gateway {
     /// Returns what other gateways are told about crashes.
-    pub fn crash_report(&self, now: crate::clock::Now) -> quarantine::Report {
+    pub fn crash_report(&self, now: clock::Now) -> crash_report::Report {
         self.quarantine.report(now.mono)
     }
 
@@ -77,9 +79,9 @@
     }
 
     /// Returns the process of an engine as the latest list describes it.
-    pub(super) fn engine_process(&self, instance: &id::InstanceId) -> quarantine::EngineProcess {
+    pub(super) fn engine_process(&self, instance: &id::InstanceId) -> crash_report::EngineProcess {
         let started_ms = self.fleet.get(instance).and_then(|up| up.entry.started_ms);
-        quarantine::EngineProcess { instance: instance.clone(), started_ms }
+        crash_report::EngineProcess { instance: instance.clone(), started_ms }
     }
 
     /// Records answers that have run for long enough to show that their prompts are sound.
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -7,13 +7,13 @@
 
 use crate::clock;
 use crate::clock::Clock as _;
+use crate::crash_report;
 use crate::dialect;
 use crate::gateway;
 use crate::gateway_peers;
 use crate::gateway_settings;
 use crate::http;
 use crate::id;
-use crate::quarantine;
 use crate::relay;
 use crate::roster;
 use crate::upstream_pool;
@@ -42,7 +42,7 @@
     clock: clock::SystemClock,
     newest: watch::Sender<Option<relay::Snapshot>>,
     events: &mpsc::Sender<gateway::Event>,
-    reports: watch::Receiver<quarantine::Report>,
+    reports: watch::Receiver<crash_report::Report>,
 ) -> tokio::task::JoinHandle<()> {
     let me = roster::Peer {
         instance: settings.instance.clone(),
@@ -242,7 +242,7 @@
 async fn report_crashes<S: dialect::GatewayStore>(
     store: S,
     instance: id::InstanceId,
-    mut reports: watch::Receiver<quarantine::Report>,
+    mut reports: watch::Receiver<crash_report::Report>,
 ) {
     let mut health = ReadHealth { read: "report_crashes", is_lost: false };
     loop {
@@ -253,7 +253,7 @@
         }
         loop {
             let report = reports.borrow_and_update().clone();
-            let report = quarantine::GatewayReport { instance: instance.clone(), report };
+            let report = crash_report::GatewayReport { instance: instance.clone(), report };
             let result = with_read_timeout(store.report_crashes(&report)).await;
             health.record(result.as_ref().err());
             tokio::time::sleep(REPORT_PAUSE).await;
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::clock::Clock as _;
+use crate::crash_report;
 use crate::dialect;
 use crate::gateway;
 use crate::gateway_calls;
@@ -21,7 +22,6 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
-use crate::quarantine;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -78,7 +78,7 @@
     /// Limits on requests, from the routing table in force.
     limits: watch::Sender<table::Limits>,
     /// What other gateways are told about crashes.
-    crash_reports: watch::Sender<quarantine::Report>,
+    crash_reports: watch::Sender<crash_report::Report>,
 }
 
 /// Runs a gateway until it is asked to stop and its callers' connections have ended, at most
@@ -130,7 +130,7 @@
         clock,
     };
     tokio::spawn(http::serve(peer_listener, peer_handler, stopped_receiver));
-    let (crash_reports, crash_receiver) = watch::channel(quarantine::Report::default());
+    let (crash_reports, crash_receiver) = watch::channel(crash_report::Report::default());
     let announcer =
         gateway_reads::spawn(&settings, &store, clock, newest, &read_events, crash_receiver);
     let outputs = Outputs { ready, limits, crash_reports };
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config;
 pub mod config_lease;
 pub mod config_sync;
+pub mod crash_report;
 pub mod diagnostic;
 pub mod dialect;
 pub mod drop_guard;
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -14,6 +14,7 @@
 use std::collections;
 use std::time;
 
+use crate::crash_report;
 use crate::id;
 use crate::placement;
 
@@ -60,71 +61,6 @@
 /// Largest number of crashes, of parts of one crash, and of sound parts in a report.
 const MAX_REPORTED: usize = 16;
 
-/// One process of an engine.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
-pub struct EngineProcess {
-    /// Instance id of the engine.
-    pub instance: id::InstanceId,
-    /// Start time in milliseconds since the Unix epoch; `None` if it is not known.
-    pub started_ms: Option<u64>,
-}
-
-/// A crash as one gateway saw it.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Crash {
-    /// Process that crashed.
-    pub engine: EngineProcess,
-    /// Parts that may have caused it.
-    pub parts: Vec<u64>,
-    /// Whether the gateway had just started.
-    pub is_early: bool,
-}
-
-/// A part that was suspected and then shown to be sound.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct SoundPart {
-    /// Id of the part.
-    pub part: u64,
-    /// Number that differs each time that the part is shown to be sound.
-    pub serial: u64,
-}
-
-/// A part that is held back.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct HeldPart {
-    /// Id of the part.
-    pub part: u64,
-    /// Whether a prompt with it was let through since.
-    pub is_probed: bool,
-}
-
-/// What one gateway tells the others about crashes.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Report {
-    /// Crashes of calls of this gateway.
-    pub crashes: Vec<Crash>,
-    /// Parts that it has shown to be sound.
-    pub sound: Vec<SoundPart>,
-    /// Parts that it holds back and that no other gateway reported first.
-    pub held: Vec<HeldPart>,
-}
-
-impl Report {
-    /// Returns whether it says nothing.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
-    }
-}
-
-/// A report with the gateway that wrote it.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct GatewayReport {
-    /// Instance id of the gateway.
-    pub instance: id::InstanceId,
-    /// Its report.
-    pub report: Report,
-}
-
 /// Why a part is held back no longer or from now on.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
 pub enum Reason {
@@ -234,11 +170,11 @@
 pub struct Quarantine {
     /// When the gateway first used it.
     started: Option<time::Duration>,
-    crashes: collections::BTreeMap<EngineProcess, CrashState>,
+    crashes: collections::BTreeMap<crash_report::EngineProcess, CrashState>,
     /// Start of the last sound answer by part.
     sound: collections::BTreeMap<u64, time::Duration>,
     /// Parts that were suspected and that this gateway has shown to be sound, the latest last.
-    reported_sound: collections::VecDeque<SoundPart>,
+    reported_sound: collections::VecDeque<crash_report::SoundPart>,
     /// Serials of sound parts that were read, by gateway and part.
     read_sound: collections::BTreeMap<(id::InstanceId, u64), u64>,
     /// Held parts in the latest reports, by gateway and part.
@@ -265,7 +201,7 @@
     pub fn record_crash(
         &mut self,
         now: time::Duration,
-        engine: EngineProcess,
+        engine: crash_report::EngineProcess,
         begun: Option<time::Duration>,
         parts: &[placement::PromptPart],
     ) {
@@ -309,7 +245,7 @@
     fn report_sound(&mut self, part: u64) {
         self.last_serial = self.last_serial.wrapping_add(1);
         self.reported_sound.retain(|sound| sound.part != part);
-        self.reported_sound.push_back(SoundPart { part, serial: self.last_serial });
+        self.reported_sound.push_back(crash_report::SoundPart { part, serial: self.last_serial });
         if self.reported_sound.len() > MAX_REPORTED {
             self.reported_sound.pop_front();
         }
@@ -317,7 +253,7 @@
 
     /// Records that an engine began an answer to a call that was sent at `sent`. A crash that was
     /// assumed before was none.
-    pub fn record_alive(&mut self, sent: time::Duration, engine: &EngineProcess) {
+    pub fn record_alive(&mut self, sent: time::Duration, engine: &crash_report::EngineProcess) {
         if let Some(crash) = self.crashes.get_mut(engine)
             && sent > crash.learned
         {
@@ -330,13 +266,13 @@
         &mut self,
         now: time::Duration,
         own_instance: &id::InstanceId,
-        reports: &[GatewayReport],
+        reports: &[crash_report::GatewayReport],
     ) {
         self.started.get_or_insert(now);
         // Reports do not tell whether a sound answer or a crash came first, so a sound part is
         // cleared only of crashes that were known before.
         let mut read_sound = collections::BTreeMap::new();
-        for GatewayReport { instance, report } in reports {
+        for crash_report::GatewayReport { instance, report } in reports {
             for sound in &report.sound {
                 let key = (instance.clone(), sound.part);
                 if self.read_sound.get(&key) != Some(&sound.serial) {
@@ -347,7 +283,7 @@
         }
         self.read_sound = read_sound;
         let mut read_held = collections::BTreeSet::new();
-        for GatewayReport { instance, report } in reports {
+        for crash_report::GatewayReport { instance, report } in reports {
             for crash in &report.crashes {
                 let state = self
                     .crashes
@@ -368,7 +304,13 @@
     }
 
     /// Applies a report that a part is held back.
-    fn apply_held(&mut self, now: time::Duration, held: HeldPart, is_new: bool, is_own: bool) {
+    fn apply_held(
+        &mut self,
+        now: time::Duration,
+        held: crash_report::HeldPart,
+        is_new: bool,
+        is_own: bool,
+    ) {
         if let Some(hold) = self.held.get_mut(&held.part) {
             hold.is_probed |= held.is_probed;
             return;
@@ -498,25 +440,28 @@
     }
 
     /// Returns what this gateway tells the others.
-    pub fn report(&self, now: time::Duration) -> Report {
+    pub fn report(&self, now: time::Duration) -> crash_report::Report {
         let is_recent = |crash: &CrashState| crash.age(now) < REPORT_TIME && !crash.is_refuted;
         let mut recent: Vec<_> =
             self.crashes.iter().filter(|(_, crash)| is_recent(crash)).collect();
         recent.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.learned));
         let crashes = recent.into_iter().map(|(engine, crash)| {
             let parts = crash.own_parts.difference(&crash.cleared);
-            Crash {
+            crash_report::Crash {
                 engine: engine.clone(),
                 parts: parts.copied().take(MAX_REPORTED).collect(),
                 is_early: crash.is_early,
             }
         });
         let held = self.held.iter().filter(|(_, hold)| hold.is_reported);
-        Report {
+        crash_report::Report {
             crashes: crashes.filter(|crash| !crash.parts.is_empty()).take(MAX_REPORTED).collect(),
             sound: self.reported_sound.iter().copied().collect(),
             held: held
-                .map(|(part, hold)| HeldPart { part: *part, is_probed: hold.is_probed })
+                .map(|(part, hold)| crash_report::HeldPart {
+                    part: *part,
+                    is_probed: hold.is_probed,
+                })
                 .collect(),
         }
     }
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -10,8 +10,8 @@
 use std::net;
 use std::time;
 
+use crate::crash_report;
 use crate::id;
-use crate::quarantine;
 
 /// Time for which a gateway that did not answer is not chosen.
 const SUSPECT_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -35,7 +35,7 @@
     /// Gateways that are alive.
     pub peers: Vec<Peer>,
     /// Latest reports about crashes, also of gateways that are not alive any more.
-    pub reports: Vec<quarantine::GatewayReport>,
+    pub reports: Vec<crash_report::GatewayReport>,
 }
 
 impl From<Vec<Peer>> for Listing {
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -7,19 +7,19 @@
 use std::collections;
 use std::time;
 
-use bramleyshelf_lib::{id, placement, quarantine};
+use bramleyshelf_lib::{crash_report, id, placement, quarantine};
 use bramleyshelf_testutils::values::{ms, name};
 
 fn prompt(parts: &[u64]) -> Vec<placement::PromptPart> {
     parts.iter().map(|id| placement::PromptPart { id: *id, tokens: 100 }).collect()
 }
 
-fn engine(number: u64) -> quarantine::EngineProcess {
-    quarantine::EngineProcess { instance: name("e"), started_ms: Some(number) }
+fn engine(number: u64) -> crash_report::EngineProcess {
+    crash_report::EngineProcess { instance: name("e"), started_ms: Some(number) }
 }
 
-fn report(instance: &str, report: quarantine::Report) -> quarantine::GatewayReport {
-    quarantine::GatewayReport { instance: name(instance), report }
+fn report(instance: &str, report: crash_report::Report) -> crash_report::GatewayReport {
+    crash_report::GatewayReport { instance: name(instance), report }
 }
 
 /// Time after the start of a gateway from which it can judge crashes.
@@ -234,9 +234,9 @@
     severed_until: u64,
     read_due: u64,
     /// Reads that were passed on, with the time at which they arrive.
-    read: Option<(u64, Vec<quarantine::GatewayReport>)>,
+    read: Option<(u64, Vec<crash_report::GatewayReport>)>,
     write_due: u64,
-    written: quarantine::Report,
+    written: crash_report::Report,
 }
 
 impl Node {
@@ -262,9 +262,9 @@
 }
 
 impl Call {
-    fn process(&self) -> quarantine::EngineProcess {
+    fn process(&self) -> crash_report::EngineProcess {
         let instance = name(&format!("e{}", self.engine));
-        quarantine::EngineProcess { instance, started_ms: Some(self.process) }
+        crash_report::EngineProcess { instance, started_ms: Some(self.process) }
     }
 }
 
@@ -276,7 +276,7 @@
     /// Start number of each engine and the time at which it is up.
     engines: Vec<(u64, u64)>,
     calls: Vec<Call>,
-    store: collections::BTreeMap<id::InstanceId, quarantine::GatewayReport>,
+    store: collections::BTreeMap<id::InstanceId, crash_report::GatewayReport>,
     crashing: Vec<u64>,
     crashes: collections::BTreeMap<u64, Vec<u64>>,
     /// Times at which gateways in touch sent a prompt to an engine, by the part that crashes it.
@@ -298,7 +298,7 @@
             read_due: number as u64 * 37 % READ_PAUSE_MS,
             read: None,
             write_due: 0,
-            written: quarantine::Report::default(),
+            written: crash_report::Report::default(),
         };
         Self {
             rng: fastrand::Rng::with_seed(seed),
@@ -448,7 +448,8 @@
                 node.write_due = now + WRITE_PAUSE_MS;
                 node.written = report.clone();
                 let instance = node.name.clone();
-                self.store.insert(instance.clone(), quarantine::GatewayReport { instance, report });
+                self.store
+                    .insert(instance.clone(), crash_report::GatewayReport { instance, report });
             }
         }
     }
@@ -463,7 +464,7 @@
         node.read = None;
         node.has_read = false;
         node.read_due = node.up_at;
-        node.written = quarantine::Report::default();
+        node.written = crash_report::Report::default();
     }
 
     /// Injects a disruption that has nothing to do with prompts.
--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -102,26 +102,9 @@
     assert!(gateway_peers::fetch_reads(&pool, address, request).await.is_none());
 }
 
-/// Server whose answers have no end.
-#[derive(Clone)]
-struct EndlessServer;
-
-impl http::Handler for EndlessServer {
-    async fn handle(
-        &self,
-        _: hyper::Request<hyper::body::Incoming>,
-    ) -> hyper::Response<http::Body> {
-        let (mut sender, body) = http::Body::stream(1);
-        tokio::spawn(async move { while sender.send(vec![0; 65_536].into()).await {} });
-        hyper::Response::new(body)
-    }
-}
-
 #[tokio::test]
 async fn endless_answer_of_a_gateway_ends() {
-    let listener = http::listen(([127, 0, 0, 1], 0).into()).await.expect("a free port");
-    let address = listener.local_addr().expect("it listens");
-    let _server = http::RunningServer::spawn(listener, EndlessServer);
+    let address = raw_server::serve_without_end().await;
     let pool = upstream_pool::Pool::default();
     let request = relay::ReadsRequest { version: relay::VERSION, ..Default::default() };
     let reads = gateway_peers::fetch_reads(&pool, address, request);
--- a/lib/testutils/src/raw_server.rs
+++ b/lib/testutils/src/raw_server.rs
@@ -121,3 +121,32 @@
     let mut lines = head.lines().filter_map(|line| line.split_once(": "));
     lines.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
 }
+
+/// Serves answers whose bodies have no end, on a free loopback port until the runtime ends.
+///
+/// # Panics
+/// Panics if no port is free.
+pub async fn serve_without_end() -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            // A peer that has disconnected gets no more.
+            tokio::spawn(async move {
+                let _ = write_without_end(stream).await;
+            });
+        }
+    });
+    address
+}
+
+async fn write_without_end(mut stream: tokio::net::TcpStream) -> std::io::Result<()> {
+    let mut head = [0; 4_096];
+    if stream.read(&mut head).await? == 0 {
+        return Ok(());
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n").await?;
+    loop {
+        stream.write_all(&[b' '; 8_192]).await?;
+    }
+}
