--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -562,6 +562,14 @@
     simulation.check(seed);
 }
 
+#[test]
+fn three_parts_at_eight_engines_are_held_in_time() {
+    let seed = 128;
+    let mut simulation = Simulation::new(seed, 4, 8, &[66, 67, 68]);
+    simulation.run(ALL_DISRUPTIONS);
+    simulation.check(seed);
+}
+
 #[test]
 fn disrupted_gateways_hold_crashing_parts_back_and_serve_the_rest() {
     for seed in 0..SEEDS {
