placement, holds: one place for the shared parts of a prompt

Found in the last read of the change: the time to read shared parts skipped the last part by itself beside shared_parts, the refusal of a held prompt stood twice, and PendingCall had a Clone that nothing uses.

--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -31,7 +31,7 @@
 const FIRST_EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
 /// A call in flight that is to answer a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct PendingCall {
     /// Request that it is for.
     pub request: id::RequestId,
--- a/lib/src/gateway/holds.rs
+++ b/lib/src/gateway/holds.rs
@@ -33,17 +33,18 @@
         &mut self,
         parts: &[placement::PromptPart],
     ) -> Result<Option<u64>, admission::Rejection> {
-        let part = match self.quarantine.held_parts(parts)[..] {
-            [] => return Ok(None),
-            [part] => part,
-            _ => return Err(arrivals::reject(refusal::Kind::PromptHeld, HELD_MESSAGE)),
-        };
+        match self.quarantine.held_parts(parts)[..] {
+            [] => Ok(None),
+            [part] if self.take_probe(part) => Ok(Some(part)),
+            _ => Err(arrivals::reject(refusal::Kind::PromptHeld, HELD_MESSAGE)),
+        }
+    }
+
+    /// Returns whether this gateway lets a prompt through although its part is held back.
+    fn take_probe(&mut self, part: u64) -> bool {
         let owner = self.roster.part_owner(part);
         let is_owner = owner.is_none_or(|owner| *owner == self.settings.instance);
-        if is_owner && self.quarantine.take_probe(self.now.mono, part) {
-            return Ok(Some(part));
-        }
-        Err(arrivals::reject(refusal::Kind::PromptHeld, HELD_MESSAGE))
+        is_owner && self.quarantine.take_probe(self.now.mono, part)
     }
 
     /// Returns whether a call for a request would reach an engine with a held part.
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -177,7 +177,7 @@
 /// Returns the time to process all parts but the last, which belongs to a single request or
 /// session.
 pub fn shared_read_time(parts: &[PromptPart]) -> time::Duration {
-    let shared: u64 = parts.iter().rev().skip(1).map(|part| part.tokens).sum();
+    let shared: u64 = shared_parts(parts).map(|part| part.tokens).sum();
     time::Duration::from_secs_f64(shared as f64 / TOKENS_PER_MS / 1_000.0)
 }
 
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -22,8 +22,8 @@
 pub const SOUND_TIME: time::Duration = time::Duration::from_millis(500);
 /// Time after the start of a sound answer in which a crash says nothing about its parts.
 const SOUND_MARGIN: time::Duration = time::Duration::from_secs(2);
-/// Time after the start of a sound answer in which other gateways are not believed that a part of it
-/// has to be held back. One that has lost its engines sees crashes only.
+/// Time after the start of a sound answer in which reports that a part of it is held back are ignored.
+/// They may come from a gateway that has lost its engines and sees crashes only.
 const SOUND_MEMORY: time::Duration = time::Duration::from_secs(8);
 /// Time after the start of a gateway in which crashes say less, as it does not know yet which parts
 /// are sound.
