--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod sidecar_http;
 pub mod sidecar_shell;
 pub mod store;
+pub mod store_era;
 pub mod table;
 pub mod team;
 pub mod telemetry;
