--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -8,6 +8,7 @@
 use crate::crash_report;
 use crate::fleet;
 use crate::gateway;
+use crate::id;
 use crate::refusal;
 use crate::roster;
 use crate::table;
@@ -78,7 +79,7 @@
     fn read_batch(&self, body: &[u8]) -> Result<Vec<gateway::PieceOutcome>, String>;
 
     /// Builds the request that frees results at an upstream.
-    fn write_free(&self, instance: &crate::id::InstanceId, handles: &[gateway::Handle]) -> Message;
+    fn write_free(&self, instance: &id::InstanceId, handles: &[gateway::Handle]) -> Message;
 
     /// Returns the HTTP status with which a request is refused.
     fn refusal_status(&self, refusal: &refusal::Refusal) -> u16;
@@ -96,6 +97,10 @@
         /// HTTP status.
         status: u16,
     },
+    /// The answer comes from before the store was restored from an older copy, or only part of it
+    /// comes from afterwards.
+    #[display("the store was restored from an older copy meanwhile; the call will be retried")]
+    Outdated,
     /// The answer could not be decoded.
     #[display("the store's answer could not be decoded: {message}; check the stored value")]
     Malformed {
@@ -112,8 +117,11 @@
     /// Announces a gateway. The announcement expires unless it is repeated.
     fn announce(&self, peer: &roster::Peer) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Removes the announcement.
-    fn withdraw(&self) -> impl Future<Output = Result<(), StoreError>> + Send;
+    /// Removes the announcement of a gateway.
+    fn withdraw(
+        &self,
+        instance: &id::InstanceId,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Reads the announced gateways and the reports about crashes.
     fn gateways(&self) -> impl Future<Output = Result<roster::Listing, StoreError>> + Send;
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -265,8 +265,8 @@
 }
 
 /// Removes the announcement of this gateway, so that others hand no more pieces over to it.
-pub async fn withdraw<S: dialect::GatewayStore>(store: S) {
-    if let Err(e) = with_read_timeout(store.withdraw()).await {
+pub async fn withdraw<S: dialect::GatewayStore>(store: S, instance: id::InstanceId) {
+    if let Err(e) = with_read_timeout(store.withdraw(&instance)).await {
         log::info!("event=withdraw_failed error={:?}", e.to_string());
     }
 }
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -167,7 +167,7 @@
                 shell.step(gateway::Event::Drain);
                 shell.publish();
                 announcer.abort();
-                tokio::spawn(gateway_reads::withdraw(store.clone()));
+                tokio::spawn(gateway_reads::withdraw(store.clone(), settings.instance.clone()));
             }
             _ = &mut caller_server => break,
         }
