fleet, roster: lists of a restored store are not news

Cause: each list was taken as later than the one before. Fix: reads carry the era of the store, also when they are passed on. On a new era gateways keep upstreams and gateways that are missing for the two seconds that these have to register again; for five seconds processes that left stay out of use, and entries of earlier processes of an upstream are skipped. A new process of the same upstream is used at once.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -11,6 +11,7 @@
 use crate::id;
 use crate::refusal;
 use crate::roster;
+use crate::store_era;
 use crate::table;
 
 /// Properties of an upstream's answer that its head reveals.
@@ -109,10 +110,21 @@
     },
 }
 
+/// What a read of the store returned.
+#[derive(Clone, Debug)]
+pub struct Read<T> {
+    /// Era of the store that all of it belongs to.
+    pub era: store_era::Era,
+    /// Contents that were read.
+    pub value: T,
+}
+
 /// The parts of the platform's store that a gateway uses. All reads are linearizable.
 pub trait GatewayStore: Clone + Send + Sync + 'static {
     /// Reads the routing table in force.
-    fn table(&self) -> impl Future<Output = Result<sync::Arc<table::Table>, StoreError>> + Send;
+    fn table(
+        &self,
+    ) -> impl Future<Output = Result<Read<sync::Arc<table::Table>>, StoreError>> + Send;
 
     /// Announces a gateway. The announcement expires unless it is repeated.
     fn announce(&self, peer: &roster::Peer) -> impl Future<Output = Result<(), StoreError>> + Send;
@@ -124,7 +136,7 @@
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Reads the announced gateways and the reports about crashes.
-    fn gateways(&self) -> impl Future<Output = Result<roster::Listing, StoreError>> + Send;
+    fn gateways(&self) -> impl Future<Output = Result<Read<roster::Listing>, StoreError>> + Send;
 
     /// Replaces the report of a gateway about crashes. It outlives the gateway for some minutes.
     fn report_crashes(
@@ -133,5 +145,6 @@
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Reads the list of upstreams.
-    fn fleet(&self) -> impl Future<Output = Result<Vec<fleet::ListEntry>, StoreError>> + Send;
+    fn fleet(&self)
+    -> impl Future<Output = Result<Read<Vec<fleet::ListEntry>>, StoreError>> + Send;
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -19,6 +19,10 @@
 const MAX_LIST_GAP: time::Duration = time::Duration::from_millis(2_600);
 /// Time that missing upstreams have to register again after such a gap.
 const REREGISTER_TIME: time::Duration = time::Duration::from_secs(2);
+/// Time after a restore of the store in which its list may still show upstreams as they were before.
+const STALE_LIST_TIME: time::Duration = time::Duration::from_secs(5);
+/// Time for which upstreams that left are remembered, longer than copies of the store are old.
+const LEFT_MEMORY: time::Duration = time::Duration::from_mins(1);
 /// Weight of a new sample in the slowness of an upstream.
 const SLOWNESS_SMOOTHING: f64 = 0.25;
 /// Time constant with which the slowness of an upstream returns to 1 without samples.
@@ -226,8 +230,15 @@
     last_update: Option<time::Duration>,
     /// When the first list after the last gap was applied.
     gap_end: time::Duration,
+    /// When the store was last restored from an older copy; `None` if it never was.
+    restored_at: Option<time::Duration>,
+    /// Processes that left lately, with the time.
+    left: collections::BTreeMap<Process, time::Duration>,
 }
 
+/// Instance id of an upstream and the start time of its process, if it is known.
+type Process = (id::InstanceId, Option<u64>);
+
 impl Fleet {
     /// Makes an empty fleet. Distances count from the given failure domain.
     pub fn new(
@@ -240,6 +251,8 @@
             upstreams: collections::BTreeMap::new(),
             last_update: None,
             gap_end: time::Duration::ZERO,
+            restored_at: None,
+            left: collections::BTreeMap::new(),
         }
     }
 
@@ -259,6 +272,22 @@
         self.regions.get(domain)
     }
 
+    /// Records that the store was restored from an older copy. The copy may lack upstreams, and list
+    /// as ready what was leaving or gone.
+    pub fn record_restore(&mut self, now: time::Duration) {
+        self.restored_at = Some(now);
+        for (instance, upstream) in &self.upstreams {
+            if upstream.entry.leaving {
+                self.left.insert((instance.clone(), upstream.entry.started_ms), now);
+            }
+        }
+    }
+
+    /// Returns whether the store was restored less than a certain time ago.
+    fn is_restored_within(&self, now: time::Duration, time: time::Duration) -> bool {
+        self.restored_at.is_some_and(|at| now.saturating_sub(at) < time)
+    }
+
     /// Applies a complete list, and returns what changed.
     pub fn update(&mut self, now: time::Duration, list: Vec<ListEntry>) -> Change {
         let mut change = Change::default();
@@ -268,12 +297,23 @@
             self.gap_end = now;
         }
         self.last_update = Some(now);
+        let is_stale = self.is_restored_within(now, STALE_LIST_TIME);
         let mut present = collections::BTreeSet::new();
-        for entry in list {
+        for mut entry in list {
             present.insert(entry.instance.clone());
+            let process = (entry.instance.clone(), entry.started_ms);
+            if is_stale {
+                if self.has_later_process(&entry) {
+                    continue;
+                }
+                entry.leaving |= self.left.contains_key(&process);
+            } else if !entry.leaving {
+                self.left.remove(&process);
+            }
             self.apply_entry(entry, &mut change);
         }
         self.remove_missing(now, &present, &mut change);
+        self.left.retain(|_, at| now.saturating_sub(*at) < LEFT_MEMORY);
         for (instance, upstream) in &mut self.upstreams {
             let expired = upstream.expire_results(now);
             if expired > 0 {
@@ -283,6 +323,12 @@
         change
     }
 
+    /// Returns whether a process is known that started after the one of the entry.
+    fn has_later_process(&self, entry: &ListEntry) -> bool {
+        let known = self.upstreams.get(&entry.instance).and_then(|up| up.entry.started_ms);
+        known.zip(entry.started_ms).is_some_and(|(known, listed)| known > listed)
+    }
+
     /// Adds or updates the upstream of one list entry.
     fn apply_entry(&mut self, entry: ListEntry, change: &mut Change) {
         let instance = entry.instance.clone();
@@ -317,8 +363,9 @@
         change: &mut Change,
     ) {
         let is_settling = now.saturating_sub(self.gap_end) < REREGISTER_TIME;
+        let is_restored = self.is_restored_within(now, REREGISTER_TIME);
         self.upstreams.retain(|instance, upstream| {
-            if present.contains(instance) {
+            if present.contains(instance) || is_restored && !upstream.entry.leaving {
                 return true;
             }
             // An upstream that registered again after the gap and is missing now has left.
@@ -330,6 +377,7 @@
             }
             let is_kept = is_first_after_gap || is_missing_since_gap;
             if !is_kept {
+                self.left.insert((instance.clone(), upstream.entry.started_ms), now);
                 change.gone.push(instance.clone());
             }
             is_kept
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -158,6 +158,7 @@
         self.now = now;
         match event {
             Event::TableRead { sent, table } => self.apply_table(sent, table, effects),
+            Event::StoreRestored => self.store_restored(effects),
             Event::UpstreamsListed(list) => self.apply_upstreams(list, effects),
             Event::RequestArrived(request, arrival) => {
                 self.request_arrived(request, &arrival, effects);
@@ -251,6 +252,13 @@
         self.has_table = true;
     }
 
+    /// Prepares for lists that are older than the ones before.
+    fn store_restored(&mut self, effects: &mut Vec<Effect>) {
+        self.fleet.record_restore(self.now.mono);
+        self.roster.record_restore(self.now.mono);
+        effects.push(Effect::Log(telemetry::Line::new("lists_kept")));
+    }
+
     /// Applies a new list of upstreams, and logs what changed.
     fn apply_upstreams(&mut self, list: Vec<fleet::ListEntry>, effects: &mut Vec<Effect>) {
         let change = self.fleet.update(self.now.mono, list);
@@ -284,7 +292,7 @@
     fn apply_gateways(&mut self, listing: roster::Listing, effects: &mut Vec<Effect>) {
         let own_instance = &self.settings.instance;
         self.quarantine.apply_reports(self.now.mono, own_instance, &listing.reports);
-        let (joined, left) = self.roster.update(listing.peers);
+        let (joined, left) = self.roster.update(self.now.mono, listing.peers);
         for (event, instances) in [("peer_came", joined), ("peer_went", left)] {
             for instance in instances {
                 effects.push(Effect::Log(telemetry::Line::new(event).with("peer", instance)));
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -225,6 +225,9 @@
         /// Table as of the read.
         table: sync::Arc<table::Table>,
     },
+    /// The store came back from an older copy of its contents. What is read from now on may be old
+    /// or missing until it is written again.
+    StoreRestored,
     /// The store returned the list of upstreams.
     UpstreamsListed(Vec<fleet::ListEntry>),
     /// A request was received completely.
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -16,6 +16,7 @@
 use crate::id;
 use crate::relay;
 use crate::roster;
+use crate::store_era;
 use crate::upstream_pool;
 
 /// Time within which the store has to answer a read or write.
@@ -58,6 +59,7 @@
         newest,
         events: events.clone(),
         health: ["table", "fleet", "peers"].map(|read| ReadHealth { read, is_lost: false }),
+        eras: store_era::Tracker::default(),
     };
     tokio::spawn(reader.run(settings.poll_ms.duration()));
     tokio::spawn(report_crashes(store.clone(), me.instance.clone(), reports));
@@ -103,6 +105,7 @@
     newest: watch::Sender<Option<relay::Snapshot>>,
     events: mpsc::Sender<gateway::Event>,
     health: [ReadHealth; 3],
+    eras: store_era::Tracker,
 }
 
 impl<S: dialect::GatewayStore> StoreReader<S> {
@@ -157,14 +160,22 @@
             with_read_timeout(self.store.fleet()),
             with_read_timeout(self.store.gateways()),
         );
+        let eras = [era_of(&table), era_of(&fleet), era_of(&gateways)];
+        let era = eras.into_iter().flatten().max();
+        let (table, fleet, gateways) =
+            (value_of(table, era), value_of(fleet, era), value_of(gateways, era));
         let errors = [table.as_ref().err(), fleet.as_ref().err(), gateways.as_ref().err()];
         for (health, error) in self.health.iter_mut().zip(errors) {
             health.record(error);
         }
+        let era = era?;
+        if !self.enter_era(era).await {
+            return None;
+        }
         let parts = match (table, fleet, gateways) {
             (Ok(table), Ok(fleet), Ok(gateways)) => {
                 let newest = self.newest.borrow();
-                let reads = relay::Snapshot::new(sent, table, fleet, gateways);
+                let reads = relay::Snapshot::new(sent, era, table, fleet, gateways);
                 return Some(reads.following(newest.as_ref()));
             }
             (table, fleet, gateways) => [
@@ -180,6 +191,19 @@
         None
     }
 
+    /// Records the era of reads. Returns whether they are not outdated.
+    async fn enter_era(&mut self, era: store_era::Era) -> bool {
+        match self.eras.enter(era) {
+            store_era::Relation::Latest => true,
+            store_era::Relation::Restored => {
+                // Fails only when the process stops.
+                let _ = self.events.send(gateway::Event::StoreRestored).await;
+                true
+            }
+            store_era::Relation::Outdated => false,
+        }
+    }
+
     fn has_lost_store(&self) -> bool {
         self.health.iter().any(|health| health.is_lost)
     }
@@ -211,7 +235,24 @@
             log::info!("event=reader_avoided peer={}", peer.instance);
             self.readers.avoid(self.clock.now().mono, &peer.instance);
         }
-        reads
+        let reads = reads?;
+        self.enter_era(reads.era).await.then_some(reads)
+    }
+}
+
+fn era_of<T>(read: &Result<dialect::Read<T>, dialect::StoreError>) -> Option<store_era::Era> {
+    read.as_ref().ok().map(|read| read.era)
+}
+
+/// Returns what was read in an era; another part of the same reads belongs to it.
+fn value_of<T>(
+    read: Result<dialect::Read<T>, dialect::StoreError>,
+    era: Option<store_era::Era>,
+) -> Result<T, dialect::StoreError> {
+    match read {
+        Ok(read) if Some(read.era) == era => Ok(read.value),
+        Ok(_) => Err(dialect::StoreError::Outdated),
+        Err(e) => Err(e),
     }
 }
 
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -20,11 +20,12 @@
 use crate::fleet;
 use crate::id;
 use crate::roster;
+use crate::store_era;
 use crate::table;
 use crate::unit;
 
 /// Version of the messages; a gateway refuses other versions.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 /// Path for messages of type `ReadsRequest`.
 pub const READS_PATH: &str = "/relay/reads";
 /// Age from which reads are not passed on. By then the gateway cannot reach the store, and
@@ -71,6 +72,8 @@
     pub version: u16,
     /// Age of the oldest of the reads, rounded up.
     pub age_ms: unit::Millis,
+    /// Era of the store that the reads belong to.
+    pub era: store_era::Era,
     /// Routing table; `None` if the requester has this version.
     pub table: Option<sync::Arc<table::Table>>,
     /// List of upstreams; `None` if the requester has the list with this digest or gets `changes`.
@@ -91,6 +94,8 @@
 pub struct Snapshot {
     /// When the first of the reads was sent.
     pub sent: clock::Now,
+    /// Era of the store that the reads belong to.
+    pub era: store_era::Era,
     /// Routing table.
     pub table: sync::Arc<table::Table>,
     /// List of upstreams, ordered by instance.
@@ -108,6 +113,7 @@
     /// Makes a snapshot of reads from the store.
     pub fn new(
         sent: clock::Now,
+        era: store_era::Era,
         table: sync::Arc<table::Table>,
         mut fleet: Vec<fleet::ListEntry>,
         gateways: roster::Listing,
@@ -115,6 +121,7 @@
         fleet.sort_by(|a, b| a.instance.cmp(&b.instance));
         Self {
             sent,
+            era,
             table,
             fleet_digest: digest(&fleet),
             fleet: sync::Arc::new(fleet),
@@ -161,6 +168,7 @@
         Some(ReadsResponse {
             version: VERSION,
             age_ms: unit::Millis(unit::Millis::from(age).0 + 1),
+            era: self.era,
             table: (request.table_version != self.table.version)
                 .then(|| sync::Arc::clone(&self.table)),
             fleet: needs_fleet.then(|| self.fleet.to_vec()),
@@ -215,7 +223,7 @@
             (None, None) => available?.fleet.to_vec(),
         };
         let gateways = response.gateways.or_else(|| Some(available?.gateways.clone()))?;
-        let reads = Self::new(sent, table, fleet, gateways);
+        let reads = Self::new(sent, response.era, table, fleet, gateways);
         // Another digest means that the lists differ from those of the gateway that responded.
         let is_complete = reads.fleet_digest == response.fleet_digest
             && reads.gateways_digest == response.gateways_digest;
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -15,6 +15,8 @@
 
 /// Time for which a gateway that did not answer is not chosen.
 const SUSPECT_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Time that gateways have to announce themselves again after the store was restored.
+const REANNOUNCE_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// A gateway as it registers itself.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -60,13 +62,29 @@
     peers: collections::BTreeMap<id::InstanceId, Peer>,
     /// Gateways that did not answer, with the time until which they are not chosen.
     suspects: collections::BTreeMap<id::InstanceId, time::Duration>,
+    /// Time until which gateways stay that are missing from the list.
+    kept_until: time::Duration,
 }
 
 impl Roster {
+    /// Records that the store was restored from an older copy, which may lack announcements.
+    pub fn record_restore(&mut self, now: time::Duration) {
+        self.kept_until = now + REANNOUNCE_TIME;
+    }
+
     /// Replaces the list of live gateways. Returns those that are new and those that are gone.
-    pub fn update(&mut self, peers: Vec<Peer>) -> (Vec<id::InstanceId>, Vec<id::InstanceId>) {
-        let peers: collections::BTreeMap<_, _> =
+    pub fn update(
+        &mut self,
+        now: time::Duration,
+        peers: Vec<Peer>,
+    ) -> (Vec<id::InstanceId>, Vec<id::InstanceId>) {
+        let mut peers: collections::BTreeMap<_, _> =
             peers.into_iter().map(|peer| (peer.instance.clone(), peer)).collect();
+        if now < self.kept_until {
+            for (name, peer) in &self.peers {
+                peers.entry(name.clone()).or_insert_with(|| peer.clone());
+            }
+        }
         let joined = peers.keys().filter(|name| !self.peers.contains_key(*name)).cloned().collect();
         let left = self.peers.keys().filter(|name| !peers.contains_key(*name)).cloned().collect();
         self.suspects.retain(|name, _| peers.contains_key(name));
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -312,8 +312,8 @@
         .collect();
     let mut first_view = roster::Roster::default();
     let mut second_view = roster::Roster::default();
-    first_view.update(peers.clone());
-    second_view.update(peers.into_iter().rev().collect());
+    first_view.update(ms(0), peers.clone());
+    second_view.update(ms(0), peers.into_iter().rev().collect());
     let batcher =
         first_view.batcher(ms(0), &pool(), &regions()).expect("one is alive").instance.clone();
     assert_eq!(
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -4,7 +4,7 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{clock, fleet, relay, roster, table};
+use bramleyshelf_lib::{clock, fleet, relay, roster, store_era, table};
 use bramleyshelf_testutils::values::ms;
 
 fn at(millis: u64) -> clock::Now {
@@ -35,7 +35,7 @@
     let version = table::Version(version);
     let table = sync::Arc::new(table::Table { version, ..table::Table::default() });
     let fleet = upstreams.iter().map(|name| entry(name)).collect();
-    relay::Snapshot::new(sent, table, fleet, vec![peer("g1", "a")].into())
+    relay::Snapshot::new(sent, store_era::Era(1), table, fleet, vec![peer("g1", "a")].into())
 }
 
 #[test]
@@ -93,7 +93,8 @@
     let mut leaving = snapshot(at(3_000), 3, &["u1", "u3", "u4", "u6", "u7"]);
     let mut list = leaving.fleet.to_vec();
     list[0].leaving = true;
-    leaving = relay::Snapshot::new(at(3_000), leaving.table, list, leaving.gateways);
+    leaving =
+        relay::Snapshot::new(at(3_000), store_era::Era(1), leaving.table, list, leaving.gateways);
     let latest = leaving.following(Some(&second));
     for available in [&first, &second] {
         let request = relay::Snapshot::to_request(Some(available));
@@ -125,7 +126,13 @@
     let peers: Vec<_> = (0..360).map(|number| peer(&format!("g-{number}"), "a")).collect();
     let of = |names: &[&str]| {
         let reads = snapshot(at(5_000), 3, names);
-        relay::Snapshot::new(reads.sent, reads.table, reads.fleet.to_vec(), peers.clone().into())
+        relay::Snapshot::new(
+            reads.sent,
+            reads.era,
+            reads.table,
+            reads.fleet.to_vec(),
+            peers.clone().into(),
+        )
     };
     let available = of(&names[1..]);
     let latest = of(&names[..2_999]).following(Some(&available));
--- /dev/null
+++ b/lib/tests/test_store_era.rs
@@ -0,0 +1,96 @@
+//! What gateways make of a store that was restored from an older copy.
+
+use std::collections;
+
+use bramleyshelf_lib::{fleet, roster, store_era};
+use bramleyshelf_testutils::values::ms;
+
+fn entry(instance: &str, started_ms: u64) -> fleet::ListEntry {
+    fleet::ListEntry {
+        instance: instance.parse().expect("a name"),
+        service: "app".parse().expect("a name"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "a".parse().expect("a name"),
+        leaving: false,
+        started_ms: Some(started_ms),
+    }
+}
+
+fn leaving(instance: &str, started_ms: u64) -> fleet::ListEntry {
+    fleet::ListEntry { leaving: true, ..entry(instance, started_ms) }
+}
+
+/// Returns a fleet that has seen `u1` ready, `u2` leaving and `u3` gone.
+fn fleet() -> fleet::Fleet {
+    let domain: bramleyshelf_lib::id::DomainId = "a".parse().expect("a name");
+    let region = "east".parse().expect("a name");
+    let regions = collections::BTreeMap::from([(domain.clone(), region)]);
+    let mut fleet = fleet::Fleet::new(domain, regions);
+    fleet.update(ms(0), vec![entry("u1", 1), entry("u2", 1), entry("u3", 1)]);
+    fleet.update(ms(900), vec![entry("u1", 1), leaving("u2", 1)]);
+    fleet
+}
+
+fn ready(fleet: &fleet::Fleet) -> Vec<String> {
+    let service = "app".parse().expect("a name");
+    fleet.service_upstreams(&service).map(|(instance, _)| instance.to_string()).collect()
+}
+
+#[test]
+fn era_of_a_read_table() {
+    use store_era::Relation::{Latest, Outdated, Restored};
+    let mut tracker = store_era::Tracker::default();
+    for (era, expected) in [(3, Latest), (3, Latest), (4, Restored), (3, Outdated), (6, Restored)] {
+        assert_eq!(tracker.enter(store_era::Era(era)), expected, "{era}");
+    }
+}
+
+#[test]
+fn fleet_ignores_what_the_copy_says_of_upstreams_that_left() {
+    let copy = vec![entry("u1", 1), entry("u2", 1), entry("u3", 1)];
+    let mut fleet = fleet();
+    fleet.record_restore(ms(3_000));
+    fleet.update(ms(3_000), copy.clone());
+    assert_eq!(ready(&fleet), ["u1"]);
+    // A new process with the same id is another upstream.
+    fleet.update(ms(3_900), vec![entry("u1", 1), leaving("u2", 1), entry("u3", 2)]);
+    assert_eq!(ready(&fleet), ["u1", "u3"]);
+    // The store was restored again before the upstream could say anew that it leaves.
+    fleet.record_restore(ms(4_500));
+    fleet.update(ms(4_500), copy.clone());
+    fleet.update(ms(9_400), copy.clone());
+    assert_eq!(ready(&fleet), ["u1", "u3"]);
+    // Upstreams that are still listed much later are alive.
+    fleet.update(ms(10_300), copy);
+    assert_eq!(ready(&fleet), ["u1", "u2", "u3"]);
+}
+
+#[test]
+fn fleet_keeps_upstreams_that_the_copy_lacks_for_a_while() {
+    let mut fleet = fleet();
+    fleet.record_restore(ms(1_800));
+    // It is listed at first, and then the lease of its entry ends.
+    for (at, list) in [(1_800, vec![entry("u1", 1)]), (2_700, vec![]), (3_700, vec![])] {
+        fleet.update(ms(at), list);
+        assert_eq!(ready(&fleet), ["u1"], "{at}");
+    }
+    fleet.update(ms(3_900), vec![]);
+    assert!(ready(&fleet).is_empty());
+}
+
+#[test]
+fn roster_keeps_gateways_that_the_copy_lacks_for_a_while() {
+    let peer = |name: &str| roster::Peer {
+        instance: name.parse().expect("a name"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "a".parse().expect("a name"),
+        weight: 100,
+    };
+    let mut roster = roster::Roster::default();
+    roster.update(ms(0), vec![peer("g1"), peer("g2")]);
+    roster.record_restore(ms(900));
+    assert_eq!(roster.update(ms(900), vec![peer("g3")]).1, []);
+    assert_eq!(roster.len(), 3);
+    let (_, left) = roster.update(ms(2_900), vec![peer("g3"), peer("g1")]);
+    assert_eq!(left, ["g2".parse().expect("a name")]);
+}
