store_era: a read of a restored store confirms a table only once it is settled

Seen: a gateway that had missed a revocation went on accepting the revoked credential, as each read of the older copy renewed its lease; one that started served by the copy, revoked credentials included, and refused credentials that were accepted everywhere. Cause: a linearizable read was taken as proof of the newest configuration, which holds only while the store loses nothing. Fix: after a restore a read confirms the table when the configuration was certainly written since (another revision for the same version, or a change within the era), or when operators had two seconds. Gateways pass on the newest table that they know with the age of the read that confirmed it, and record settled eras, so that one that starts knows of the restore. Until a table is confirmed a starting gateway answers 503. The monotonic clock of a process starts at an hour, as confirmations may be older than the process.

--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -36,6 +36,9 @@
     fn now(&self) -> Now;
 }
 
+/// Monotonic time at the start of a process. Leases that other processes pass on may have begun before.
+const START_OFFSET: time::Duration = time::Duration::from_hours(1);
+
 /// The clocks of the operating system.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
@@ -51,7 +54,7 @@
 }
 
 impl SystemClock {
-    /// Makes a clock whose monotonic time starts at zero.
+    /// Makes a clock whose monotonic time starts at a fixed time above zero.
     pub fn new() -> Self {
         Self { start: boot_time() }
     }
@@ -68,6 +71,6 @@
         let wall = time::SystemTime::now()
             .duration_since(time::UNIX_EPOCH)
             .unwrap_or(time::Duration::ZERO);
-        Now { mono: boot_time().saturating_sub(self.start), wall }
+        Now { mono: START_OFFSET + boot_time().saturating_sub(self.start), wall }
     }
 }
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -119,12 +119,25 @@
     pub value: T,
 }
 
+/// Routing table as the store has it.
+#[derive(Clone, Debug)]
+pub struct StoredTable {
+    /// Table made from the configuration.
+    pub table: sync::Arc<table::Table>,
+    /// Revision at which the store has the configuration.
+    pub revision: u64,
+}
+
 /// The parts of the platform's store that a gateway uses. All reads are linearizable.
 pub trait GatewayStore: Clone + Send + Sync + 'static {
     /// Reads the routing table in force.
-    fn table(
+    fn table(&self) -> impl Future<Output = Result<Read<StoredTable>, StoreError>> + Send;
+
+    /// Records that an era is settled, so that gateways that start later know it.
+    fn record_settled(
         &self,
-    ) -> impl Future<Output = Result<Read<sync::Arc<table::Table>>, StoreError>> + Send;
+        era: store_era::Era,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Announces a gateway. The announcement expires unless it is repeated.
     fn announce(&self, peer: &roster::Peer) -> impl Future<Output = Result<(), StoreError>> + Send;
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -157,7 +157,7 @@
     pub fn step(&mut self, now: clock::Now, event: Event, effects: &mut Vec<Effect>) {
         self.now = now;
         match event {
-            Event::TableRead { sent, table } => self.apply_table(sent, table, effects),
+            Event::TableRead { confirmed, table } => self.apply_table(confirmed, table, effects),
             Event::StoreRestored => self.store_restored(effects),
             Event::UpstreamsListed(list) => self.apply_upstreams(list, effects),
             Event::RequestArrived(request, arrival) => {
@@ -219,10 +219,16 @@
     /// Puts a table into force unless it is older than the one in force, and renews the lease.
     fn apply_table(
         &mut self,
-        sent: clock::Now,
+        confirmed: Option<clock::Now>,
         table: sync::Arc<table::Table>,
         effects: &mut Vec<Effect>,
     ) {
+        // A gateway that has just started would serve callers by the copy of a restored store.
+        if !self.has_table && confirmed.is_none() {
+            let line = telemetry::Line::new("table_unconfirmed").with("version", table.version);
+            effects.push(Effect::Log(line));
+            return;
+        }
         // A read with an older version was answered from old data, so it confirms nothing.
         if self.has_table && table.version < self.table.version {
             let line = telemetry::Line::new("table_ignored")
@@ -231,7 +237,9 @@
             effects.push(Effect::Log(line));
             return;
         }
-        self.table_lease.confirm(sent);
+        if let Some(confirmed) = confirmed {
+            self.table_lease.confirm(confirmed);
+        }
         if self.has_table && table.version == self.table.version {
             return;
         }
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -220,8 +220,9 @@
 pub enum Event {
     /// The store returned the routing table.
     TableRead {
-        /// When the read was sent, from which the lease on the table counts.
-        sent: clock::Now,
+        /// When the latest read was sent by which the table was certainly the newest one, from
+        /// which the lease on the table counts; `None` if there was none.
+        confirmed: Option<clock::Now>,
         /// Table as of the read.
         table: sync::Arc<table::Table>,
     },
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -118,7 +118,11 @@
                     if send_events(reads, &self.events).await.is_err() {
                         return;
                     }
-                    if is_from_store { pause } else { pause.min(MAX_RELAY_PAUSE) }
+                    match (self.eras.is_settled(), is_from_store) {
+                        (false, _) => RETRY_PAUSE,
+                        (true, true) => pause,
+                        (true, false) => pause.min(MAX_RELAY_PAUSE),
+                    }
                 }
                 None => RETRY_PAUSE,
             };
@@ -136,14 +140,14 @@
         {
             return Some((reads, false));
         }
-        // While this gateway cannot reach the store, another one may, and is asked first. The store
-        // is read nevertheless.
+        // While this gateway cannot reach the store, another one may, and is asked first. Another one
+        // may also know a newer table than a restored store. The store is read nevertheless.
         let mut fallback = None;
-        if self.has_lost_store() {
+        if self.has_lost_store() || !self.eras.is_settled() {
             fallback = self.fetch_from_any(&peers, newest.as_ref()).await;
         }
         if let Some(reads) = self.read_store().await {
-            return Some((reads, true));
+            return Some((reads.following(fallback.as_ref()), true));
         }
         if fallback.is_none() {
             fallback = self.fetch_from_any(&peers, newest.as_ref()).await;
@@ -172,6 +176,16 @@
         if !self.enter_era(era).await {
             return None;
         }
+        if let Ok(gateways) = &gateways {
+            self.eras.record_stated(gateways.settled_era);
+        }
+        let table = table.map(|stored| self.assess(sent, stored));
+        if let Ok(gateways) = &gateways
+            && self.eras.is_settled()
+            && gateways.settled_era != Some(era)
+        {
+            tokio::spawn(record_settled(self.store.clone(), era));
+        }
         let parts = match (table, fleet, gateways) {
             (Ok(table), Ok(fleet), Ok(gateways)) => {
                 let newest = self.newest.borrow();
@@ -179,7 +193,7 @@
                 return Some(reads.following(newest.as_ref()));
             }
             (table, fleet, gateways) => [
-                table.ok().map(|table| gateway::Event::TableRead { sent, table }),
+                table.ok().map(table_event),
                 fleet.ok().map(gateway::Event::UpstreamsListed),
                 gateways.ok().map(gateway::Event::GatewaysListed),
             ],
@@ -191,9 +205,19 @@
         None
     }
 
+    /// Returns a table that was read from the store, with whether it is certainly the newest one.
+    fn assess(&mut self, sent: clock::Now, stored: dialect::StoredTable) -> relay::KnownTable {
+        let dialect::StoredTable { table, revision } = stored;
+        let mut known = relay::KnownTable { table, revision, confirmed: None };
+        if self.eras.record_read(sent.mono, known.stored_version()) {
+            known.confirmed = Some(sent);
+        }
+        known
+    }
+
     /// Records the era of reads. Returns whether they are not outdated.
     async fn enter_era(&mut self, era: store_era::Era) -> bool {
-        match self.eras.enter(era) {
+        match self.eras.enter(self.clock.now().mono, era) {
             store_era::Relation::Latest => true,
             store_era::Relation::Restored => {
                 // Fails only when the process stops.
@@ -236,7 +260,13 @@
             self.readers.avoid(self.clock.now().mono, &peer.instance);
         }
         let reads = reads?;
-        self.enter_era(reads.era).await.then_some(reads)
+        if !self.enter_era(reads.era).await {
+            return None;
+        }
+        // A read that confirmed an earlier state of the table may have been sent before the restore.
+        let is_confirmed = reads.table.confirmed == Some(reads.sent);
+        self.eras.record_relayed(reads.table.stored_version(), is_confirmed);
+        Some(reads)
     }
 }
 
@@ -261,12 +291,23 @@
     reads: relay::Snapshot,
     events: &mpsc::Sender<gateway::Event>,
 ) -> Result<(), mpsc::error::SendError<gateway::Event>> {
-    let relay::Snapshot { sent, table, fleet, gateways, .. } = reads;
+    let relay::Snapshot { table, fleet, gateways, .. } = reads;
     // Requests are admitted once there is a table, and by then it has to be known which prompts are
     // held back.
     events.send(gateway::Event::GatewaysListed(gateways)).await?;
     events.send(gateway::Event::UpstreamsListed(fleet.to_vec())).await?;
-    events.send(gateway::Event::TableRead { sent, table }).await
+    events.send(table_event(table)).await
+}
+
+fn table_event(known: relay::KnownTable) -> gateway::Event {
+    gateway::Event::TableRead { confirmed: known.confirmed, table: known.table }
+}
+
+/// Records in the store that an era is settled. If that fails, the next read tries it again.
+async fn record_settled<S: dialect::GatewayStore>(store: S, era: store_era::Era) {
+    if let Err(e) = with_read_timeout(store.record_settled(era)).await {
+        log::info!("event=settled_era_failed era={era} error={:?}", e.to_string());
+    }
 }
 
 /// Announces this gateway until the task is aborted.
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -12,6 +12,7 @@
 //! In a large fleet the lists are long and change a little at a time, so a response contains only
 //! what changed since the reads that the requester has.
 
+use std::cmp;
 use std::collections;
 use std::sync;
 use std::time;
@@ -76,6 +77,11 @@
     pub era: store_era::Era,
     /// Routing table; `None` if the requester has this version.
     pub table: Option<sync::Arc<table::Table>>,
+    /// Revision at which the store had the table.
+    pub revision: u64,
+    /// Age of the latest read by which the table was certainly the newest one, rounded up; `None`
+    /// if there was none.
+    pub confirmed_ms: Option<unit::Millis>,
     /// List of upstreams; `None` if the requester has the list with this digest or gets `changes`.
     pub fleet: Option<Vec<fleet::ListEntry>>,
     /// Digest of the list of upstreams.
@@ -89,6 +95,40 @@
     pub gateways_digest: u64,
 }
 
+/// Newest routing table that is known, and how it was read.
+#[derive(Clone, Debug, Default)]
+pub struct KnownTable {
+    /// The table.
+    pub table: sync::Arc<table::Table>,
+    /// Revision at which the store had it.
+    pub revision: u64,
+    /// When the latest read was sent by which it was certainly the newest one; `None` if there was
+    /// none.
+    pub confirmed: Option<clock::Now>,
+}
+
+impl KnownTable {
+    /// Returns the version of the table with the revision at which the store had it.
+    pub fn stored_version(&self) -> store_era::StoredVersion {
+        store_era::StoredVersion { version: self.table.version, revision: self.revision }
+    }
+
+    /// Returns the newer one of two tables, with the latest read that confirmed it.
+    fn newer(self, other: &Self) -> Self {
+        match self.table.version.cmp(&other.table.version) {
+            cmp::Ordering::Less => other.clone(),
+            cmp::Ordering::Equal if self.confirmed_at() < other.confirmed_at() => {
+                Self { confirmed: other.confirmed, ..self }
+            }
+            _ => self,
+        }
+    }
+
+    fn confirmed_at(&self) -> Option<time::Duration> {
+        self.confirmed.map(|confirmed| confirmed.mono)
+    }
+}
+
 /// Reads of the store that were sent at the same time.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
@@ -97,7 +137,7 @@
     /// Era of the store that the reads belong to.
     pub era: store_era::Era,
     /// Routing table.
-    pub table: sync::Arc<table::Table>,
+    pub table: KnownTable,
     /// List of upstreams, ordered by instance.
     pub fleet: sync::Arc<Vec<fleet::ListEntry>>,
     /// Listing of gateways.
@@ -114,7 +154,7 @@
     pub fn new(
         sent: clock::Now,
         era: store_era::Era,
-        table: sync::Arc<table::Table>,
+        table: KnownTable,
         mut fleet: Vec<fleet::ListEntry>,
         gateways: roster::Listing,
     ) -> Self {
@@ -131,10 +171,12 @@
         }
     }
 
-    /// Records what changed since an earlier snapshot, so that responses can state it.
+    /// Records what changed since an earlier snapshot, so that responses can state it, and keeps the
+    /// earlier table if that is newer.
     #[must_use]
     pub fn following(mut self, earlier: Option<&Self>) -> Self {
         let Some(earlier) = earlier else { return self };
+        self.table = self.table.newer(&earlier.table);
         self.changes.clone_from(&earlier.changes);
         if earlier.fleet_digest != self.fleet_digest {
             self.changes.push_back(find_changes(earlier, &self.fleet));
@@ -150,7 +192,7 @@
         let empty = ReadsRequest { version: VERSION, ..ReadsRequest::default() };
         available.map_or(empty, |reads| ReadsRequest {
             version: VERSION,
-            table_version: reads.table.version,
+            table_version: reads.table.table.version,
             fleet_digest: reads.fleet_digest,
             gateways_digest: reads.gateways_digest,
         })
@@ -167,10 +209,12 @@
         let needs_fleet = !is_same_fleet && changes.is_none();
         Some(ReadsResponse {
             version: VERSION,
-            age_ms: unit::Millis(unit::Millis::from(age).0 + 1),
+            age_ms: rounded_age(now, self.sent),
             era: self.era,
-            table: (request.table_version != self.table.version)
-                .then(|| sync::Arc::clone(&self.table)),
+            table: (request.table_version != self.table.table.version)
+                .then(|| sync::Arc::clone(&self.table.table)),
+            revision: self.table.revision,
+            confirmed_ms: self.table.confirmed.map(|confirmed| rounded_age(now, confirmed)),
             fleet: needs_fleet.then(|| self.fleet.to_vec()),
             fleet_digest: self.fleet_digest,
             changes,
@@ -211,12 +255,12 @@
         response: ReadsResponse,
         available: Option<&Self>,
     ) -> Option<Self> {
-        let age = response.age_ms.duration();
-        let sent =
-            clock::Now { mono: sent.mono.checked_sub(age)?, wall: sent.wall.checked_sub(age)? };
+        let confirmed = response.confirmed_ms.and_then(|age| before(sent, age));
+        let sent = before(sent, response.age_ms)?;
         let table = response
             .table
-            .or_else(|| available.map(|available| sync::Arc::clone(&available.table)))?;
+            .or_else(|| available.map(|available| sync::Arc::clone(&available.table.table)))?;
+        let table = KnownTable { table, revision: response.revision, confirmed };
         let fleet = match (response.fleet, response.changes) {
             (Some(fleet), _) => fleet,
             (None, Some(changes)) => apply_changes(available?, changes)?,
@@ -231,6 +275,17 @@
     }
 }
 
+/// Returns the age of a read, rounded up.
+fn rounded_age(now: clock::Now, sent: clock::Now) -> unit::Millis {
+    unit::Millis(unit::Millis::from(now.elapsed_max(sent)).0 + 1)
+}
+
+/// Returns the time that was `age` before; `None` if one of the clocks had not begun by then.
+fn before(now: clock::Now, age: unit::Millis) -> Option<clock::Now> {
+    let age = age.duration();
+    Some(clock::Now { mono: now.mono.checked_sub(age)?, wall: now.wall.checked_sub(age)? })
+}
+
 /// Returns the changes from an earlier list of upstreams to a later one.
 fn find_changes(earlier: &Snapshot, later: &[fleet::ListEntry]) -> FleetChanges {
     let mut left: collections::BTreeMap<_, _> =
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -12,6 +12,7 @@
 
 use crate::crash_report;
 use crate::id;
+use crate::store_era;
 
 /// Time for which a gateway that did not answer is not chosen.
 const SUSPECT_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -38,11 +39,13 @@
     pub peers: Vec<Peer>,
     /// Latest reports about crashes, also of gateways that are not alive any more.
     pub reports: Vec<crash_report::GatewayReport>,
+    /// Latest era of the store that a gateway has found settled; `None` if none ever was.
+    pub settled_era: Option<store_era::Era>,
 }
 
 impl From<Vec<Peer>> for Listing {
     fn from(peers: Vec<Peer>) -> Self {
-        Self { peers, reports: Vec::new() }
+        Self { peers, reports: Vec::new(), settled_era: None }
     }
 }
 
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -110,7 +110,10 @@
 
     fn apply_table(&mut self, table: &sync::Arc<table::Table>) {
         let sent = self.now;
-        self.step(gateway::Event::TableRead { sent, table: sync::Arc::clone(table) });
+        self.step(gateway::Event::TableRead {
+            confirmed: Some(sent),
+            table: sync::Arc::clone(table),
+        });
     }
 
     fn list_upstreams(&mut self, apps: &[&str]) {
--- a/lib/tests/test_gateway_affinity.rs
+++ b/lib/tests/test_gateway_affinity.rs
@@ -88,7 +88,7 @@
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness = Self { gateway: gateway::Gateway::new(settings, 7), now, requests: 0 };
         let table = sync::Arc::new(table());
-        harness.step(gateway::Event::TableRead { sent: now, table });
+        harness.step(gateway::Event::TableRead { confirmed: Some(now), table });
         harness.list(&ENGINES);
         harness
     }
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -34,6 +34,7 @@
 fn snapshot(sent: clock::Now, version: u64, upstreams: &[&str]) -> relay::Snapshot {
     let version = table::Version(version);
     let table = sync::Arc::new(table::Table { version, ..table::Table::default() });
+    let table = relay::KnownTable { table, revision: version.0, confirmed: Some(sent) };
     let fleet = upstreams.iter().map(|name| entry(name)).collect();
     relay::Snapshot::new(sent, store_era::Era(1), table, fleet, vec![peer("g1", "a")].into())
 }
@@ -73,7 +74,7 @@
     assert!(response.table.is_none() && response.fleet.is_none());
     let received = relay::Snapshot::from_response(at(5_100), response.clone(), Some(&available))
         .expect("the table and list are available");
-    assert_eq!((received.table.version, received.fleet.len()), (table::Version(3), 2));
+    assert_eq!((received.table.table.version, received.fleet.len()), (table::Version(3), 2));
     assert!(
         relay::Snapshot::from_response(at(5_100), response, None).is_none(),
         "no snapshot is available"
@@ -185,3 +186,23 @@
     }
     assert_eq!(readers.reader(ms(10_000), &peers).expect("all are eligible").instance, reader);
 }
+
+#[test]
+fn newer_table_is_kept_and_passed_on_with_its_age() {
+    let earlier = snapshot(at(1_000), 7, &["u1"]);
+    let mut restored = snapshot(at(2_000), 5, &["u1"]);
+    restored.table.confirmed = None;
+    let kept = restored.following(Some(&earlier));
+    assert_eq!(kept.table.table.version, table::Version(7));
+    assert_eq!(kept.table.confirmed, Some(at(1_000)));
+    let response = kept.to_response(at(2_500), relay::ReadsRequest::default()).expect("fresh");
+    let received = relay::Snapshot::from_response(at(9_000), response, None).expect("a whole one");
+    assert_eq!(received.table.table.version, table::Version(7));
+    // It does not appear younger than it is, although the other reads are.
+    assert!(received.table.confirmed.expect("it was confirmed").mono <= ms(9_000 - 1_500));
+    assert!(received.sent.mono > ms(9_000 - 600));
+    // The same table that is read again without a confirmation keeps the earlier one.
+    let mut same = snapshot(at(3_000), 7, &["u1"]);
+    same.table.confirmed = None;
+    assert_eq!(same.following(Some(&kept)).table.confirmed, Some(at(1_000)));
+}
--- a/lib/tests/test_store_era.rs
+++ b/lib/tests/test_store_era.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use bramleyshelf_lib::{fleet, roster, store_era};
+use bramleyshelf_lib::{fleet, roster, store_era, table};
 use bramleyshelf_testutils::values::ms;
 
 fn entry(instance: &str, started_ms: u64) -> fleet::ListEntry {
@@ -41,7 +41,79 @@
     use store_era::Relation::{Latest, Outdated, Restored};
     let mut tracker = store_era::Tracker::default();
     for (era, expected) in [(3, Latest), (3, Latest), (4, Restored), (3, Outdated), (6, Restored)] {
-        assert_eq!(tracker.enter(store_era::Era(era)), expected, "{era}");
+        assert_eq!(tracker.enter(ms(0), store_era::Era(era)), expected, "{era}");
+    }
+}
+
+fn stored(version: u64, revision: u64) -> store_era::StoredVersion {
+    store_era::StoredVersion { version: table::Version(version), revision }
+}
+
+/// Returns a tracker that has read version 5 at revision 30 in the first era.
+fn tracker() -> store_era::Tracker {
+    let mut tracker = store_era::Tracker::default();
+    tracker.enter(ms(0), store_era::Era(1));
+    tracker.record_stated(None);
+    assert!(tracker.record_read(ms(0), stored(5, 30)));
+    tracker
+}
+
+#[test]
+fn read_after_a_restore_confirms_table() {
+    // Reads of the second era, which begins at 10 s: time, version, revision, whether it confirms.
+    let cases: [(&str, &[(u64, u64, u64, bool)]); 7] = [
+        ("the operator wrote again at once", &[(10_000, 5, 29, true)]),
+        ("the same item may be the copy", &[(10_000, 5, 30, false), (11_900, 5, 30, false)]),
+        ("until they had the time", &[(10_000, 5, 30, false), (12_000, 5, 30, true)]),
+        ("an older one never", &[(10_000, 4, 28, false), (13_000, 4, 28, false)]),
+        ("written later", &[(10_000, 4, 28, false), (10_900, 5, 29, true), (11_800, 5, 29, true)]),
+        ("a newer one may be of the copy", &[(10_000, 6, 31, false), (10_900, 7, 32, true)]),
+        ("older ones written first", &[(10_000, 3, 27, false), (10_900, 4, 28, false)]),
+    ];
+    for (case, reads) in cases {
+        let mut tracker = tracker();
+        assert_eq!(
+            tracker.enter(ms(10_000), store_era::Era(2)),
+            store_era::Relation::Restored,
+            "{case}"
+        );
+        for (at, version, revision, expected) in reads {
+            let is_confirmed = tracker.record_read(ms(*at), stored(*version, *revision));
+            assert_eq!(is_confirmed, *expected, "{case} at {at}");
+        }
+    }
+}
+
+#[test]
+fn read_after_several_restores_confirms_only_what_was_written_since() {
+    let mut tracker = tracker();
+    tracker.enter(ms(10_000), store_era::Era(2));
+    assert!(tracker.record_read(ms(10_000), stored(5, 29)));
+    // The next copies are those of the first and of the second era.
+    for (era, revision) in [(3, 30), (4, 29)] {
+        tracker.enter(ms(11_000), store_era::Era(era));
+        assert!(!tracker.record_read(ms(11_000), stored(5, revision)), "{era}");
+    }
+    assert!(tracker.record_read(ms(11_100), stored(5, 28)));
+}
+
+#[test]
+fn start_in_a_restored_store_confirms_once_it_is_settled() {
+    // The era that the store states as settled, and whether a first read in era 2 confirms.
+    for (stated, expected) in [(None, true), (Some(1), false), (Some(2), true)] {
+        let mut tracker = store_era::Tracker::default();
+        tracker.enter(ms(0), store_era::Era(2));
+        tracker.record_stated(stated.map(store_era::Era));
+        assert_eq!(tracker.record_read(ms(0), stored(5, 30)), expected, "{stated:?}");
+        assert_eq!(tracker.is_settled(), expected, "{stated:?}");
+    }
+    // Another gateway knows a newer one, which settles the era only if it is confirmed.
+    for is_confirmed in [false, true] {
+        let mut tracker = store_era::Tracker::default();
+        tracker.enter(ms(0), store_era::Era(2));
+        assert_eq!(tracker.record_relayed(stored(7, 33), is_confirmed), is_confirmed);
+        assert_eq!(tracker.is_settled(), is_confirmed);
+        assert!(!tracker.record_read(ms(100), stored(5, 30)), "it is older than the other one");
     }
 }
 
