gateway_reads: reports about crashes are written again after a restore

Cause: a report was written when it changed and every four minutes, so that one which a restore had lost stayed missing for that long, and gateways that started knew nothing of the parts. unchanged_crash_report_is_written_again_ after_a_restore failed before. The task follows the eras of the store now.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -5,6 +5,8 @@
 
 use std::sync;
 
+use tokio::sync::watch;
+
 use crate::crash_report;
 use crate::fleet;
 use crate::gateway;
@@ -157,6 +159,9 @@
         report: &crash_report::GatewayReport,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Returns the latest era of the store, which changes when it is restored from an older copy.
+    fn eras(&self) -> watch::Receiver<store_era::Era>;
+
     /// Reads the list of upstreams.
     fn fleet(&self)
     -> impl Future<Output = Result<Read<Vec<fleet::ListEntry>>, StoreError>> + Send;
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -321,17 +321,23 @@
 }
 
 /// Writes the reports of this gateway about crashes until the event loop ends.
-async fn report_crashes<S: dialect::GatewayStore>(
+pub async fn report_crashes<S: dialect::GatewayStore>(
     store: S,
     instance: id::InstanceId,
     mut reports: watch::Receiver<crash_report::Report>,
 ) {
     let mut health = ReadHealth { read: "report_crashes", is_lost: false };
+    let mut eras = store.eras();
     loop {
-        match http::with_timeout(REPORT_INTERVAL, reports.changed()).await {
-            Some(Err(_)) => return,
-            None if reports.borrow().is_empty() => continue,
-            Some(Ok(())) | None => {}
+        tokio::select! {
+            changed = reports.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            // A restored store may have lost the report.
+            _ = eras.changed(), if !reports.borrow().is_empty() => {}
+            () = tokio::time::sleep(REPORT_INTERVAL), if !reports.borrow().is_empty() => {}
         }
         loop {
             let report = reports.borrow_and_update().clone();
