upstream_notice: upstreams that say that they leave, or want no requests for a while

New rules of the platform: after an answer that says so an upstream gets no requests from the gateway that passed it on (DRAIN), and after a 503 with Retry-After none for that time (BUDGET). The head of each answer, of requests, streams, stage calls and releases of results, is reported at once, also while the answer goes on, and holds for the process that was called. It is remembered beside the list, so it holds without the store and when the list names the upstream again. While all upstreams of a service pause, requests are refused at once with the time that is left. Entries with sidecars do not read these headers yet.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -15,6 +15,7 @@
 use crate::roster;
 use crate::store_era;
 use crate::table;
+use crate::upstream_notice;
 
 /// Properties of an upstream's answer that its head reveals.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -30,6 +31,8 @@
     /// Whether another upstream than the intended one answered, because it has taken over the
     /// address.
     pub wrong_instance: bool,
+    /// What the upstream states about itself.
+    pub notice: upstream_notice::Notice,
     /// Load that the upstream reports, if it does.
     pub load: Option<fleet::Load>,
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -13,6 +13,7 @@
 use crate::roster;
 use crate::routing;
 use crate::unit;
+use crate::upstream_notice;
 
 /// Longest time between two lists for which an upstream missing from the second one counts as gone.
 /// After a longer gap, the list may lack upstreams that have not had the time to register again.
@@ -62,6 +63,14 @@
     pub started_ms: Option<u64>,
 }
 
+impl ListEntry {
+    /// Returns the process that the entry describes.
+    pub fn process(&self) -> upstream_notice::Process {
+        let (instance, started_ms) = (self.instance.clone(), self.started_ms);
+        upstream_notice::Process { instance, started_ms }
+    }
+}
+
 /// Load that an upstream reported with an answer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -89,6 +98,8 @@
     pub health: outlier::Health,
     /// Time until which it gets no calls because it was full.
     pub backoff_until: time::Duration,
+    /// Time until which it wants no calls at all, as it stated itself.
+    pause_end: time::Duration,
     reported_load: Load,
     /// When the load was reported.
     reported_at: time::Duration,
@@ -122,6 +133,7 @@
             unread_tokens: 0,
             health: outlier::Health::default(),
             backoff_until: time::Duration::ZERO,
+            pause_end: time::Duration::ZERO,
             reported_load: Load::default(),
             reported_at: time::Duration::ZERO,
             slowness: 1.0,
@@ -201,9 +213,15 @@
         (self.reported_load.running + self.reported_load.waiting).saturating_sub(self.in_flight)
     }
 
+    /// Returns whether it wants no calls at all at the moment.
+    pub fn is_paused(&self, now: time::Duration) -> bool {
+        now < self.pause_end
+    }
+
     /// Returns whether it may get new calls: it is not leaving, ejected or full.
     pub fn is_usable(&self, now: time::Duration) -> bool {
-        !self.entry.leaving && !self.health.is_ejected(now) && now >= self.backoff_until
+        let is_full = now < self.backoff_until || self.is_paused(now);
+        !self.entry.leaving && !self.health.is_ejected(now) && !is_full
     }
 }
 
@@ -233,12 +251,10 @@
     /// When the store was last restored from an older copy; `None` if it never was.
     restored_at: Option<time::Duration>,
     /// Processes that left lately, with the time.
-    left: collections::BTreeMap<Process, time::Duration>,
+    left: collections::BTreeMap<upstream_notice::Process, time::Duration>,
+    notices: upstream_notice::Notices,
 }
 
-/// Instance id of an upstream and the start time of its process, if it is known.
-type Process = (id::InstanceId, Option<u64>);
-
 impl Fleet {
     /// Makes an empty fleet. Distances count from the given failure domain.
     pub fn new(
@@ -253,6 +269,7 @@
             gap_end: time::Duration::ZERO,
             restored_at: None,
             left: collections::BTreeMap::new(),
+            notices: upstream_notice::Notices::default(),
         }
     }
 
@@ -276,9 +293,9 @@
     /// as ready what was leaving or gone.
     pub fn record_restore(&mut self, now: time::Duration) {
         self.restored_at = Some(now);
-        for (instance, upstream) in &self.upstreams {
+        for upstream in self.upstreams.values() {
             if upstream.entry.leaving {
-                self.left.insert((instance.clone(), upstream.entry.started_ms), now);
+                self.left.insert(upstream.entry.process(), now);
             }
         }
     }
@@ -301,7 +318,7 @@
         let mut present = collections::BTreeSet::new();
         for mut entry in list {
             present.insert(entry.instance.clone());
-            let process = (entry.instance.clone(), entry.started_ms);
+            let process = entry.process();
             if is_stale {
                 if self.has_later_process(&entry) {
                     continue;
@@ -310,8 +327,15 @@
             } else if !entry.leaving {
                 self.left.remove(&process);
             }
+            entry.leaving |= self.notices.is_leaving(&process);
+            let pause_end = self.notices.pause_end(&process);
+            let instance = entry.instance.clone();
             self.apply_entry(entry, &mut change);
+            if let Some(upstream) = self.upstreams.get_mut(&instance) {
+                upstream.pause_end = pause_end;
+            }
         }
+        self.notices.prune(now);
         self.remove_missing(now, &present, &mut change);
         self.left.retain(|_, at| now.saturating_sub(*at) < LEFT_MEMORY);
         for (instance, upstream) in &mut self.upstreams {
@@ -377,7 +401,7 @@
             }
             let is_kept = is_first_after_gap || is_missing_since_gap;
             if !is_kept {
-                self.left.insert((instance.clone(), upstream.entry.started_ms), now);
+                self.left.insert(upstream.entry.process(), now);
                 change.gone.push(instance.clone());
             }
             is_kept
@@ -484,6 +508,33 @@
             .is_some_and(|up| up.health.record_failure(now, EJECTION_RULE))
     }
 
+    /// Records what a process stated about itself. Returns whether it is news that it leaves.
+    pub fn record_notice(
+        &mut self,
+        now: time::Duration,
+        process: &upstream_notice::Process,
+        notice: upstream_notice::Notice,
+    ) -> bool {
+        self.notices.record(now, process, notice);
+        let upstream = self.upstreams.get_mut(&process.instance);
+        let Some(upstream) = upstream.filter(|up| up.entry.started_ms == process.started_ms) else {
+            return false;
+        };
+        upstream.pause_end = self.notices.pause_end(process);
+        notice.is_leaving && !std::mem::replace(&mut upstream.entry.leaving, true)
+    }
+
+    /// Returns how long all upstreams of a service that are not leaving want no calls; `None` if one
+    /// takes calls, or there are none.
+    pub fn service_pause(
+        &self,
+        now: time::Duration,
+        service: &id::ServiceId,
+    ) -> Option<time::Duration> {
+        let ends = self.service_upstreams(service).map(|(_, up)| up.pause_end);
+        Some(ends.min()?.saturating_sub(now)).filter(|pause| !pause.is_zero())
+    }
+
     /// Records a load report.
     pub fn record_load(&mut self, now: time::Duration, instance: &id::InstanceId, load: Load) {
         if let Some(up) = self.upstreams.get_mut(instance) {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::table;
 use crate::telemetry;
 use crate::unit;
+use crate::upstream_notice;
 
 /// Settings of the reducer.
 #[derive(Clone, Debug)]
@@ -168,6 +169,9 @@
             Event::CallEnded { call, outcome, load } => {
                 self.call_ended(call, outcome, load, effects);
             }
+            Event::UpstreamNoticed(process, notice) => {
+                self.upstream_noticed(&process, notice, effects);
+            }
             Event::BatchEnded { batch, outcome, load } => {
                 self.batch_ended(batch, outcome, load, effects);
             }
@@ -296,6 +300,23 @@
         }
     }
 
+    /// Records what an upstream stated about itself, and logs it.
+    fn upstream_noticed(
+        &mut self,
+        process: &upstream_notice::Process,
+        notice: upstream_notice::Notice,
+        effects: &mut Vec<Effect>,
+    ) {
+        let is_news = self.fleet.record_notice(self.now.mono, process, notice);
+        if is_news || notice.pause.is_some() {
+            let line = telemetry::Line::new("upstream_noticed")
+                .with("upstream", &process.instance)
+                .with("leaving", notice.is_leaving)
+                .with("pause_ms", notice.pause.unwrap_or_default().as_millis());
+            effects.push(Effect::Log(line));
+        }
+    }
+
     /// Applies a new listing of gateways, and logs what changed.
     fn apply_gateways(&mut self, listing: roster::Listing, effects: &mut Vec<Effect>) {
         let own_instance = &self.settings.instance;
@@ -345,14 +366,26 @@
         message: &str,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
-        let refusal = refusal::Refusal::new(kind, ran, message);
         let delay = match kind {
             refusal::Kind::PromptHeld => kind.retry_after().map(unit::Millis::duration),
-            _ => Some(admission::MIN_RETRY_DELAY),
+            _ => None,
         };
-        let retry_after = delay.filter(|_| ran == refusal::Ran::No);
+        self.refuse_for(id, kind, message, delay.unwrap_or(admission::MIN_RETRY_DELAY), effects);
+    }
+
+    /// Ends a request like [`Self::refuse`]; its caller may try again after `delay`.
+    fn refuse_for(
+        &mut self,
+        id: id::RequestId,
+        kind: refusal::Kind,
+        message: &str,
+        delay: time::Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
+        let refusal = refusal::Refusal::new(kind, ran, message);
+        let retry_after = Some(delay).filter(|_| ran == refusal::Ran::No);
         log_refusal(&request.external_id, &refusal, retry_after, effects);
         if !request.has_started {
             effects.push(Effect::Refuse { request: id, refusal, retry_after });
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -5,6 +5,7 @@
 
 use crate::admission;
 use crate::gateway;
+use crate::gateway::calls;
 use crate::gateway::request;
 use crate::id;
 use crate::placement;
@@ -113,6 +114,13 @@
         if self.fleet.service_upstreams(service).next().is_none() {
             return Err(reject(Kind::NoUpstream, "no upstream of the service is known"));
         }
+        // Stages take time, so a pause may be over by the time that their results are there.
+        if let Some(pause) = self.fleet.service_pause(now, service)
+            && (route.stages.is_empty() || now + pause >= request.deadline)
+        {
+            let rejection = reject(Kind::NoUpstream, calls::PAUSED_MESSAGE);
+            return Err(admission::Rejection { retry_after: Some(pause), ..rejection });
+        }
         let times = self.route_times.entry(route.name.clone()).or_default();
         let spent = times.estimate_spent(request.deadline.saturating_sub(now));
         request.due = request.due.saturating_sub(spent);
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -73,7 +73,7 @@
         upstream.reserve_results(result_size);
         let held = upstream.held_bytes(now);
         let foreign_calls = upstream.foreign_calls(now);
-        let address = upstream.entry.address;
+        let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
         let slowness = upstream.slowness(now);
         self.fleet.record_sent(&next.instance, 0);
         let timeout = next.expected_time.mul_f64(2.0 * slowness.max(1.0)) + MAX_QUEUE_TIME;
@@ -93,6 +93,7 @@
         effects.push(gateway::Effect::SendBatch(Box::new(gateway::BatchCall {
             batch: id,
             instance: next.instance.clone(),
+            started_ms,
             address,
             max_connections: service.max_connections,
             items,
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -15,6 +15,8 @@
 use crate::telemetry;
 use crate::unit;
 
+/// Why a request is refused while all upstreams of its service have asked for a pause.
+pub(super) const PAUSED_MESSAGE: &str = "all upstreams of the service have asked for a pause";
 /// Maximum number of calls for one request, whether or not they ran it.
 const MAX_CALLS: u32 = 4;
 /// Minimum remaining time for which a call is made.
@@ -65,7 +67,12 @@
             return;
         }
         let Some((choice, reason)) = self.choose_upstream(request) else {
-            self.refuse(id, Kind::NoUpstream, "no upstream of the service takes work", effects);
+            match self.fleet.service_pause(self.now.mono, &request.service) {
+                Some(pause) => {
+                    self.refuse_for(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects)
+                }
+                None => self.refuse(id, Kind::NoUpstream, "no upstream takes work", effects),
+            }
             return;
         };
         self.send_request(id, choice, reason, effects);
@@ -81,7 +88,7 @@
     ) {
         let call = gateway::CallId(self.next_serial());
         let Some(upstream) = self.fleet.get(&choice.instance) else { return };
-        let address = upstream.entry.address;
+        let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let is_first = request.call_count == 0;
         request.call_count += 1;
@@ -95,6 +102,7 @@
             call,
             request: id,
             instance: choice.instance.clone(),
+            started_ms,
             address,
             max_connections: self
                 .table
@@ -160,7 +168,7 @@
     }
 
     /// Returns the upstreams that may answer a request: those that were not tried and are usable;
-    /// otherwise those that were not tried; otherwise all. For a generation, they are limited to
+    /// otherwise those that were not tried; otherwise all that accept calls at all. For a generation, they are limited to
     /// the region of its stages if it has any, and otherwise to the nearest one.
     fn candidates(
         &self,
@@ -168,7 +176,8 @@
         results: &[request::StoredResult],
     ) -> Vec<placement::Candidate> {
         let now = self.now.mono;
-        let all: Vec<_> = self.fleet.service_upstreams(&request.service).collect();
+        let is_open = |up: &(&id::InstanceId, &fleet::Upstream)| !up.1.is_paused(now);
+        let all: Vec<_> = self.fleet.service_upstreams(&request.service).filter(is_open).collect();
         let is_untried = |up: &&(&id::InstanceId, &fleet::Upstream)| !request.tried.contains(up.0);
         let is_usable = |up: &&(&id::InstanceId, &fleet::Upstream)| up.1.is_usable(now);
         let subsets: [Vec<_>; 3] = [
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -391,7 +391,12 @@
     pub(super) fn free_unneeded_results(&mut self, effects: &mut Vec<gateway::Effect>) {
         for (instance, handles) in std::mem::take(&mut self.unneeded_results) {
             let Some(upstream) = self.fleet.get(&instance) else { continue };
+            if upstream.is_paused(self.now.mono) {
+                self.unneeded_results.insert(instance, handles);
+                continue;
+            }
             let entry = &upstream.entry;
+            let process = entry.process();
             let pool = self.settings.regions.get(&entry.domain).map(|region| roster::PoolId {
                 service: entry.service.clone(),
                 region: region.clone(),
@@ -405,7 +410,7 @@
                 effects.push(gateway::Effect::ForwardRelease { address: peer.address, message });
             } else {
                 let address = upstream_address;
-                effects.push(gateway::Effect::FreeResults { instance, address, handles });
+                effects.push(gateway::Effect::FreeResults { process, address, handles });
             }
         }
     }
@@ -417,9 +422,13 @@
         effects: &mut Vec<gateway::Effect>,
     ) {
         let Some(upstream) = self.fleet.get(&message.instance) else { return };
-        let address = upstream.entry.address;
+        let (process, address) = (upstream.entry.process(), upstream.entry.address);
         let handoff::Release { instance, handles, .. } = message;
-        effects.push(gateway::Effect::FreeResults { instance, address, handles });
+        if upstream.is_paused(self.now.mono) {
+            self.unneeded_results.entry(instance).or_default().extend(handles);
+            return;
+        }
+        effects.push(gateway::Effect::FreeResults { process, address, handles });
     }
 
     /// Removes freed results from the account of an upstream's memory. This waits for the
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -14,6 +14,7 @@
 use crate::roster;
 use crate::table;
 use crate::telemetry;
+use crate::upstream_notice;
 
 /// Identifies a call that is to answer a request, unique within the gateway process.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, Ord, PartialEq, PartialOrd)]
@@ -70,6 +71,8 @@
     pub request: id::RequestId,
     /// Upstream that is to answer. Another one under the same address must reject the call.
     pub instance: id::InstanceId,
+    /// Start time of the upstream's process in milliseconds since the Unix epoch, if it is known.
+    pub started_ms: Option<u64>,
     /// Address of the upstream.
     pub address: net::SocketAddr,
     /// Maximum number of connections that the upstream accepts from all callers together. The
@@ -122,6 +125,8 @@
     pub batch: batch::BatchId,
     /// Upstream that is to run the pieces.
     pub instance: id::InstanceId,
+    /// Start time of the upstream's process in milliseconds since the Unix epoch, if it is known.
+    pub started_ms: Option<u64>,
     /// Address of the upstream.
     pub address: net::SocketAddr,
     /// Maximum number of connections that the upstream accepts from all callers together. The
@@ -246,6 +251,8 @@
         /// Load that the upstream reported, if it did.
         load: Option<fleet::Load>,
     },
+    /// An answer stated something about the upstream, in its head.
+    UpstreamNoticed(upstream_notice::Process, upstream_notice::Notice),
     /// A batch call ended.
     BatchEnded {
         /// Batch that ended.
@@ -325,8 +332,8 @@
     },
     /// Have an upstream free results that are no longer needed.
     FreeResults {
-        /// Upstream that stores the results.
-        instance: id::InstanceId,
+        /// Process that stores the results.
+        process: upstream_notice::Process,
         /// Address of the upstream.
         address: net::SocketAddr,
         /// Results to free.
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -13,7 +13,7 @@
 use crate::gateway;
 use crate::gateway_http;
 use crate::http;
-use crate::id;
+use crate::upstream_notice;
 use crate::upstream_pool;
 
 /// Largest answer that is not a stream, in bytes.
@@ -104,6 +104,11 @@
         };
         let status = response.status().as_u16();
         let head = self.dialect.read_answer(&original.head, status, response.headers());
+        let process = upstream_notice::Process {
+            instance: request_call.instance.clone(),
+            started_ms: request_call.started_ms,
+        };
+        self.report_notice(process, &head).await;
         // The answer belongs to an earlier request on the connection. Dropping the connection also
         // drops the answer that is still to come.
         if head.is_mismatched {
@@ -142,6 +147,28 @@
         (gateway::Outcome::Answered { status }, head.load)
     }
 
+    /// Reads the head of the answer to a message of this gateway's own, and reports what it states
+    /// about the upstream.
+    async fn read_message_head(
+        &self,
+        process: upstream_notice::Process,
+        response: &hyper::Response<hyper::body::Incoming>,
+    ) -> dialect::AnswerHead {
+        let empty = hyper::Request::new(()).into_parts().0;
+        let status = response.status().as_u16();
+        let head = self.dialect.read_answer(&empty, status, response.headers());
+        self.report_notice(process, &head).await;
+        head
+    }
+
+    /// Reports what an answer states about the process that gave it. This does not wait for the end
+    /// of the answer, which may be a long stream.
+    async fn report_notice(&self, process: upstream_notice::Process, head: &dialect::AnswerHead) {
+        if !head.notice.is_empty() && !head.wrong_instance {
+            self.report(gateway::Event::UpstreamNoticed(process, head.notice)).await;
+        }
+    }
+
     fn build_request(
         &self,
         request_call: &gateway::RequestCall,
@@ -291,8 +318,11 @@
             return (gateway::BatchOutcome::Broken, None);
         };
         let status = response.status().as_u16();
-        let empty = hyper::Request::new(()).into_parts().0;
-        let head = self.dialect.read_answer(&empty, status, response.headers());
+        let process = upstream_notice::Process {
+            instance: call.instance.clone(),
+            started_ms: call.started_ms,
+        };
+        let head = self.read_message_head(process, &response).await;
         if status != 200 {
             discard_body(response, connection).await;
             let outcome = match (head.wrong_instance, head.not_run) {
@@ -328,16 +358,18 @@
     /// Frees results at an upstream. If that fails, they expire there.
     pub async fn free_results(
         self,
-        instance: id::InstanceId,
+        process: upstream_notice::Process,
         address: std::net::SocketAddr,
         handles: Vec<gateway::Handle>,
     ) {
+        let instance = process.instance.clone();
         let message = self.dialect.write_free(&instance, &handles);
         let request = post(address, message);
         let sent = self.pool.send(address, u32::MAX, request);
         match http::with_timeout(FREE_TIMEOUT, sent).await {
             Some(Ok((response, connection))) => {
                 let is_freed = response.status().is_success();
+                self.read_message_head(process, &response).await;
                 discard_body(response, connection).await;
                 if is_freed {
                     self.report(gateway::Event::ResultsFreed { instance, handles }).await;
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -356,8 +356,8 @@
             gateway::Effect::ProbePeer { peer, address } => {
                 tokio::spawn(self.client.clone().probe(peer, address));
             }
-            gateway::Effect::FreeResults { instance, address, handles } => {
-                tokio::spawn(self.client.clone().free_results(instance, address, handles));
+            gateway::Effect::FreeResults { process, address, handles } => {
+                tokio::spawn(self.client.clone().free_results(process, address, handles));
             }
             gateway::Effect::DeliverAnswer(request, call) => self.deliver_answer(request, call),
             gateway::Effect::Refuse { request, refusal, retry_after } => {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -75,5 +75,6 @@
 pub mod template;
 pub mod unit;
 pub mod upstream;
+pub mod upstream_notice;
 pub mod upstream_pool;
 pub mod wire;
