gateway_calls: a connection is not used again after a refusal

Seen: an upstream wrote an earlier refusal once more on a kept connection; the next request on it, or the same one that was sent again, ran there and was answered as not run, or ran at a second upstream. Cause: the connection was kept, and refusals need not name their request; one that names it matches when the same request comes back to the connection.

--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -119,7 +119,8 @@
                 elsewhere: head.wrong_instance,
                 inputs_gone: status == 409,
             };
-            discard_body(response, connection).await;
+            // The connection is not used again: the upstream may write the refusal once more in
+            // place of its next answer, which may even be to the same request.
             return (outcome, head.load);
         }
         // A success without the upstream's mark is not the upstream's answer.
@@ -324,7 +325,7 @@
         };
         let head = self.read_message_head(process, &response).await;
         if status != 200 {
-            discard_body(response, connection).await;
+            // The connection is not used again, for the same reason as after a refused request.
             let outcome = match (head.wrong_instance, head.not_run) {
                 (true, _) => gateway::BatchOutcome::WrongInstance,
                 (_, true) => gateway::BatchOutcome::Full,
@@ -370,8 +371,8 @@
             Some(Ok((response, connection))) => {
                 let is_freed = response.status().is_success();
                 self.read_message_head(process, &response).await;
-                discard_body(response, connection).await;
                 if is_freed {
+                    discard_body(response, connection).await;
                     self.report(gateway::Event::ResultsFreed { instance, handles }).await;
                 }
             }
--- a/lib/testutils/src/raw_server.rs
+++ b/lib/testutils/src/raw_server.rs
@@ -87,26 +87,32 @@
     address
 }
 
-async fn serve_once(
-    mut stream: tokio::net::TcpStream,
-    answer: &(impl Fn(&str) -> Answer + Sync),
-) -> std::io::Result<()> {
+/// Reads a request and returns its head in lower case, or `None` if the connection ends before.
+async fn read_request(stream: &mut tokio::net::TcpStream) -> std::io::Result<Option<String>> {
     let mut received = Vec::new();
     let head_end = loop {
         if let Some(at) = received.windows(4).position(|window| window == b"\r\n\r\n") {
             break at + 4;
         }
         if stream.read_buf(&mut received).await? == 0 {
-            return Ok(());
+            return Ok(None);
         }
     };
     let head = String::from_utf8_lossy(&received[..head_end]).to_ascii_lowercase();
     let length = header(&head, "content-length").parse().unwrap_or(0);
     while received.len() < head_end + length {
         if stream.read_buf(&mut received).await? == 0 {
-            return Ok(());
+            return Ok(None);
         }
     }
+    Ok(Some(head))
+}
+
+async fn serve_once(
+    mut stream: tokio::net::TcpStream,
+    answer: &(impl Fn(&str) -> Answer + Sync),
+) -> std::io::Result<()> {
+    let Some(head) = read_request(&mut stream).await? else { return Ok(()) };
     let answer = answer(&head);
     stream.write_all(answer.to_text().as_bytes()).await?;
     tokio::time::sleep(END_DELAY).await;
@@ -150,3 +156,41 @@
         stream.write_all(&[b' '; 8_192]).await?;
     }
 }
+
+/// What a server writes for one request.
+#[derive(Clone, Debug)]
+pub struct Written {
+    /// Bytes of the answer, or whatever takes its place.
+    pub text: String,
+    /// Whether the connection is closed afterwards.
+    pub is_last: bool,
+}
+
+/// Serves on a free loopback port until the runtime ends, with connections that are kept. `answer` gets
+/// the head of each request and the number of requests before it on its connection.
+///
+/// # Panics
+/// Panics if no port is free.
+pub async fn serve_kept(
+    answer: impl Fn(&str, usize) -> Written + Send + Sync + 'static,
+) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    let answer = sync::Arc::new(answer);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                for number in 0.. {
+                    // A peer that has disconnected needs no answer.
+                    let Ok(Some(head)) = read_request(&mut stream).await else { return };
+                    let written = answer(&head, number);
+                    if stream.write_all(written.text.as_bytes()).await.is_err() || written.is_last {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
