store: sidecars read their keys anew after a restore

Cause: a sidecar reads the keys of its service that changed after the last revision it knows. A restored store has lower revisions, so nothing changed, and the sidecar went on with owners and members that the store had lost. Fix: a store that is restored is a new cluster; its id, or a lower revision, has all keys read again.

--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -59,6 +59,9 @@
 /// Keys under a prefix at one revision of the store.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
+    /// Id of the store's cluster. One that is restored from a backup is a new cluster, which gives out
+    /// again the revisions since the backup.
+    pub cluster: u64,
     /// Store revision at which the keys were read.
     pub revision: u64,
     /// Entries in the order of their keys.
@@ -239,12 +242,14 @@
 fn parse_snapshot(answer: &serde_json::Value) -> Result<Snapshot, StoreError> {
     let entries = answer["kvs"].as_array().map_or(&[][..], Vec::as_slice);
     let entries = entries.iter().map(parse_entry).collect::<Result<_, _>>()?;
-    Ok(Snapshot { revision: header_revision(answer)?, entries })
+    let cluster = parse_number(&answer["header"]["cluster_id"])?;
+    Ok(Snapshot { cluster, revision: header_revision(answer)?, entries })
 }
 
 /// Local copy of the keys under a prefix, kept up to date by reading only the keys that changed.
 #[derive(Debug, Default)]
 pub struct Mirror {
+    cluster: u64,
     revision: u64,
     entries: std::collections::BTreeMap<String, Entry>,
 }
@@ -261,18 +266,25 @@
         prefix: &str,
     ) -> Result<Snapshot, StoreError> {
         let (changed, count) = store.changes(prefix, self.revision).await?;
+        // A restored store shows what it had at lower revisions, which are no changes.
+        let is_restored = self.revision > 0
+            && (changed.cluster != self.cluster || changed.revision < self.revision);
+        if is_restored {
+            log::warn!("event=store_restored cluster={:x} prefix={prefix}", changed.cluster);
+        }
         self.apply(changed);
-        if self.entries.len() != count {
+        if is_restored || self.entries.len() != count {
             // The changes do not show which keys were deleted.
             let all = store.range(prefix, true).await?;
             self.entries.clear();
             self.apply(all);
         }
         let entries = self.entries.values().cloned().collect();
-        Ok(Snapshot { revision: self.revision, entries })
+        Ok(Snapshot { cluster: self.cluster, revision: self.revision, entries })
     }
 
     fn apply(&mut self, snapshot: Snapshot) {
+        self.cluster = snapshot.cluster;
         self.revision = snapshot.revision;
         for entry in snapshot.entries {
             self.entries.insert(entry.key.clone(), entry);
--- a/lib/testutils/src/kv.rs
+++ b/lib/testutils/src/kv.rs
@@ -37,6 +37,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Id of the cluster; a restore from a backup makes a new one.
+    cluster: u64,
     revision: u64,
     values: collections::BTreeMap<Vec<u8>, Value>,
     /// All changes so far, oldest first, for watches that start at an earlier revision.
@@ -47,6 +49,13 @@
     calls: collections::BTreeMap<String, u64>,
 }
 
+/// Contents of the store at one time.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    revision: u64,
+    values: collections::BTreeMap<Vec<u8>, Value>,
+}
+
 /// Stand-in for the platform's key-value store; clones share its content.
 #[derive(Clone, Debug)]
 pub struct Kv {
@@ -89,7 +98,9 @@
 
 impl State {
     fn header(&self) -> serde_json::Value {
-        serde_json::json!({ "revision": self.revision.to_string() })
+        serde_json::json!({
+            "cluster_id": self.cluster.to_string(), "revision": self.revision.to_string(),
+        })
     }
 
     fn range(&self, request: &serde_json::Value) -> serde_json::Value {
@@ -277,6 +288,30 @@
         state.values.insert(key.as_bytes().to_vec(), value);
     }
 
+    /// Returns a backup of the contents.
+    ///
+    /// # Panics
+    /// Panics if another holder of the lock panicked.
+    pub fn backup(&self) -> Backup {
+        let state = self.state.lock().expect("no holder panics");
+        Backup { revision: state.revision, values: state.values.clone() }
+    }
+
+    /// Replaces the contents by a backup. Leases are gone with their keys, and revisions since the
+    /// backup are given out again.
+    ///
+    /// # Panics
+    /// Panics if another holder of the lock panicked.
+    pub fn restore(&self, backup: Backup) {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.cluster += 1;
+        state.revision = backup.revision;
+        state.values = backup.values;
+        state.values.retain(|_, value| value.lease == 0);
+        state.leases.clear();
+        state.history.clear();
+    }
+
     fn call(&self, path: &str, request: &serde_json::Value) -> serde_json::Value {
         let mut state = self.state.lock().expect("no holder panics");
         state.expire();
