--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -69,7 +69,7 @@
         let Some((choice, reason)) = self.choose_upstream(request) else {
             match self.fleet.service_pause(self.now.mono, &request.service) {
                 Some(pause) => {
-                    self.refuse_for(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects)
+                    self.refuse_for(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects);
                 }
                 None => self.refuse(id, Kind::NoUpstream, "no upstream takes work", effects),
             }
--- a/lib/tests/test_store_era.rs
+++ b/lib/tests/test_store_era.rs
@@ -58,10 +58,12 @@
     tracker
 }
 
+/// A read of the second era, which begins at 10 s: time, version, revision, whether it confirms.
+type Read = (u64, u64, u64, bool);
+
 #[test]
 fn read_after_a_restore_confirms_table() {
-    // Reads of the second era, which begins at 10 s: time, version, revision, whether it confirms.
-    let cases: [(&str, &[(u64, u64, u64, bool)]); 7] = [
+    let cases: [(&str, &[Read]); 7] = [
         ("the operator wrote again at once", &[(10_000, 5, 29, true)]),
         ("the same item may be the copy", &[(10_000, 5, 30, false), (11_900, 5, 30, false)]),
         ("until they had the time", &[(10_000, 5, 30, false), (12_000, 5, 30, true)]),
