--- a/lib/src/store_era.rs
+++ b/lib/src/store_era.rs
@@ -40,8 +40,8 @@
 
 /// Follows the eras of reads, and decides when a configuration is certainly the newest one.
 ///
-/// The copy that a restore brings back may lack configurations that operators were told are accepted,
-/// among them revocations. They write these again. Until then a read of the configuration proves
+/// The copy that a restore brings back may lack configurations whose acceptance was acknowledged,
+/// among them revocations. Operators write these again. Until then a read of it proves
 /// nothing. An era is settled once they have certainly done so or have had the time to.
 #[derive(Debug, Default)]
 pub struct Tracker {
