--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod bookings;
 mod http;
 mod json;
 mod last_key;
@@ -30,6 +31,10 @@
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let verdict = match case.as_str() {
         "last-key" => last_key::run(&record, has_trouble),
+        "unmarked-refusal" => {
+            bookings::run(&record, bookings::Plan::unmarked_refusals(), has_trouble)
+        }
+        "late-extra" => bookings::run(&record, bookings::Plan::late_extras(), has_trouble),
         _ => Verdict::CouldNotRun,
     };
     match verdict {
