review: case 4, runners work on streams that their requesters have left

While a stream that broke off is taken to another upstream, nothing watches its caller; the upstream works on until its first event.

Evidence: review/4/run.sh, one of four model runners crashes for 2 s.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,8 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod bookings;
+mod engine;
+mod gone;
 mod http;
 mod json;
 mod last_key;
@@ -34,6 +36,7 @@
         "unmarked-refusal" => {
             bookings::run(&record, bookings::Plan::unmarked_refusals(), has_trouble)
         }
+        "gone" => gone::run(&record, has_trouble),
         "late-extra" => bookings::run(&record, bookings::Plan::late_extras(), has_trouble),
         _ => Verdict::CouldNotRun,
     };
