review: case 5, a slow stream goes on elsewhere while its upstream works on it

A pause of 0.9 s between events counts as a broken stream, also at a slow but sound upstream.

Evidence: review/5/run.sh, one of seven model runners is five times as slow.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod last_key;
+mod moved;
 mod runs;
 mod site;
 mod store;
@@ -37,6 +38,7 @@
             bookings::run(&record, bookings::Plan::unmarked_refusals(), has_trouble)
         }
         "gone" => gone::run(&record, has_trouble),
+        "moved" => moved::run(&record, has_trouble),
         "late-extra" => bookings::run(&record, bookings::Plan::late_extras(), has_trouble),
         _ => Verdict::CouldNotRun,
     };
