refusal: a status that promises "not run" is sent only where that is proved

Cause: a status was passed on as a property of the upstream's answer. To callers it is a statement of the system about the request, and nothing compared it with what is known.

Change: an unmarked status counts as a failure of the upstream and is repeated or replaced by the gateway's own 502, without the upstream's mark and `Retry-After`. A 421 counts only from an upstream that names itself and is another one. Entries refuse such answers as stage_failed, unknown; refusals that may have run are 502, without `Retry-After` unless a key makes a repetition safe.

Ruled out by the log: the gateway refusing requests itself (no `refuse` line, `served` instead).

--- a/cli/tests/test_keys.rs
+++ b/cli/tests/test_keys.rs
@@ -55,6 +55,47 @@
     assert_eq!(system.executions("bookings").len(), 1);
 }
 
+/// Guards against an upstream's status that reaches the caller, or a later caller with the same key, as
+/// the promise that nothing ran.
+#[tokio::test]
+async fn key_whose_upstream_ran_it_and_refused_stays_unknown() {
+    let system = start("refused").await;
+    let client = http::client(true);
+    for status in [408, 421, 429, 503] {
+        for node in &system.nodes {
+            let faults = fault::Faults { status_after: status, ..Default::default() };
+            node.upstream.faults.set(faults);
+        }
+        let call = booking(&status.to_string(), &cluster::new_key());
+        for round in 0..3 {
+            let entry = system.entries[round % 2].address;
+            let answer = call.send(&client, entry).await.expect("a response");
+            let told = (answer.status, answer.ran());
+            assert_eq!(told, (502, "unknown".to_owned()), "{status}, round {round}");
+        }
+        let runs = system.executions("bookings").into_iter();
+        assert_eq!(runs.filter(|run| run.action == status.to_string()).count(), 1, "{status}");
+    }
+}
+
+/// Guards against the same for calls without a key, and for calls that may be repeated.
+#[tokio::test]
+async fn call_whose_upstream_ran_it_and_refused_stays_unknown() {
+    let system = start("refused-plain").await;
+    let client = http::client(true);
+    for node in &system.nodes {
+        let faults = fault::Faults { status_after: 503, ..Default::default() };
+        node.upstream.faults.set(faults);
+    }
+    for path in ["/services/deposits", "/services/availability"] {
+        let body = serde_json::json!({ "action": "once" });
+        let call = cluster::Call::new(path, "counter", body);
+        let answer = call.send(&client, system.entries[0].address).await.expect("a response");
+        assert_eq!((answer.status, answer.ran().as_str()), (502, "unknown"), "{path}");
+    }
+    assert_eq!(system.executions("deposits").len(), 1);
+}
+
 #[tokio::test]
 async fn key_with_another_body_is_refused() {
     let system = start("unreachable").await;
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -29,7 +29,7 @@
     /// Whether the upstream states that the request did not run and never will.
     pub not_run: bool,
     /// Whether another upstream than the intended one answered, because it has taken over the
-    /// address.
+    /// address. It names itself and did not run the request.
     pub wrong_instance: bool,
     /// What the upstream states about itself.
     pub notice: upstream_notice::Notice,
@@ -64,10 +64,12 @@
         call: &gateway::RequestCall,
     ) -> hyper::HeaderMap;
 
-    /// Reads the head of an upstream's answer. `head` is the head of the caller's request.
+    /// Reads the head of an upstream's answer. `head` is the head of the caller's request, and
+    /// `instance` the upstream that the request was meant for.
     fn read_answer(
         &self,
         head: &hyper::http::request::Parts,
+        instance: &id::InstanceId,
         status: u16,
         headers: &hyper::HeaderMap,
     ) -> AnswerHead;
--- a/lib/src/entry/attempts.rs
+++ b/lib/src/entry/attempts.rs
@@ -330,8 +330,9 @@
     }
 
     /// Handles an attempt whose answer is complete. An answer without a success status fails the
-    /// attempt if the call can be retried or the request has several stages; otherwise the caller
-    /// gets it.
+    /// attempt if the call can be retried, the request has several stages, or the status would tell
+    /// the caller that nothing ran, which no answer of an upstream proves; otherwise the caller gets
+    /// it.
     pub(super) fn complete_attempt(
         &mut self,
         now: time::Duration,
@@ -346,9 +347,11 @@
         let is_success = (200..300).contains(&status);
         let is_single_stage = state.plan.steps.len() == 1;
         if !is_success {
-            let can_retry = step.service_config.idempotent && (status >= 500 || status == 429);
-            if can_retry || !is_single_stage {
-                let ran = if can_retry { refusal::Ran::Unknown } else { refusal::Ran::Yes };
+            let is_unproved = refusal::promises_not_run(status);
+            let can_retry = step.service_config.idempotent && status >= 500;
+            if is_unproved || can_retry || !is_single_stage {
+                let is_open = is_unproved || can_retry;
+                let ran = if is_open { refusal::Ran::Unknown } else { refusal::Ran::Yes };
                 self.fail_attempt(now, attempt, refusal::Kind::StageFailed, ran, effects);
                 return;
             }
--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -147,7 +147,7 @@
                     refusal.ran = refusal::Ran::Unknown;
                 }
                 metrics::counter!("refusals", "kind" => refusal.kind.to_string()).increment(1);
-                refusal_response(&refusal)
+                refusal_response(&refusal, has_key)
             }
         };
         let value = header::HeaderValue::from_str(&number.to_string())
@@ -157,10 +157,12 @@
     }
 }
 
-/// Makes the response that refuses a request, with `Retry-After` in seconds if its kind has one.
-fn refusal_response(refusal: &refusal::Refusal) -> hyper::Response<http::Body> {
-    let mut response = http::respond_json(refusal.kind.status(), &refusal.to_json());
-    if let Some(retry_after) = refusal.kind.retry_after() {
+/// Makes the response that refuses a request, with `Retry-After` in seconds if its kind has one and
+/// sending it again cannot run it twice.
+fn refusal_response(refusal: &refusal::Refusal, has_key: bool) -> hyper::Response<http::Body> {
+    let mut response = http::respond_json(refusal.status(), &refusal.to_json());
+    let is_safe = has_key || refusal.ran == refusal::Ran::No;
+    if let Some(retry_after) = refusal.kind.retry_after().filter(|_| is_safe) {
         let seconds = retry_after.0.div_ceil(1_000);
         response.headers_mut().insert(header::RETRY_AFTER, seconds.into());
     }
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -367,7 +367,9 @@
         }
     }
 
-    /// Handles a complete answer: delivers it, or retries the request if the upstream failed.
+    /// Handles a complete answer: delivers it, or retries the request if the upstream failed. A status
+    /// that would tell the caller that the request did not run is a failure as well: an upstream that
+    /// has not run a request marks its refusal, and the call then ends as [`gateway::Outcome::NotRun`].
     fn call_answered(
         &mut self,
         call: &PendingCall,
@@ -376,13 +378,20 @@
         effects: &mut Vec<gateway::Effect>,
     ) {
         let took = self.now.mono.saturating_sub(call.sent_at);
-        if status < 500 {
+        let is_unproved = refusal::promises_not_run(status);
+        if status < 500 && !is_unproved {
             let ratio = took.as_secs_f64() * 1_000.0 / NOMINAL_CALL_MS;
             self.fleet.record_success(self.now.mono, &call.instance, Some(ratio));
         } else if self.try_spend_retry(call.request) {
             self.call_upstream(call.request, effects);
             return;
         }
+        if is_unproved {
+            let message =
+                format!("the upstream refused with {status} and may have run the request");
+            self.refuse(call.request, refusal::Kind::UpstreamBroken, &message, effects);
+            return;
+        }
         effects.push(gateway::Effect::DeliverAnswer(call.request, id));
         self.finish_request(call.request, took, effects);
     }
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -103,7 +103,8 @@
             Some(Ok(answered)) => answered,
         };
         let status = response.status().as_u16();
-        let head = self.dialect.read_answer(&original.head, status, response.headers());
+        let instance = &request_call.instance;
+        let head = self.dialect.read_answer(&original.head, instance, status, response.headers());
         let process = upstream_notice::Process {
             instance: request_call.instance.clone(),
             started_ms: request_call.started_ms,
@@ -157,7 +158,7 @@
     ) -> dialect::AnswerHead {
         let empty = hyper::Request::new(()).into_parts().0;
         let status = response.status().as_u16();
-        let head = self.dialect.read_answer(&empty, status, response.headers());
+        let head = self.dialect.read_answer(&empty, &process.instance, status, response.headers());
         self.report_notice(process, &head).await;
         head
     }
--- a/lib/src/gateway_http.rs
+++ b/lib/src/gateway_http.rs
@@ -115,7 +115,11 @@
             return Err(shutting_down());
         }
         let guard = drop_guard::DropGuard::new(self.messages.clone(), Message::CallerGone(number));
-        let response = answer.await.map_err(|_| shutting_down());
+        // The event loop had the request and may have sent it to an upstream.
+        let response = answer.await.map_err(|_| {
+            let kind = refusal::Kind::UpstreamBroken;
+            refusal::Refusal::new(kind, refusal::Ran::Unknown, "this gateway stopped")
+        });
         guard.disarm();
         response
     }
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -203,6 +203,15 @@
     }
 }
 
+/// Returns whether a status tells a caller that its request did not run and never will. Callers send
+/// such requests again, also those that must not run twice.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+/// Status of a refusal whose kind would promise that the request did not run, although it may have.
+const UNPROVED_STATUS: u16 = 502;
+
 /// A refusal as the caller receives it.
 #[derive(Clone, Debug, derive_more::Display, derive_more::Error, Eq, PartialEq)]
 #[display("{kind}: {message}; {}", kind.remedy())]
@@ -221,6 +230,13 @@
         Self { kind, ran, message: message.into() }
     }
 
+    /// Returns the HTTP status that callers receive: that of the kind, unless it would promise that the
+    /// request did not run and this is not known.
+    pub fn status(&self) -> u16 {
+        let status = self.kind.status();
+        if self.ran != Ran::No && promises_not_run(status) { UNPROVED_STATUS } else { status }
+    }
+
     /// Returns the JSON body that callers receive.
     pub fn to_json(&self) -> serde_json::Value {
         serde_json::json!({
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -368,6 +368,34 @@
     }
 }
 
+/// Guards against an upstream's status that reaches the caller as the promise that nothing ran.
+#[test]
+fn answer_that_only_looks_like_a_refusal_is_not_sent() {
+    for status in [408, 421, 429, 503] {
+        for service in ["deposits", "encoder"] {
+            let mut harness = Harness::new();
+            let request = harness.arrive(service, |_| {});
+            let first = harness.last_sent();
+            if service == "deposits" && first.open.incarnation.is_none() {
+                harness.refuse(first.attempt, Kind::WrongIncarnation, Ran::No);
+            }
+            let mut sent = 0;
+            while harness.refusal(request).is_none() {
+                let attempt = harness.last_sent().attempt;
+                harness.frame(attempt, entry::FrameInfo::Accepted(load()));
+                harness.frame(attempt, entry::FrameInfo::Started);
+                harness.frame(attempt, entry::FrameInfo::Head(status));
+                harness.frame(attempt, entry::FrameInfo::End { total: 0, load: load() });
+                sent += 1;
+                assert!(sent < 10 && harness.answer_count(request) == 0, "{service} {status}");
+            }
+            let refused = Some((Kind::StageFailed, Ran::Unknown));
+            assert_eq!(harness.refusal(request), refused, "{service} {status}");
+            assert_eq!(sent == 1, service == "deposits", "{service} {status}: sent {sent} times");
+        }
+    }
+}
+
 #[test]
 fn once_only_call_is_resolved_at_same_sidecar_until_deadline() {
     // Only the sidecar that received the call can tell whether it ran. While it cannot be reached,
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -250,6 +250,31 @@
     }
 }
 
+/// Guards against an upstream's status that reaches the caller as the promise that nothing ran.
+#[test]
+fn answer_that_only_looks_like_a_refusal_is_not_delivered() {
+    for status in [408, 421, 429, 503] {
+        let answered = gateway::Outcome::Answered { status };
+        for (path, calls) in [("/book/1", 1), ("/chat/1", 1), ("/stock/1", 2), ("/again/1", 2)] {
+            let mut harness = Harness::new();
+            let (_, mut effects) = harness.arrive(path);
+            for _ in 0..calls {
+                let call = request_call(&effects).expect("it is sent").call;
+                effects = harness.end_call(call, answered);
+            }
+            assert!(request_call(&effects).is_none(), "{path} {status}");
+            let delivered = effects.iter().any(|e| matches!(e, gateway::Effect::DeliverAnswer(..)));
+            assert!(!delivered, "{path} {status}");
+            let refused = Some((refusal::Kind::UpstreamBroken, refusal::Ran::Unknown));
+            assert_eq!(refusal_of(&effects), refused, "{path} {status}");
+            let invites = effects.iter().any(
+                |e| matches!(e, gateway::Effect::Refuse { retry_after, .. } if retry_after.is_some()),
+            );
+            assert!(!invites, "{path} {status}: only a request that did not run is sent again");
+        }
+    }
+}
+
 #[test]
 fn request_runs_on_max_attempts_upstreams_at_most() {
     let mut harness = Harness::new();
--- a/lib/testutils/src/fault.rs
+++ b/lib/testutils/src/fault.rs
@@ -11,6 +11,8 @@
     pub delay_ms: u64,
     /// HTTP status returned without processing the request; zero is off.
     pub status: u16,
+    /// HTTP status returned in place of the answer after the request was processed; zero is off.
+    pub status_after: u16,
     /// Whether requests are accepted but never processed or answered.
     pub hang: bool,
     /// Number of bytes of the response after which the connection breaks; zero is off.
--- a/lib/testutils/src/server.rs
+++ b/lib/testutils/src/server.rs
@@ -108,6 +108,9 @@
         if faults.drop_answer {
             return broken_response();
         }
+        if faults.status_after > 0 {
+            return http::respond_json(faults.status_after, &serde_json::json!({}));
+        }
         build_response(response, SendLimit::new(&faults))
     }
 }
