table: no credentials are not the same as no teams

Cause: the table held teams only through their credentials, so a configuration without teams and one whose teams have no credentials were the same empty map, and the check took it for the first. Ruled out by the log: the version not in force (`table_in_force` names it), the lease not checked (unknown keys ran too).

Change: the table's teams are optional. Entries: `"teams": {}` is accepted and admits nobody, so that the last credential can be revoked; a request without a credential is no longer the team whose credential is empty.

--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -47,7 +47,7 @@
 #[test]
 fn check_reports_each_kind_of_error() {
     type Change = fn(&mut serde_json::Value);
-    let cases: [(&str, Change, &str); 16] = [
+    let cases: [(&str, Change, &str); 17] = [
         ("unknown section", |v| v["extra"] = 1.into(), "/extra: unknown field"),
         ("unknown field", |v| v["limits"]["speed"] = 1.into(), "/limits/speed: unknown field"),
         (
@@ -107,6 +107,11 @@
             |v| v["teams"]["counter"]["credential_sha256"] = "secret".into(),
             "not a SHA-256 digest",
         ),
+        (
+            "no list of teams",
+            |v| drop(v.as_object_mut().expect("an object").remove("teams")),
+            "/teams: missing",
+        ),
         ("short key window", |v| v["limits"]["key_ms"] = 1.into(), "/limits/key_ms"),
     ];
     for (name, change, expected) in cases {
--- a/cli/tests/test_config.rs
+++ b/cli/tests/test_config.rs
@@ -336,3 +336,52 @@
     let current = operator::read_config(&system.store_client()).await.expect("readable");
     assert!(current.revision > id::Revision(0));
 }
+
+/// Guards against a last credential that cannot be revoked, and against an empty list of teams that
+/// admits any caller.
+#[tokio::test]
+async fn no_caller_is_accepted_after_the_last_team_is_removed() {
+    let system = start("last-team").await;
+    let client = http::client(true);
+    let mut value: serde_json::Value =
+        serde_json::from_str(&config_with_limit(1_700)).expect("JSON");
+    value["teams"] = serde_json::json!({});
+    let path = system.directory.join("no-team.json");
+    std::fs::write(&path, value.to_string()).expect("a writable directory");
+    let (done, printed) = system.run_command(&["apply", &path.to_string_lossy(), "--wait"]).await;
+    assert!(done, "{printed}");
+    for entry in &system.entries {
+        for team in ["counter", "another"] {
+            let call = cluster::Call::new("/services/availability", team, serde_json::json!({}));
+            let answer = call.send(&client, entry.address).await.expect("a response");
+            assert_eq!((answer.status, answer.ran().as_str()), (401, "no"), "{team}");
+        }
+    }
+    assert!(system.executions("availability").is_empty());
+}
+
+/// Guards against a missing credential that counts as an empty one.
+#[tokio::test]
+async fn caller_without_a_credential_is_not_the_team_with_an_empty_one() {
+    const DIGEST_OF_NOTHING: &str =
+        "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
+    let mut value: serde_json::Value =
+        serde_json::from_str(&config_with_limit(2_000)).expect("JSON");
+    value["teams"]["counter"]["credential_sha256"] = DIGEST_OF_NOTHING.into();
+    let options = cluster::Options { upstreams: 1, entries: 1, ..cluster::Options::default() };
+    let config = value.to_string();
+    let system = cluster::Cluster::start(PROGRAM, "empty-credential", &config, options).await;
+    let address = system.entries[0].address;
+    let request = |credential: Option<&str>| {
+        let mut builder = hyper::Request::post(format!("http://{address}/services/availability"));
+        if let Some(credential) = credential {
+            builder = builder.header("authorization", credential);
+        }
+        builder.body(http::Body::full("{}")).expect("a request")
+    };
+    for credential in [None, Some("Bearer "), Some("Basic x")] {
+        let answer = http::client(false).request(request(credential)).await.expect("a response");
+        assert_eq!(answer.status(), 401, "{credential:?}");
+    }
+    assert!(system.executions("availability").is_empty());
+}
--- a/lib/src/check.rs
+++ b/lib/src/check.rs
@@ -23,7 +23,7 @@
     check_version(&config, &value, &mut collector);
     check_regions(&config, &mut collector);
     check_limits(&config, &mut collector);
-    check_teams(&config, &mut collector);
+    check_teams(&config, &value, &mut collector);
     check_services(&config, &value, &mut collector);
     check_pipelines(&config, &value, &mut collector);
     collector.finish(config)
@@ -166,10 +166,16 @@
     }
 }
 
-fn check_teams(config: &config::Config, collector: &mut diagnostic::Collector) {
+/// Checks the teams. There may be none: so the last credential can be revoked, and no caller is
+/// accepted any more. The section itself must be there.
+fn check_teams(
+    config: &config::Config,
+    value: &serde_json::Value,
+    collector: &mut diagnostic::Collector,
+) {
     let mut team_by_digest = collections::BTreeMap::new();
-    if config.teams.is_empty() {
-        collector.add("/teams", "no team", "add at least one team with its credential_sha256");
+    if value.get("teams").is_none() {
+        collector.add("/teams", "missing", "add the teams, or `{}` to accept no caller");
     }
     for (name, team) in &config.teams {
         let pointer = format!("/teams/{name}/credential_sha256");
--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -224,11 +224,12 @@
 
     fn read_team(&self, headers: &header::HeaderMap) -> Result<id::TeamId, refusal::Refusal> {
         let value = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
-        let credential = value.and_then(|text| text.strip_prefix("Bearer ")).unwrap_or_default();
+        let credential = value.and_then(|text| text.strip_prefix("Bearer "));
         let credentials = self.credentials.borrow().clone();
-        credentials
-            .team(credential)
-            .cloned()
+        // A team may have the digest of the empty text, but a missing credential belongs to nobody.
+        credential
+            .filter(|credential| !credential.is_empty())
+            .and_then(|credential| credentials.team(credential).cloned())
             .ok_or_else(|| not_run(refusal::Kind::Unauthorized, "the credential is unknown"))
     }
 }
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -197,7 +197,8 @@
         fastest
     }
 
-    /// Returns the team of the caller, or `None` if the route is public or no teams are configured.
+    /// Returns the team of the caller, or `None` if no credential is needed: the route is public, or
+    /// the configuration has no teams.
     fn authenticate(
         &self,
         table: &table::Table,
@@ -205,7 +206,7 @@
         arrival: &gateway::Arrival,
     ) -> Result<Option<table::Team>, admission::Rejection> {
         use refusal::Kind;
-        if route.is_public || table.teams.is_empty() {
+        if route.is_public || table.teams.is_none() {
             return Ok(None);
         }
         if !self.table_lease.is_valid(self.now) {
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -35,8 +35,9 @@
     pub routes: Vec<std::sync::Arc<Route>>,
     /// Services that routes and stages name.
     pub services: collections::BTreeMap<id::ServiceId, Service>,
-    /// Teams by credential. If there are none, no request needs a credential.
-    pub teams: collections::BTreeMap<Credential, Team>,
+    /// Teams by credential. `None` if the configuration has no teams, so that no request needs a
+    /// credential; with an empty map no credential is accepted.
+    pub teams: Option<collections::BTreeMap<Credential, Team>>,
     /// Limits on requests of all routes.
     pub limits: Limits,
 }
@@ -248,7 +249,7 @@
 
     /// Returns the team of a credential, or `None` if the credential belongs to no team.
     pub fn team(&self, credential: &Credential) -> Option<&Team> {
-        self.teams.get(credential)
+        self.teams.as_ref()?.get(credential)
     }
 }
 
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -64,7 +64,9 @@
             .into_iter()
             .map(|(service, pool)| (name(service), pool))
             .collect(),
-        teams: keys.iter().map(|key| (table::Credential((*key).into()), team.clone())).collect(),
+        teams: Some(
+            keys.iter().map(|key| (table::Credential((*key).into()), team.clone())).collect(),
+        ),
         limits: table::Limits::default(),
     })
 }
@@ -326,6 +328,20 @@
     assert_eq!(refusal_of(&effects), Some((Kind::NotReady, refusal::Ran::No)));
 }
 
+/// Guards against a table without credentials that counts as one without teams.
+#[test]
+fn arrival_is_refused_when_no_credential_is_left() {
+    let mut harness = Harness::new();
+    harness.apply_table(&table(6, &[]));
+    let (_, effects) = harness.arrive("/book/1");
+    let refused = Some((refusal::Kind::Unauthorized, refusal::Ran::No));
+    assert_eq!(refusal_of(&effects), refused);
+    let open = table::Table { teams: None, ..(*table(7, &[])).clone() };
+    harness.apply_table(&sync::Arc::new(open));
+    let (_, effects) = harness.arrive("/book/1");
+    assert!(request_call(&effects).is_some(), "no credential is needed");
+}
+
 #[test]
 fn route_with_unusable_stages_is_refused_alone() {
     // Dependencies of the two stages.
--- a/lib/tests/test_gateway_affinity.rs
+++ b/lib/tests/test_gateway_affinity.rs
@@ -55,7 +55,7 @@
         version: table::Version(1),
         routes: vec![sync::Arc::new(route)],
         services: services.into_iter().map(|(service, pool)| (name(service), pool)).collect(),
-        teams: collections::BTreeMap::new(),
+        teams: None,
         limits: table::Limits::default(),
     }
 }
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// Guards against a table that loses the difference between no credentials and no teams on its way.
+#[test]
+fn response_tells_no_credentials_from_no_teams() {
+    for teams in [None, Some(std::collections::BTreeMap::new())] {
+        let mut latest = snapshot(at(5_000), 3, &["u1"]);
+        let table = table::Table { teams: teams.clone(), ..(*latest.table.table).clone() };
+        latest.table.table = sync::Arc::new(table);
+        let response = latest.to_response(at(5_100), relay::ReadsRequest::default());
+        let bytes = rmp_serde::to_vec(&response.expect("it is recent")).expect("it is encoded");
+        let response = rmp_serde::from_slice(&bytes).expect("it is decoded");
+        let received = relay::Snapshot::from_response(at(5_100), response, None);
+        assert_eq!(received.expect("all is there").table.table.teams, teams);
+    }
+}
+
 #[test]
 fn response_omits_what_the_requester_has() {
     let latest = snapshot(at(5_000), 3, &["u1", "u2"]);
