--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -40,27 +40,55 @@
     message: String,
 }
 
+/// JSON values that are decoded one by one, so that one that is no `T` does not affect the others.
+#[derive(Debug)]
+struct Lenient<T>(Vec<T>);
+
+impl<T> Default for Lenient<T> {
+    fn default() -> Self {
+        Self(Vec::new())
+    }
+}
+
+impl<'de, T: serde::de::DeserializeOwned> serde::Deserialize<'de> for Lenient<T> {
+    fn deserialize<D: serde::Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        let all = Vec::<Box<serde_json::value::RawValue>>::deserialize(input)?;
+        Ok(Self(all.iter().filter_map(|raw| decode_or_skip(raw)).collect()))
+    }
+}
+
+/// Decodes a value; returns `None` and logs the reason if it has another form.
+fn decode_or_skip<T: serde::de::DeserializeOwned>(raw: &serde_json::value::RawValue) -> Option<T> {
+    match serde_json::from_str(raw.get()) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            log::warn!("event=list_entry_skipped error={:?}", e.to_string());
+            None
+        }
+    }
+}
+
 #[derive(serde::Deserialize)]
 struct SliceList {
     #[serde(default)]
     metadata: Metadata,
-    items: Vec<Slice>,
+    items: Lenient<Slice>,
 }
 
 #[derive(serde::Deserialize)]
 struct WatchEvent {
     #[serde(rename = "type")]
     kind: String,
-    object: serde_json::Value,
+    object: Box<serde_json::value::RawValue>,
 }
 
 #[derive(Debug, serde::Deserialize)]
 struct Slice {
     metadata: Metadata,
     #[serde(default)]
-    endpoints: Vec<Endpoint>,
+    endpoints: Lenient<Endpoint>,
     #[serde(default)]
-    ports: Vec<Port>,
+    ports: Lenient<Port>,
 }
 
 #[derive(Debug, Default, serde::Deserialize)]
@@ -118,7 +146,7 @@
     pub fn parse(text: &[u8]) -> Result<Self, ListError> {
         let list: SliceList = serde_json::from_slice(text).map_err(|e| parse_error(&e))?;
         let mut slices = collections::BTreeMap::new();
-        for (number, slice) in list.items.into_iter().enumerate() {
+        for (number, slice) in list.items.0.into_iter().enumerate() {
             // Slices without a name can be read but not updated by a watch.
             let name = match slice.metadata.name.as_str() {
                 "" => format!("#{number}"),
@@ -134,7 +162,7 @@
         &self.version
     }
 
-    /// Applies one line of a watch.
+    /// Applies one line of a watch. An event about something that is no slice is skipped.
     ///
     /// # Errors
     /// Fails if the line is not an event, or is an error event, after which the list has to be read
@@ -142,12 +170,12 @@
     pub fn apply(&mut self, line: &[u8]) -> Result<(), ListError> {
         let event: WatchEvent = serde_json::from_slice(line).map_err(|e| parse_error(&e))?;
         if event.kind == "ERROR" {
-            return Err(ListError { message: event.object.to_string() });
+            return Err(ListError { message: event.object.get().to_owned() });
         }
         if event.kind == "BOOKMARK" {
             return Ok(());
         }
-        let slice: Slice = serde_json::from_value(event.object).map_err(|e| parse_error(&e))?;
+        let Some(slice) = decode_or_skip::<Slice>(&event.object) else { return Ok(()) };
         let name = slice.metadata.name.clone();
         if event.kind == "DELETED" {
             self.slices.remove(&name);
@@ -163,11 +191,11 @@
         let mut instances = Instances::new();
         for slice in self.slices.values() {
             let service = slice.metadata.labels.get(SERVICE_LABEL).and_then(|n| n.parse().ok());
-            let port = slice.ports.iter().find(|port| port.name.as_deref() == Some(SIDECAR_PORT));
+            let port = slice.ports.0.iter().find(|port| port.name.as_deref() == Some(SIDECAR_PORT));
             let (Some(service), Some(port)) = (service, port.and_then(|port| port.port)) else {
                 continue;
             };
-            let endpoints = slice.endpoints.iter();
+            let endpoints = slice.endpoints.0.iter();
             instances.extend(endpoints.filter_map(|e| parse_endpoint(e, &service, port)));
         }
         instances
@@ -191,6 +219,9 @@
         return None;
     }
     let address = net::SocketAddr::new(*endpoint.addresses.first()?, port);
+    if port == 0 || address.ip().is_unspecified() {
+        return None;
+    }
     let domain = endpoint.zone.parse().ok()?;
     let instance = endpoint.target.name.parse().ok()?;
     Some((instance, ListedInstance { service: service.clone(), address, domain, leaving }))
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -615,3 +615,62 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Guards against a list of instances that is not followed any more because of one entry.
+#[test]
+fn endpoint_slices_skip_odd_entries() {
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let endpoint = |name: &str, address: &str| {
+        format!(
+            "{{\"addresses\":[\"{address}\"],\"zone\":\"a\",\"targetRef\":{{\"name\":\"{name}\"}}}}"
+        )
+    };
+    let slice = |name: &str, endpoints: &[String], port: &str| {
+        format!(
+            "{{\"metadata\":{{\"name\":\"{name}\",\"labels\":{{\"kubernetes.io/service-name\":\"s\"}}}},\
+             \"endpoints\":[{}],\"ports\":[{{\"name\":\"web\",\"port\":99999}},{{\"name\":\"sidecar\",\"port\":{port}}}]}}",
+            endpoints.join(",")
+        )
+    };
+    let odd_endpoints = [
+        "7".to_owned(),
+        "null".to_owned(),
+        deep.clone(),
+        endpoint("i-0", "10.0.0.300"),
+        endpoint("i-0", "host.example"),
+        endpoint("i-0", "0.0.0.0"),
+        format!("{{\"addresses\":{deep}}}"),
+        "{\"addresses\":[\"10.0.0.1\"],\"zone\":\"a\",\"targetRef\":{\"name\":1e999}}".to_owned(),
+    ];
+    let names = |slices: &membership::EndpointSlices| {
+        slices.instances().keys().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    let list = |items: &[String]| {
+        let text = format!(
+            "{{\"metadata\":{{\"resourceVersion\":\"1\"}},\"items\":[{}]}}",
+            items.join(",")
+        );
+        membership::EndpointSlices::parse(text.as_bytes())
+    };
+    for odd in &odd_endpoints {
+        let endpoints = [endpoint("i-1", "10.0.0.1"), odd.clone(), endpoint("i-2", "10.0.0.2")];
+        let slices = list(&[slice("s1", &endpoints, "80")]).expect("a list");
+        assert_eq!(names(&slices), ["i-1", "i-2"], "{}", &odd[..odd.len().min(80)]);
+    }
+    let sound = [endpoint("i-1", "10.0.0.1")];
+    let other = [endpoint("i-2", "10.0.0.2")];
+    let odd_slices = ["7".to_owned(), deep.clone(), format!("{{\"metadata\":{deep}}}")];
+    let odd_ports = ["0", "70000", "-1", "1e999", "\"80\"", "null"];
+    let odd_ports = odd_ports.map(|port| slice("s2", &other, port));
+    for odd in odd_slices.iter().chain(&odd_ports) {
+        let slices = list(&[slice("s1", &sound, "80"), odd.clone()]).expect("a list");
+        assert_eq!(names(&slices), ["i-1"], "{}", &odd[..odd.len().min(80)]);
+        let mut slices = list(&[slice("s1", &sound, "80")]).expect("a list");
+        let event = format!("{{\"type\":\"MODIFIED\",\"object\":{odd}}}");
+        slices.apply(event.as_bytes()).expect("the watch goes on");
+        assert_eq!(names(&slices), ["i-1"], "{}", &odd[..odd.len().min(80)]);
+        let event = format!("{{\"type\":\"ADDED\",\"object\":{}}}", slice("s3", &other, "80"));
+        slices.apply(event.as_bytes()).expect("an event");
+        assert_eq!(names(&slices), ["i-1", "i-2"]);
+    }
+}
