read_budget: answers that are being received share a bounded memory

Report of operators: a faulty upstream sent bytes without end; the machine that had called it kept them all and ran out of memory, and the requests of other clients ended with it.

This could happen here on both paths.

Change: on gateways, answers share a budget beyond 64 KB each, so that small answers do not fail because of large ones. On entries the largest answer ends when all buffered ones exceed the memory, and sidecars count answers in progress against kept_bytes. Bodies that are not needed are skipped, not collected.

--- a/lib/src/attempt_client.rs
+++ b/lib/src/attempt_client.rs
@@ -13,6 +13,9 @@
 use crate::routing;
 use crate::wire;
 
+/// Memory for the answers that are being received, in bytes, unless the configuration allows larger
+/// answers.
+const MAX_BUFFERED_BYTES: u64 = 32 << 20;
 /// Time within which a sidecar has to accept the notification that it is listed as leaving.
 const LEAVE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
@@ -68,12 +71,15 @@
     client: http::Client,
     messages: mpsc::Sender<Message>,
     attempts: collections::BTreeMap<id::AttemptId, PendingAttempt>,
+    /// Bytes of all buffered answers.
+    buffered: u64,
 }
 
 impl AttemptClient {
     /// Creates a client whose connections report to `messages`.
     pub fn new(messages: mpsc::Sender<Message>) -> Self {
-        Self { client: http::peer_client(), messages, attempts: collections::BTreeMap::new() }
+        let attempts = collections::BTreeMap::new();
+        Self { client: http::peer_client(), messages, attempts, buffered: 0 }
     }
 
     /// Sends an attempt with its body; returns the size of the message in bytes.
@@ -114,7 +120,7 @@
 
     /// Drops an attempt's connection and the part of its answer that has arrived.
     pub fn forget(&mut self, attempt: id::AttemptId) {
-        if let Some(pending) = self.attempts.remove(&attempt) {
+        if let Some(pending) = self.remove(attempt) {
             pending.task.abort();
         }
     }
@@ -138,16 +144,35 @@
         }
     }
 
-    /// Appends bytes to the buffered answer of an attempt.
-    pub fn append_answer(&mut self, attempt: id::AttemptId, data: &[u8]) {
-        if let Some(pending) = self.attempts.get_mut(&attempt) {
-            pending.answer.extend_from_slice(data);
+    /// Appends bytes to the buffered answer of an attempt. If the answers exceed the memory for them,
+    /// returns the attempt with the largest one, which has to be ended. `largest` is the size of the
+    /// largest answer that the configuration allows.
+    pub fn append_answer(
+        &mut self,
+        attempt: id::AttemptId,
+        data: &[u8],
+        largest: u64,
+    ) -> Option<id::AttemptId> {
+        let pending = self.attempts.get_mut(&attempt)?;
+        pending.answer.extend_from_slice(data);
+        self.buffered += data.len() as u64;
+        if self.buffered <= MAX_BUFFERED_BYTES.max(2 * largest) {
+            return None;
         }
+        let by_size = self.attempts.iter().max_by_key(|(_, pending)| pending.answer.len());
+        by_size.map(|(attempt, _)| *attempt)
+    }
+
+    /// Removes an attempt from those in flight.
+    fn remove(&mut self, attempt: id::AttemptId) -> Option<PendingAttempt> {
+        let pending = self.attempts.remove(&attempt)?;
+        self.buffered -= pending.answer.len() as u64;
+        Some(pending)
     }
 
     /// Removes an attempt and returns its buffered answer; `None` if no head has arrived.
     pub fn take_answer(&mut self, attempt: id::AttemptId) -> Option<(wire::Head, bytes::Bytes)> {
-        let pending = self.attempts.remove(&attempt)?;
+        let pending = self.remove(attempt)?;
         Some((pending.head?, pending.answer.into()))
     }
 
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -82,6 +82,8 @@
     BodySent(id::AttemptId, u64),
     /// A frame of an attempt arrived from its sidecar.
     Frame(id::AttemptId, FrameInfo),
+    /// There is no memory for the rest of an attempt's answer.
+    AnswerTooLarge(id::AttemptId),
     /// The connection of an attempt broke.
     ConnectionLost {
         /// Attempt whose connection broke.
@@ -218,6 +220,7 @@
             Event::BodySent(attempt, bytes) => self.charge_sent(now, attempt, bytes),
             Event::Frame(attempt, frame) => self.on_frame(now, attempt, frame, effects),
             Event::ConnectionLost { attempt, sent } => self.on_lost(now, attempt, sent, effects),
+            Event::AnswerTooLarge(attempt) => self.drop_large_answer(now, attempt, effects),
             Event::CallerGone(request) => self.end_request(request, effects),
             Event::Drain => self.draining = true,
             Event::Tick => self.tick(now, effects),
--- a/lib/src/entry/recovery.rs
+++ b/lib/src/entry/recovery.rs
@@ -67,6 +67,20 @@
         }
     }
 
+    /// Ends an attempt whose answer takes more memory than there is.
+    pub(super) fn drop_large_answer(
+        &mut self,
+        now: time::Duration,
+        attempt: id::AttemptId,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(record) = self.attempts.get(&attempt) {
+            effects.push(Effect::Cancel(record.address(), attempt));
+        }
+        let kind = refusal::Kind::AnswerTooLarge;
+        self.fail_attempt(now, attempt, kind, refusal::Ran::Unknown, effects);
+    }
+
     /// Asks the sidecar for the outcome of an attempt and the rest of its answer.
     pub(super) fn resolve(
         &mut self,
--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -287,6 +287,7 @@
     http::read_body(body, config.limits.body_bytes.0, BODY_TIMEOUT).await.map_err(|e| {
         let kind = match e {
             http::ReadError::TooLarge => refusal::Kind::BodyTooLarge,
+            http::ReadError::OverBudget => refusal::Kind::Overloaded,
             http::ReadError::Timeout | http::ReadError::Incomplete => refusal::Kind::BodyIncomplete,
         };
         not_run(kind, &e.to_string())
--- a/lib/src/entry_shell.rs
+++ b/lib/src/entry_shell.rs
@@ -371,7 +371,10 @@
                 return self.send_reply(request, entry_http::Reply::Data(data));
             }
             entry::Effect::BufferChunk { attempt, skip } => {
-                self.attempts.append_answer(attempt, &self.chunk[skip as usize..]);
+                let largest = self.active_config.borrow().config.limits.answer_bytes.0;
+                let data = &self.chunk[skip as usize..];
+                let excess = self.attempts.append_answer(attempt, data, largest);
+                return excess.map(entry::Event::AnswerTooLarge);
             }
             entry::Effect::StoreResult(request, stage, attempt) => {
                 return self.store_result(request, stage, attempt);
--- a/lib/src/event_stream.rs
+++ b/lib/src/event_stream.rs
@@ -58,6 +58,11 @@
         Ok((start > 0).then(|| self.buffer.split_to(start).freeze()))
     }
 
+    /// Returns the number of bytes after the last whole event.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether more than line ends followed the last whole event. A stream that ends there
     /// has broken off.
     pub fn is_inside_event(&self) -> bool {
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -13,11 +13,14 @@
 use crate::gateway;
 use crate::gateway_http;
 use crate::http;
+use crate::read_budget;
 use crate::upstream_notice;
 use crate::upstream_pool;
 
 /// Largest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: u64 = 8 << 20;
+/// Memory for all answers that are being received from upstreams, in bytes.
+pub const ANSWERS_BUDGET: usize = 32 << 20;
 /// Time within which an upstream has to acknowledge that it freed results.
 const FREE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -50,6 +53,8 @@
     pub pool: upstream_pool::Pool,
     /// Connections to other gateways, apart from those to upstreams.
     pub peers: upstream_pool::Pool,
+    /// Memory for the answers of upstreams.
+    pub budget: read_budget::ReadBudget,
     /// Channel to the event loop.
     pub reports: mpsc::Sender<CallReport>,
 }
@@ -134,7 +139,8 @@
             return (outcome, head.load);
         }
         let (parts, body) = response.into_parts();
-        let read = http::read_body(body, MAX_ANSWER_BYTES, request_call.budget).await;
+        let time_left = request_call.budget;
+        let read = http::read_body_within(body, MAX_ANSWER_BYTES, time_left, &self.budget).await;
         let body = match read {
             Ok(body) => body,
             Err(e) => return broken(break_cause(e)),
@@ -194,6 +200,7 @@
         first_timeout: time::Duration,
     ) -> gateway::Outcome {
         let mut splitter = event_stream::Splitter::resume_after(request_call.last_event);
+        let mut share = self.budget.share();
         let (parts, mut body) = response.into_parts();
         let mut stream = None;
         // Bytes that complete no event are no progress, so only whole events extend the time.
@@ -225,6 +232,9 @@
             let Ok(events) = splitter.push(&data) else {
                 break broken(gateway::BreakCause::Invalid);
             };
+            if !share.resize(splitter.held_bytes()) {
+                break broken(gateway::BreakCause::Invalid);
+            }
             let Some(events) = events else { continue };
             if stream.is_none() {
                 stream = self.begin_stream(request_call, original, &parts).await;
@@ -334,7 +344,8 @@
             };
             return (outcome, head.load);
         }
-        let read = http::read_body(response.into_body(), MAX_ANSWER_BYTES, call.timeout).await;
+        let body = response.into_body();
+        let read = http::read_body_within(body, MAX_ANSWER_BYTES, call.timeout, &self.budget).await;
         let Ok(body) = read else { return (gateway::BatchOutcome::Broken, head.load) };
         // An upstream may answer a call twice. The second answer must not be taken for the answer
         // to the next call on the connection.
@@ -420,7 +431,7 @@
 /// Returns why an answer could not be read whole.
 fn break_cause(error: http::ReadError) -> gateway::BreakCause {
     match error {
-        http::ReadError::TooLarge => gateway::BreakCause::Invalid,
+        http::ReadError::TooLarge | http::ReadError::OverBudget => gateway::BreakCause::Invalid,
         http::ReadError::Timeout => gateway::BreakCause::Timeout,
         http::ReadError::Incomplete => gateway::BreakCause::ConnectionLost,
     }
@@ -488,8 +499,7 @@
     response: hyper::Response<hyper::body::Incoming>,
     connection: upstream_pool::PooledConnection,
 ) {
-    let body = http::read_body(response.into_body(), MAX_ANSWER_BYTES, FREE_TIMEOUT).await;
-    if body.is_ok() {
+    if http::skip_body(response.into_body(), MAX_ANSWER_BYTES, FREE_TIMEOUT).await {
         connection.release();
     }
 }
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -22,6 +22,7 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::read_budget;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -230,10 +231,11 @@
     ) -> Self {
         let pool = upstream_pool::Pool::default();
         let peers = upstream_pool::Pool::default();
+        let budget = read_budget::ReadBudget::new(gateway_calls::ANSWERS_BUDGET);
         Self {
             reducer: gateway::Gateway::new(reducer_settings(settings), fastrand::u64(..)),
             clock,
-            client: gateway_calls::UpstreamClient { dialect, pool, peers, reports },
+            client: gateway_calls::UpstreamClient { dialect, pool, peers, budget, reports },
             requests: collections::BTreeMap::new(),
             call_tasks: collections::BTreeMap::new(),
             handover_tasks: collections::BTreeMap::new(),
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::caller_socket;
+use crate::read_budget;
 
 /// Time within which a client has to send the head of its first request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
@@ -138,6 +139,9 @@
     /// The body exceeds the limit.
     #[display("the body is too large; send less")]
     TooLarge,
+    /// The bodies that are being read exceed the memory for them.
+    #[display("too many large bodies are being read; try again later")]
+    OverBudget,
     /// The body did not arrive in time.
     #[display("the body did not arrive in time; send it without pauses")]
     Timeout,
@@ -184,6 +188,69 @@
     }
 }
 
+/// Reads a whole body like [`read_body`], within a budget that other calls share.
+///
+/// # Errors
+/// Fails also if the budget is used up.
+pub async fn read_body_within(
+    body: hyper::body::Incoming,
+    limit: u64,
+    timeout: time::Duration,
+    budget: &read_budget::ReadBudget,
+) -> Result<bytes::Bytes, ReadError> {
+    if body.size_hint().lower() > limit {
+        return Err(ReadError::TooLarge);
+    }
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    with_timeout(timeout, collect(body, limit, budget)).await.unwrap_or(Err(ReadError::Timeout))
+}
+
+async fn collect(
+    mut body: hyper::body::Incoming,
+    limit: usize,
+    budget: &read_budget::ReadBudget,
+) -> Result<bytes::Bytes, ReadError> {
+    let mut share = budget.share();
+    let mut collected = bytes::BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| read_error(&e))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = collected.len() + data.len();
+        if length > limit {
+            return Err(ReadError::TooLarge);
+        }
+        if !share.resize(length) {
+            return Err(ReadError::OverBudget);
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
+fn read_error(error: &hyper::Error) -> ReadError {
+    if is_timed_out(error) { ReadError::Timeout } else { ReadError::Incomplete }
+}
+
+/// Reads a body and drops its bytes; returns whether it ended in time and within the limit.
+pub async fn skip_body(
+    mut body: hyper::body::Incoming,
+    limit: u64,
+    timeout: time::Duration,
+) -> bool {
+    let skip = async {
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            length += frame.data_ref().map_or(0, bytes::Bytes::len) as u64;
+            if length > limit {
+                return false;
+            }
+        }
+        true
+    };
+    with_timeout(timeout, skip).await.unwrap_or(false)
+}
+
 /// HTTP client with a connection pool.
 pub type Client = legacy::Client<legacy::connect::HttpConnector, Body>;
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod probe;
 pub mod quarantine;
 pub mod queue;
+pub mod read_budget;
 pub mod refusal;
 pub mod registry;
 pub mod relay;
--- a/lib/src/sidecar/running.rs
+++ b/lib/src/sidecar/running.rs
@@ -143,6 +143,12 @@
             return;
         }
         self.evict_answers(effects);
+        // Only answers in progress are left, and this one has just grown.
+        if self.ledger.kept_bytes() > self.config.limits.kept_bytes.0 {
+            effects.push(Effect::Abort(attempt));
+            let kind = refusal::Kind::AnswerTooLarge;
+            self.fail_running(attempt, kind, refusal::Ran::Yes, effects);
+        }
     }
 
     /// Drops the oldest complete answers while all answers together exceed `limits.kept_bytes`.
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -111,6 +111,18 @@
         (cpu, pages.unwrap_or(0) * PAGE_BYTES)
     }
 
+    /// Returns the most memory that the process has had resident, in bytes.
+    ///
+    /// # Panics
+    /// Panics if the process has exited.
+    pub fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|text| text.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        kilobytes.expect("the format of the kernel") * 1_024
+    }
+
     /// Waits for the process to exit; returns whether it did within `limit`.
     ///
     /// # Panics
--- a/lib/testutils/src/fault.rs
+++ b/lib/testutils/src/fault.rs
@@ -13,6 +13,8 @@
     pub status: u16,
     /// HTTP status returned in place of the answer after the request was processed; zero is off.
     pub status_after: u16,
+    /// Whether requests are processed, and the body of the answer has no end.
+    pub endless: bool,
     /// Whether requests are accepted but never processed or answered.
     pub hang: bool,
     /// Number of bytes of the response after which the connection breaks; zero is off.
--- a/lib/testutils/src/raw_server.rs
+++ b/lib/testutils/src/raw_server.rs
@@ -157,6 +157,33 @@
     }
 }
 
+/// Serves answers that begin with the text that `start` returns for the head of a request, and go on
+/// without an end, on a free loopback port until the runtime ends.
+///
+/// # Panics
+/// Panics if no port is free.
+pub async fn serve_endless(
+    start: impl Fn(&str) -> String + Send + Sync + 'static,
+) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    let start = sync::Arc::new(start);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let start = start.clone();
+            tokio::spawn(async move {
+                let Ok(Some(head)) = read_request(&mut stream).await else { return };
+                let mut bytes = start(&head).into_bytes();
+                // Ends when the peer closes the connection.
+                while stream.write_all(&bytes).await.is_ok() {
+                    bytes = vec![b'x'; 65_536];
+                }
+            });
+        }
+    });
+    address
+}
+
 /// What a server writes for one request.
 #[derive(Clone, Debug)]
 pub struct Written {
--- a/lib/testutils/src/server.rs
+++ b/lib/testutils/src/server.rs
@@ -15,6 +15,8 @@
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Number of events of a streamed response that are buffered before the connection accepts them.
 const STREAM_BUFFER_EVENTS: usize = 4;
+/// Bytes that an endless response repeats.
+const ENDLESS_BYTES: &[u8] = &[b'x'; 65_536];
 
 /// A request to a stand-in.
 #[derive(Debug)]
@@ -108,6 +110,9 @@
         if faults.drop_answer {
             return broken_response();
         }
+        if faults.endless {
+            return endless_response();
+        }
         if faults.status_after > 0 {
             return http::respond_json(faults.status_after, &serde_json::json!({}));
         }
@@ -136,6 +141,15 @@
     response
 }
 
+/// Makes a response whose body goes on until the peer disconnects.
+fn endless_response() -> hyper::Response<http::Body> {
+    let (mut sender, body) = http::Body::stream(STREAM_BUFFER_EVENTS);
+    tokio::spawn(async move { while sender.send(ENDLESS_BYTES.into()).await {} });
+    let mut response = http::respond(200, "application/json", "");
+    *response.body_mut() = body;
+    response
+}
+
 /// Number of bytes of a response that are sent.
 #[derive(Clone, Copy, Debug)]
 struct SendLimit {
