gateway: requests that come late in a planned stop are not cut

Report of operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them some that may not be repeated.

This could happen here on gateways: requests were admitted for 2.5 s whatever the time of the stop, and the event loop dropped those in progress at its end, so that their connections closed with the process.

Change: requests are admitted in the first third of a stop, 2.5 s at most. Ruled out on the way: refusing what has a deadline after the end.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -110,14 +110,37 @@
     quarantine: quarantine::Quarantine,
     /// Calls whose answers have begun, with the time at which they count as sound.
     sound_calls: collections::BTreeSet<(time::Duration, CallId)>,
-    /// When the process was asked to stop; `None` before that.
-    drain_started: Option<time::Duration>,
+    /// The planned stop of the process; `None` until it is asked to stop.
+    stop: Option<PlannedStop>,
     /// Latest number that identifies a call, batch or group.
     last_serial: u64,
     now: clock::Now,
     rng: fastrand::Rng,
 }
 
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+struct PlannedStop {
+    /// When the process was asked to stop.
+    since: time::Duration,
+    /// When it ends, whatever is still in progress.
+    end: time::Duration,
+}
+
+impl PlannedStop {
+    /// Returns the time until which requests are still admitted. By then the load balancer has stopped
+    /// sending new connections, and a request that is admitted later could not end before the process.
+    fn admits_until(&self) -> time::Duration {
+        let total = self.end.saturating_sub(self.since);
+        self.since + (total / STOP_ADMIT_DIVISOR).min(MAX_STOP_ADMIT_TIME)
+    }
+}
+
+/// Longest time after the start of a stop for which requests are admitted.
+const MAX_STOP_ADMIT_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// Divisor of the time of a stop: requests are admitted in its first third.
+const STOP_ADMIT_DIVISOR: u32 = 3;
+
 impl Gateway {
     /// Makes a gateway without a table, upstreams or peers.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -146,7 +169,7 @@
             retry_budgets: collections::BTreeMap::new(),
             quarantine,
             sound_calls: collections::BTreeSet::new(),
-            drain_started: None,
+            stop: None,
             last_serial: 0,
             now: clock::Now::default(),
             rng,
@@ -184,9 +207,10 @@
             Event::ResultsFreed { instance, handles } => self.results_freed(&instance, &handles),
             Event::HandoverEnded(group, outcomes) => self.handover_ended(group, outcomes, effects),
             Event::PeerProbed { peer, is_alive } => self.peer_probed(&peer, is_alive, effects),
-            Event::Drain => {
-                self.drain_started.get_or_insert(now.mono);
+            Event::Drain { left } => {
+                self.stop.get_or_insert(PlannedStop { since: now.mono, end: now.mono + left });
             }
+            Event::Stop => self.refuse_all(effects),
             Event::Tick => self.tick(effects),
         }
         self.dispatch(effects);
@@ -195,7 +219,7 @@
     /// Returns whether new callers should be directed to this gateway.
     pub fn is_ready(&self, now: clock::Now) -> bool {
         self.has_table
-            && self.drain_started.is_none()
+            && self.stop.is_none()
             && !self.fleet.is_empty()
             && self.table_lease.is_recent(now)
     }
@@ -393,6 +417,14 @@
         self.drop_request(id, effects);
     }
 
+    /// Ends all requests, as the process is about to end.
+    fn refuse_all(&mut self, effects: &mut Vec<Effect>) {
+        let all: Vec<_> = self.requests.keys().copied().collect();
+        for request in all {
+            self.refuse(request, refusal::Kind::Draining, "this gateway is stopping", effects);
+        }
+    }
+
     /// Drops a request whose caller closed the connection.
     fn caller_gone(&mut self, id: id::RequestId, effects: &mut Vec<Effect>) {
         let Some(request) = self.requests.get(&id) else { return };
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -14,10 +14,6 @@
 use crate::table;
 use crate::telemetry;
 
-/// Time after the start of a drain for which requests are still admitted. By then the load balancer
-/// has stopped sending new connections, and a request that is admitted later could not end before
-/// the process stops.
-const DRAIN_ADMIT_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Largest number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 /// Time that is added to estimates for the stages of a request running in another region.
@@ -79,10 +75,7 @@
         arrival: &gateway::Arrival,
     ) -> Result<(request::Request, admission::LatencyEstimate), admission::Rejection> {
         use refusal::Kind;
-        if self
-            .drain_started
-            .is_some_and(|since| self.now.mono.saturating_sub(since) > DRAIN_ADMIT_TIME)
-        {
+        if self.stop.is_some_and(|stop| self.now.mono > stop.admits_until()) {
             return Err(reject(Kind::Draining, "this gateway is shutting down"));
         }
         if !self.has_table {
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -287,7 +287,12 @@
         is_alive: bool,
     },
     /// The process was asked to stop; its last requests are finished first.
-    Drain,
+    Drain {
+        /// Time until the process ends.
+        left: time::Duration,
+    },
+    /// The process ends now; requests in progress are refused.
+    Stop,
     /// Some time passed, so that deadlines and intervals are to be checked.
     Tick,
 }
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -82,6 +82,9 @@
     crash_reports: watch::Sender<crash_report::Report>,
 }
 
+/// Time at the end of a stop in which the last answers are written.
+const FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
+
 /// Runs a gateway until it is asked to stop and its callers' connections have ended, at most
 /// `stop_ms` after the signal. `file` is the settings file that a reload reads.
 ///
@@ -165,7 +168,7 @@
             _ = signals.stop.wait_for(|stop| *stop), if stopping_since.is_none() => {
                 log::info!("event=stop_requested open={}", shell.reducer.request_count());
                 stopping_since = Some(time::Instant::now());
-                shell.step(gateway::Event::Drain);
+                shell.step(gateway::Event::Drain { left: settings.stop_ms.duration() });
                 shell.publish();
                 announcer.abort();
                 tokio::spawn(gateway_reads::withdraw(store.clone(), settings.instance.clone()));
@@ -182,6 +185,17 @@
         }
     }
     log::info!("event=stopped open={}", shell.reducer.request_count());
+    // Requests that are on their way to the event loop, and those in progress, get their answers too.
+    caller_inbox.close();
+    while let Ok(message) = caller_inbox.try_recv() {
+        shell.handle_caller_message(message);
+    }
+    shell.step(gateway::Event::Stop);
+    close.send_replace(true);
+    if !caller_server.is_finished() {
+        // Connections that do not end in time are cut with the process.
+        let _ = http::with_timeout(FLUSH_TIME, &mut caller_server).await;
+    }
     stopped.send_replace(true);
     Ok(())
 }
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -397,12 +397,45 @@
     assert_eq!(harness.gateway.request_count(), 0);
 }
 
+/// Guards against requests that come late in a short stop and are cut at its end.
+#[test]
+fn drain_admits_requests_in_the_first_third_of_a_stop() {
+    let mut harness = Harness::new();
+    harness.step(gateway::Event::Drain { left: ms(3_000) });
+    harness.advance(ms(1_000));
+    let (_, effects) = harness.arrive("/book/1");
+    assert!(request_call(&effects).is_some());
+    harness.advance(ms(1));
+    let (_, effects) = harness.arrive("/book/1");
+    assert_eq!(refusal_of(&effects), Some((refusal::Kind::Draining, refusal::Ran::No)));
+}
+
+/// Guards against requests that end with the process and without an answer.
+#[test]
+fn stop_answers_all_requests() {
+    let mut harness = Harness::new();
+    let (_, effects) = harness.arrive("/book/1");
+    assert!(request_call(&effects).is_some());
+    let (_, effects) = harness.arrive("/guide/1");
+    assert!(request_call(&effects).is_none(), "its stages come first");
+    let effects = harness.step(gateway::Event::Stop);
+    let refused: Vec<_> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            gateway::Effect::Refuse { refusal, .. } => Some(refusal.ran),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(refused, [refusal::Ran::Unknown, refusal::Ran::No]);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
 #[test]
 fn drain_admits_only_requests_that_can_end() {
     // Guards against a stream that was admitted 3.02 s after the start of a drain and was cut off
     // when the process stopped.
     let mut harness = Harness::new();
-    harness.step(gateway::Event::Drain);
+    harness.step(gateway::Event::Drain { left: ms(7_600) });
     assert!(!harness.gateway.is_ready(harness.now));
     harness.advance(ms(2_400));
     let (_, effects) = harness.arrive("/chat/1");
