quarantine: requests that crash engines are suspects beside their prompt parts

Cause: suspicion knew the shared parts of prompts only. Callers sent one request again and again under other ids; a sound answer of another request with the same parts cleared the part.

Change: the suspects of a crash are the shared parts and the waiting requests themselves, counted, reported, held, probed and released alike. A sound answer clears what ran, nothing else. A request goes first if it explains as many crashes as its parts; crashes that a held request explains count for a part once it stands at another one. Memory and reports are bounded.

--- a/lib/src/crash_report.rs
+++ b/lib/src/crash_report.rs
@@ -1,4 +1,5 @@
-//! What gateways tell each other about crashes of engines and about the parts of prompts.
+//! What gateways tell each other about crashes of engines, and about the parts of prompts and the
+//! requests that may have caused them.
 
 use crate::id;
 
@@ -16,25 +17,26 @@
 pub struct Crash {
     /// Process that crashed.
     pub engine: EngineProcess,
-    /// Parts that may have caused it.
-    pub parts: Vec<u64>,
+    /// Parts and requests that may have caused it.
+    #[serde(rename = "parts")]
+    pub suspects: Vec<u64>,
     /// Whether the gateway had just started.
     pub is_early: bool,
 }
 
-/// A part that was suspected and then shown to be sound.
+/// A part or request that was suspected and then shown to be sound.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct SoundPart {
-    /// Id of the part.
+    /// Id of the part or request.
     pub part: u64,
     /// Number that differs each time that the part is shown to be sound.
     pub serial: u64,
 }
 
-/// A part that is held back.
+/// A part or request that is held back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct HeldPart {
-    /// Id of the part.
+    /// Id of the part or request.
     pub part: u64,
     /// Whether a prompt with it was let through since.
     pub is_probed: bool,
@@ -45,9 +47,9 @@
 pub struct Report {
     /// Crashes of calls of this gateway.
     pub crashes: Vec<Crash>,
-    /// Parts that it has shown to be sound.
+    /// Parts and requests that it has shown to be sound.
     pub sound: Vec<SoundPart>,
-    /// Parts that it holds back and that no other gateway reported first.
+    /// Parts and requests that it holds back and that no other gateway reported first.
     pub held: Vec<HeldPart>,
 }
 
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -9,6 +9,7 @@
 use crate::gateway::request;
 use crate::id;
 use crate::placement;
+use crate::quarantine;
 use crate::refusal;
 use crate::roster;
 use crate::table;
@@ -64,7 +65,8 @@
             .with("target_ms", estimate.target.as_millis())
             .with("budget_ms", estimate.budget.as_millis())
             .with("return", estimate.is_retry)
-            .with("parts", part_names(&request.prompt_parts));
+            .with("parts", part_names(&request.prompt_parts))
+            .with("content", content_name(request));
         effects.push(gateway::Effect::Log(line));
     }
 
@@ -119,7 +121,7 @@
         request.due = request.due.saturating_sub(spent);
         let estimate = self.choose_region(&mut request, &regions);
         let class = admission::decide(&estimate)?;
-        request.probed_part = self.check_held(&arrival.prompt_parts)?;
+        request.probed_part = self.check_held(request.prompt())?;
         match class {
             // Late requests yield to others, so their latency says nothing about the estimates.
             admission::Class::Late => request.due = request.due.min(now),
@@ -221,6 +223,12 @@
     names.join(",")
 }
 
+/// Returns the name by which logs tell that two requests ask for the same; empty if it is not known.
+fn content_name(request: &request::Request) -> String {
+    let content = request.content.map(quarantine::request_suspect);
+    content.map(|content| format!("{content:x}")).unwrap_or_default()
+}
+
 /// Makes a rejection of a request that has not run, with the usual delay for its kind.
 pub(super) fn reject(kind: refusal::Kind, message: impl Into<String>) -> admission::Rejection {
     let refusal = refusal::Refusal::new(kind, refusal::Ran::No, message);
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -9,6 +9,7 @@
 use crate::gateway::request;
 use crate::id;
 use crate::placement;
+use crate::quarantine;
 use crate::refusal;
 use crate::routing;
 use crate::table;
@@ -305,7 +306,8 @@
             .with("took_ms", self.now.mono.saturating_sub(call.sent_at).as_millis());
         effects.push(gateway::Effect::Log(line));
         let parts = std::mem::take(&mut request.prompt_parts);
-        self.record_prompt_outcome(&call, &parts, outcome);
+        let prompt = quarantine::Prompt { parts: &parts, content: request.content };
+        self.record_prompt_outcome(&call, prompt, outcome);
         if let Some(request) = self.requests.get_mut(&call.request) {
             request.prompt_parts = parts;
         }
@@ -417,7 +419,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.last_event = last.or(request.last_event);
         let is_suspect =
-            request.probed_part.is_some() || self.quarantine.is_suspect(&request.prompt_parts);
+            request.probed_part.is_some() || self.quarantine.is_suspect(request.prompt());
         if !is_suspect && self.try_spend_retry(id) {
             self.resume(id, effects);
             return;
--- a/lib/src/gateway/holds.rs
+++ b/lib/src/gateway/holds.rs
@@ -1,4 +1,4 @@
-//! Prompts that are held back because a part of them crashes engines.
+//! Prompts that are held back because they, or a part of them, crash engines.
 
 use std::time;
 
@@ -10,13 +10,13 @@
 use crate::gateway::calls;
 use crate::gateway::request;
 use crate::id;
-use crate::placement;
 use crate::quarantine;
 use crate::refusal;
 use crate::telemetry;
 
 /// Message to the callers of such prompts.
-pub(super) const HELD_MESSAGE: &str = "a part of the prompt has crashed several engines";
+pub(super) const HELD_MESSAGE: &str =
+    "the request, or a part of its prompt, has crashed several engines";
 
 impl gateway::Gateway {
     /// Returns what other gateways are told about crashes.
@@ -31,9 +31,9 @@
     /// Fails if the prompt is held back.
     pub(super) fn check_held(
         &mut self,
-        parts: &[placement::PromptPart],
+        prompt: quarantine::Prompt<'_>,
     ) -> Result<Option<u64>, admission::Rejection> {
-        match self.quarantine.held_parts(parts)[..] {
+        match self.quarantine.held_parts(prompt)[..] {
             [] => Ok(None),
             [part] if self.take_probe(part) => Ok(Some(part)),
             _ => Err(arrivals::reject(refusal::Kind::PromptHeld, HELD_MESSAGE)),
@@ -49,7 +49,7 @@
 
     /// Returns whether a call for a request would reach an engine with a held part.
     pub(super) fn is_held(&self, request: &request::Request) -> bool {
-        let held = self.quarantine.held_parts(&request.prompt_parts);
+        let held = self.quarantine.held_parts(request.prompt());
         held.iter().any(|part| Some(*part) != request.probed_part)
     }
 
@@ -57,23 +57,23 @@
     pub(super) fn record_prompt_outcome(
         &mut self,
         call: &calls::PendingCall,
-        parts: &[placement::PromptPart],
+        prompt: quarantine::Prompt<'_>,
         outcome: gateway::Outcome,
     ) {
         use gateway::BreakCause;
         match outcome {
             gateway::Outcome::Ended => {
-                self.quarantine.record_sound(call.begun_at.unwrap_or(call.sent_at), parts);
+                self.quarantine.record_sound(call.begun_at.unwrap_or(call.sent_at), prompt);
             }
             gateway::Outcome::Answered { status } if status < 500 => {
-                self.quarantine.record_sound(call.sent_at, parts);
+                self.quarantine.record_sound(call.sent_at, prompt);
             }
             gateway::Outcome::Broken {
                 cause: BreakCause::ConnectionLost | BreakCause::InsideEvent,
                 ..
             } => {
                 let engine = self.engine_process(&call.instance);
-                self.quarantine.record_crash(self.now.mono, engine, call.begun_at, parts);
+                self.quarantine.record_crash(self.now.mono, engine, call.begun_at, prompt);
             }
             _ => {}
         }
@@ -95,7 +95,7 @@
             let Some(call) = self.calls.get(&id) else { continue };
             let Some(request) = self.requests.get(&call.request) else { continue };
             let begun = call.begun_at.unwrap_or(call.sent_at);
-            self.quarantine.record_sound(begun, &request.prompt_parts);
+            self.quarantine.record_sound(begun, request.prompt());
         }
     }
 
@@ -109,10 +109,16 @@
     pub(super) fn update_quarantine(&mut self, effects: &mut Vec<gateway::Effect>) {
         let changes = self.quarantine.update(self.now.mono);
         for change in &changes {
-            let event = if change.is_held { "part_held" } else { "part_released" };
+            let event = match (quarantine::is_request(change.suspect), change.is_held) {
+                (false, true) => "part_held",
+                (false, false) => "part_released",
+                (true, true) => "request_held",
+                (true, false) => "request_released",
+            };
             metrics::counter!("gateway_quarantine_total", "event" => event).increment(1);
+            let key = if quarantine::is_request(change.suspect) { "content" } else { "part" };
             let line = telemetry::Line::new(event)
-                .with("part", format_args!("{:x}", change.part))
+                .with(key, format_args!("{:x}", change.suspect))
                 .with("reason", change.reason);
             effects.push(gateway::Effect::Log(line));
         }
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -60,6 +60,8 @@
     pub input_key: Option<String>,
     /// Parts of the prompt, empty if the request is no generation.
     pub prompt_parts: Vec<placement::PromptPart>,
+    /// Digest of what the request asks for, the same for one that is sent again under another id.
+    pub content: Option<u64>,
 }
 
 /// A call to the upstream that is to answer a request.
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -8,6 +8,7 @@
 use crate::gateway;
 use crate::id;
 use crate::placement;
+use crate::quarantine;
 use crate::table;
 
 /// Maximum number of pieces of one stage.
@@ -75,6 +76,8 @@
     pub deadline: time::Duration,
     /// Parts of the prompt, empty if the request is no generation.
     pub prompt_parts: Vec<placement::PromptPart>,
+    /// Digest of what the request asks for.
+    pub content: Option<u64>,
     /// Held part of the prompt with which it is let through to find out whether the part is sound.
     pub probed_part: Option<u64>,
     /// Number of the last event that the caller received.
@@ -128,6 +131,7 @@
             start_deadline: now + budget.min(route.start_timeout),
             deadline: now + budget,
             prompt_parts: arrival.prompt_parts.clone(),
+            content: arrival.content,
             probed_part: None,
             last_event: arrival.last_event,
             input_key: arrival.input_key.clone(),
@@ -142,6 +146,11 @@
         })
     }
 
+    /// Returns what of the request may crash engines.
+    pub fn prompt(&self) -> quarantine::Prompt<'_> {
+        quarantine::Prompt { parts: &self.prompt_parts, content: self.content }
+    }
+
     /// Returns the deadline that applies at present: that for the start of the answer, or that for
     /// its end.
     pub fn current_deadline(&self) -> time::Duration {
--- a/lib/src/gateway_http.rs
+++ b/lib/src/gateway_http.rs
@@ -98,6 +98,7 @@
             log_unread_body(&arrival.external_id, kind);
             not_run(kind, e.to_string())
         })?;
+        arrival.content = Some(content_digest(&head, &arrival, &body));
         // The time that the body took to arrive counts against the caller's budget.
         arrival.budget = arrival.budget.map(|budget| budget.saturating_sub(started.elapsed()));
         let number = self.serial.fetch_add(1, sync::atomic::Ordering::Relaxed);
@@ -125,6 +126,26 @@
     }
 }
 
+/// Returns a digest of what a request asks for: not its id, its credential or its deadline.
+fn content_digest(
+    head: &hyper::http::request::Parts,
+    arrival: &gateway::Arrival,
+    body: &[u8],
+) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    for text in [head.method.as_str(), target, arrival.input_key.as_deref().unwrap_or_default()] {
+        hash.update(text.as_bytes());
+        hash.update(&[0]);
+    }
+    for part in &arrival.prompt_parts {
+        hash.update(&part.id.to_le_bytes());
+        hash.update(&part.tokens.to_le_bytes());
+    }
+    hash.update(body);
+    hash.digest()
+}
+
 /// Logs a request that is refused before the reducer receives it.
 fn log_unread_body(name: &str, kind: refusal::Kind) {
     let line = telemetry::Line::new("refuse").with("request", name).with("kind", kind);
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -1,10 +1,15 @@
-//! Prompt parts that crash engines, and the prompts that are held back because of them.
+//! Prompt parts and requests that crash engines, and the prompts that are held back because of them.
 //!
-//! Load pattern: one part of some prompts crashes each engine that begins to answer them, and such
-//! prompts keep arriving at any gateway. Each crash also breaks the other answers of the engine. So
-//! gateways relate crashes to the parts of the prompts that an engine had not begun, or had just
-//! begun, to answer. They report this to each other, and hold back prompts with a part that explains
-//! several crashes.
+//! Load pattern: one part of some prompts, or one request as a whole, crashes each engine that begins
+//! to answer it, and such prompts keep arriving at any gateway. Each crash also breaks the other answers
+//! of the engine. So gateways relate crashes to the parts of the prompts that an engine had not begun,
+//! or had just begun, to answer, and to these requests themselves, which callers send again under other
+//! ids. They report this to each other, and hold back prompts with a suspect that explains several
+//! crashes.
+//!
+//! A request is the narrower suspect. It goes first if it explains as many crashes as its parts, so that
+//! sound requests with the same parts are served. A part is held besides once it also stood at a crash
+//! that no held request explains.
 //!
 //! Most prompts share parts with others, so a part is not to blame just because it was there: an
 //! answer that has run for a while shows that none of its parts crashes engines, and a crash that is
@@ -58,10 +63,52 @@
 const REPORT_TIME: time::Duration = time::Duration::from_secs(30);
 /// Crashes that a part may have caused from which a prompt with it is not sent again.
 const RETRY_CRASH_LIMIT: usize = 2;
-/// Largest number of crashes, of parts of one crash, and of sound parts in a report.
+/// Largest number of crashes and of sound suspects in a report.
 const MAX_REPORTED: usize = 16;
+/// Largest number of suspects of one crash in a report.
+const MAX_REPORTED_SUSPECTS: usize = 48;
+/// Largest number of suspects of one crash.
+const MAX_SUSPECTS: usize = 256;
+/// Bit that tells suspects that are requests from those that are parts.
+const REQUEST_BIT: u64 = 1 << 63;
+
+/// Returns the id under which a request with a digest is a suspect.
+pub fn request_suspect(digest: u64) -> u64 {
+    digest | REQUEST_BIT
+}
+
+/// Returns whether a suspect is a request, not a part.
+pub fn is_request(suspect: u64) -> bool {
+    suspect & REQUEST_BIT != 0
+}
+
+/// What of a prompt may crash engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Prompt<'a> {
+    /// Its parts, of which the last one belongs to the request itself.
+    pub parts: &'a [placement::PromptPart],
+    /// Digest of the whole request, the same for a request that is sent again; `None` if it is not
+    /// known.
+    pub content: Option<u64>,
+}
+
+impl<'a, P: AsRef<[placement::PromptPart]>> From<&'a P> for Prompt<'a> {
+    fn from(parts: &'a P) -> Self {
+        Self { parts: parts.as_ref(), content: None }
+    }
+}
+
+impl Prompt<'_> {
+    /// Returns the ids of the parts that other prompts may share, and that of the request.
+    fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
+        let parts = placement::shared_parts(self.parts).map(|part| part.id & !REQUEST_BIT);
+        // Requests without a prompt are none of an engine's.
+        let content = self.content.filter(|_| !self.parts.is_empty());
+        parts.chain(content.map(request_suspect))
+    }
+}
 
-/// Why a part is held back no longer or from now on.
+/// Why a suspect is held back no longer or from now on.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
 pub enum Reason {
     /// It explains this many crashes.
@@ -78,11 +125,11 @@
     Expired,
 }
 
-/// A part that is held back from now on, or no longer.
+/// A suspect that is held back from now on, or no longer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Change {
-    /// Id of the part.
-    pub part: u64,
+    /// Id of the part or request.
+    pub suspect: u64,
     /// Whether it is held back.
     pub is_held: bool,
     /// Why.
@@ -94,11 +141,11 @@
 struct CrashState {
     /// When this gateway saw it or read of it.
     learned: time::Duration,
-    /// Parts of calls of this gateway.
-    own_parts: collections::BTreeSet<u64>,
-    /// Parts of calls of all gateways.
-    parts: collections::BTreeSet<u64>,
-    /// Parts that were shown to be sound since.
+    /// Suspects in calls of this gateway.
+    own_present: collections::BTreeSet<u64>,
+    /// Suspects in calls of all gateways.
+    present: collections::BTreeSet<u64>,
+    /// Suspects that were shown to be sound since.
     cleared: collections::BTreeSet<u64>,
     /// Whether all gateways that saw it had just started.
     is_early: bool,
@@ -110,8 +157,8 @@
     fn new(learned: time::Duration) -> Self {
         Self {
             learned,
-            own_parts: collections::BTreeSet::new(),
-            parts: collections::BTreeSet::new(),
+            own_present: collections::BTreeSet::new(),
+            present: collections::BTreeSet::new(),
             cleared: collections::BTreeSet::new(),
             is_early: true,
             is_refuted: false,
@@ -125,17 +172,17 @@
     /// Returns whether other gateways have had the time to report what they saw of it.
     fn is_settled(&self, now: time::Duration) -> bool {
         let settle_time =
-            if self.own_parts.is_empty() { REPORTED_SETTLE_TIME } else { OWN_SETTLE_TIME };
+            if self.own_present.is_empty() { REPORTED_SETTLE_TIME } else { OWN_SETTLE_TIME };
         self.age(now) >= settle_time
     }
 
     fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
-        let suspects = self.parts.difference(&self.cleared).copied();
+        let suspects = self.present.difference(&self.cleared).copied();
         suspects.filter(|_| !self.is_refuted)
     }
 }
 
-/// Crashes that a part may have caused.
+/// Crashes that a suspect may have caused.
 #[derive(Clone, Copy, Debug, Default)]
 struct CrashCount {
     early: usize,
@@ -156,7 +203,7 @@
     }
 }
 
-/// State of a part that is held back.
+/// State of a suspect that is held back.
 #[derive(Debug)]
 struct Hold {
     since: time::Duration,
@@ -165,15 +212,15 @@
     is_reported: bool,
 }
 
-/// Crashes, sound parts and held parts that a gateway knows of.
+/// Crashes, and the sound and held suspects, that a gateway knows of.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     /// When the gateway first used it.
     started: Option<time::Duration>,
     crashes: collections::BTreeMap<crash_report::EngineProcess, CrashState>,
-    /// Start of the last sound answer by part.
+    /// Start of the last sound answer by suspect.
     sound: collections::BTreeMap<u64, time::Duration>,
-    /// Parts that were suspected and that this gateway has shown to be sound, the latest last.
+    /// Suspects that this gateway has shown to be sound, the latest last.
     reported_sound: collections::VecDeque<crash_report::SoundPart>,
     /// Serials of sound parts that were read, by gateway and part.
     read_sound: collections::BTreeMap<(id::InstanceId, u64), u64>,
@@ -198,40 +245,46 @@
 
     /// Records that a call broke off because its engine closed the connection. `begun` is when the
     /// first event of its answer arrived, if one did.
-    pub fn record_crash(
+    pub fn record_crash<'p>(
         &mut self,
         now: time::Duration,
         engine: crash_report::EngineProcess,
         begun: Option<time::Duration>,
-        parts: &[placement::PromptPart],
+        prompt: impl Into<Prompt<'p>>,
     ) {
+        let prompt = prompt.into();
         let started = *self.started.get_or_insert(now);
         if let Some(begun) = begun
             && now.saturating_sub(begun) >= SOUND_TIME
         {
-            self.record_sound(begun, parts);
+            self.record_sound(begun, prompt);
             return;
         }
         let crash = self.crashes.entry(engine).or_insert_with(|| CrashState::new(now));
         crash.is_early &= now < started + START_MARGIN;
-        for part in placement::shared_parts(parts) {
-            let last_sound = self.sound.get(&part.id);
-            if last_sound.is_none_or(|last| now > *last + SOUND_MARGIN) {
-                crash.own_parts.insert(part.id);
-                crash.parts.insert(part.id);
+        for suspect in prompt.suspects() {
+            let last_sound = self.sound.get(&suspect);
+            let is_new = last_sound.is_none_or(|last| now > *last + SOUND_MARGIN);
+            if is_new && crash.present.len() < MAX_SUSPECTS {
+                crash.own_present.insert(suspect);
+                crash.present.insert(suspect);
             }
         }
         self.forget_oldest_crash();
     }
 
     /// Records an answer that began at `begun` and ended whole, or has run for a while.
-    pub fn record_sound(&mut self, begun: time::Duration, parts: &[placement::PromptPart]) {
+    pub fn record_sound<'p>(&mut self, begun: time::Duration, prompt: impl Into<Prompt<'p>>) {
         self.started.get_or_insert(begun);
-        for part in placement::shared_parts(parts) {
-            let last = self.sound.entry(part.id).or_insert(begun);
-            *last = begun.max(*last);
-            if self.clear(part.id, begun) {
-                self.report_sound(part.id);
+        for suspect in prompt.into().suspects() {
+            let was_suspected = self.clear(suspect, begun);
+            if was_suspected {
+                self.report_sound(suspect);
+            }
+            // Most requests are never seen again, so only those that were suspected are remembered.
+            if was_suspected || !is_request(suspect) {
+                let last = self.sound.entry(suspect).or_insert(begun);
+                *last = begun.max(*last);
             }
         }
         if self.sound.len() > MAX_SOUND_PARTS {
@@ -289,7 +342,7 @@
                     .crashes
                     .entry(crash.engine.clone())
                     .or_insert_with(|| CrashState::new(now));
-                state.parts.extend(&crash.parts);
+                state.present.extend(&crash.suspects);
                 state.is_early &= crash.is_early;
             }
             for held in &report.held {
@@ -325,7 +378,7 @@
         }
         let hold = Hold { since: now, is_probed: held.is_probed, is_reported: is_own };
         self.held.insert(held.part, hold);
-        self.changes.push(Change { part: held.part, is_held: true, reason: Reason::Reported });
+        self.changes.push(Change { suspect: held.part, is_held: true, reason: Reason::Reported });
     }
 
     /// Clears a part of crashes before `begun`, and releases it if it was held back before. Returns
@@ -333,7 +386,7 @@
     fn clear(&mut self, part: u64, begun: time::Duration) -> bool {
         let mut was_suspected = false;
         for crash in self.crashes.values_mut() {
-            if crash.learned < begun && crash.parts.contains(&part) {
+            if crash.learned < begun && crash.present.contains(&part) {
                 was_suspected |= crash.cleared.insert(part);
             }
         }
@@ -347,7 +400,7 @@
     fn release(&mut self, part: u64, now: time::Duration, reason: Reason) {
         self.held.remove(&part);
         self.released.insert(part, now);
-        self.changes.push(Change { part, is_held: false, reason });
+        self.changes.push(Change { suspect: part, is_held: false, reason });
     }
 
     /// Decides which parts are held back from now on. Returns all changes since the last call.
@@ -358,12 +411,12 @@
         }
         self.next_decision = now + DECISION_PAUSE;
         self.expire(now);
-        while let Some((crashes, parts)) = self.worst_parts(now) {
+        while let Some((crashes, parts)) = self.worst_suspects(now) {
             for part in parts {
                 let is_reported = !self.read_held.iter().any(|(_, other)| *other == part);
                 self.held.insert(part, Hold { since: now, is_probed: false, is_reported });
                 let reason = Reason::Crashes(crashes);
-                self.changes.push(Change { part, is_held: true, reason });
+                self.changes.push(Change { suspect: part, is_held: true, reason });
             }
         }
         std::mem::take(&mut self.changes)
@@ -380,40 +433,60 @@
         self.released.retain(|_, at| now.saturating_sub(*at) < RELEASE_MEMORY);
     }
 
-    /// Returns the parts that explain the most crashes that no held part explains, and the number
-    /// of these crashes; `None` if no part reaches its limit. Of parts that explain equally many,
-    /// those that were never part of a sound answer go first.
-    fn worst_parts(&self, now: time::Duration) -> Option<(usize, Vec<u64>)> {
+    /// Returns the suspects that explain the most crashes that nothing held explains, and the number
+    /// of these crashes; `None` if no suspect reaches its limit. Of those that explain equally many,
+    /// requests go first, then parts that were never part of a sound answer.
+    fn worst_suspects(&self, now: time::Duration) -> Option<(usize, Vec<u64>)> {
+        let mut counts = self.count_crashes(now);
+        let limit = |suspect: &u64| {
+            if self.sound.contains_key(suspect) { CRASH_LIMIT_ONCE_SOUND } else { CRASH_LIMIT }
+        };
+        let rank = |suspect: &u64, count: &CrashCount| {
+            (count.total(), is_request(*suspect), !self.sound.contains_key(suspect))
+        };
+        counts.retain(|suspect, count| count.total() >= limit(suspect));
+        let worst = counts.iter().map(|(suspect, count)| rank(suspect, count)).max()?;
+        let suspects = counts.iter().filter(|(suspect, count)| rank(suspect, count) == worst);
+        Some((worst.0, suspects.map(|(suspect, _)| *suspect).collect()))
+    }
+
+    /// Counts the crashes of each suspect that stood at one that nothing held explains. Crashes that
+    /// a held request explains count too for its parts, as any of them may be the cause then.
+    fn count_crashes(&self, now: time::Duration) -> collections::BTreeMap<u64, CrashCount> {
         let mut counts: collections::BTreeMap<u64, CrashCount> = collections::BTreeMap::new();
+        let mut explained: collections::BTreeMap<u64, CrashCount> = collections::BTreeMap::new();
         for crash in self.crashes.values() {
-            let is_explained = crash.parts.iter().any(|part| self.held.contains_key(part));
-            if is_explained || crash.age(now) >= HOLD_TIME || !crash.is_settled(now) {
+            let is_held = |suspect: &&u64| self.held.contains_key(suspect);
+            let mut held = crash.present.iter().filter(is_held).peekable();
+            let is_by_request = held.peek().is_some();
+            let is_by_part = held.any(|suspect| !is_request(*suspect));
+            if is_by_part || crash.age(now) >= HOLD_TIME || !crash.is_settled(now) {
                 continue;
             }
-            for part in crash.suspects() {
-                let last_sound = self.sound.get(&part);
+            let counts = if is_by_request { &mut explained } else { &mut counts };
+            for suspect in crash.suspects() {
+                let last_sound = self.sound.get(&suspect);
                 if last_sound.is_none_or(|last| crash.learned > *last + SOUND_MARGIN) {
-                    counts.entry(part).or_default().add(crash);
+                    counts.entry(suspect).or_default().add(crash);
                 }
             }
         }
-        let limit = |part: &u64| {
-            if self.sound.contains_key(part) { CRASH_LIMIT_ONCE_SOUND } else { CRASH_LIMIT }
-        };
-        let rank = |part: &u64, count: &CrashCount| (count.total(), !self.sound.contains_key(part));
-        counts.retain(|part, count| count.total() >= limit(part));
-        let worst = counts.iter().map(|(part, count)| rank(part, count)).max()?;
-        let parts = counts.iter().filter(|(part, count)| rank(part, count) == worst);
-        Some((worst.0, parts.map(|(part, _)| *part).collect()))
+        for (suspect, count) in &mut counts {
+            if let Some(more) = explained.get(suspect).filter(|_| !is_request(*suspect)) {
+                count.early += more.early;
+                count.later += more.later;
+            }
+        }
+        counts
     }
 
-    /// Returns the parts of a prompt that are held back.
-    pub fn held_parts(&self, parts: &[placement::PromptPart]) -> Vec<u64> {
+    /// Returns what of a prompt is held back: parts, and the request itself.
+    pub fn held_parts<'p>(&self, prompt: impl Into<Prompt<'p>>) -> Vec<u64> {
         if self.held.is_empty() {
             return Vec::new();
         }
-        let shared = placement::shared_parts(parts).map(|part| part.id);
-        shared.filter(|part| self.held.contains_key(part)).collect()
+        let prompt = prompt.into();
+        prompt.suspects().filter(|suspect| self.held.contains_key(suspect)).collect()
     }
 
     /// Returns whether a prompt may be let through although a part of it is held back, and records
@@ -430,13 +503,14 @@
 
     /// Returns whether a part of a prompt may have caused several crashes already, so that the
     /// prompt should not be tried at another engine.
-    pub fn is_suspect(&self, parts: &[placement::PromptPart]) -> bool {
-        let count = |part: u64| {
-            let is_suspect = |crash: &&CrashState| crash.suspects().any(|other| other == part);
+    pub fn is_suspect<'p>(&self, prompt: impl Into<Prompt<'p>>) -> bool {
+        let count = |suspect: u64| {
+            let is_suspect = |crash: &&CrashState| crash.suspects().any(|other| other == suspect);
             self.crashes.values().filter(is_suspect).count()
         };
-        placement::shared_parts(parts)
-            .any(|part| !self.sound.contains_key(&part.id) && count(part.id) >= RETRY_CRASH_LIMIT)
+        prompt.into().suspects().any(|suspect| {
+            !self.sound.contains_key(&suspect) && count(suspect) >= RETRY_CRASH_LIMIT
+        })
     }
 
     /// Returns what this gateway tells the others.
@@ -446,16 +520,19 @@
             self.crashes.iter().filter(|(_, crash)| is_recent(crash)).collect();
         recent.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.learned));
         let crashes = recent.into_iter().map(|(engine, crash)| {
-            let parts = crash.own_parts.difference(&crash.cleared);
+            let suspects = crash.own_present.difference(&crash.cleared);
             crash_report::Crash {
                 engine: engine.clone(),
-                parts: parts.copied().take(MAX_REPORTED).collect(),
+                suspects: suspects.copied().take(MAX_REPORTED_SUSPECTS).collect(),
                 is_early: crash.is_early,
             }
         });
         let held = self.held.iter().filter(|(_, hold)| hold.is_reported);
         crash_report::Report {
-            crashes: crashes.filter(|crash| !crash.parts.is_empty()).take(MAX_REPORTED).collect(),
+            crashes: crashes
+                .filter(|crash| !crash.suspects.is_empty())
+                .take(MAX_REPORTED)
+                .collect(),
             sound: self.reported_sound.iter().copied().collect(),
             held: held
                 .map(|(part, hold)| crash_report::HeldPart {
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -45,13 +45,98 @@
     let now = ms(READY + SETTLED);
     let changes = quarantine.update(now);
     assert_eq!(changes.len(), 1, "{changes:?}");
-    assert_eq!((changes[0].part, changes[0].is_held), (66, true));
+    assert_eq!((changes[0].suspect, changes[0].is_held), (66, true));
     assert_eq!(quarantine.held_parts(&prompt(&[2, 66, 950])), [66]);
     assert!(quarantine.held_parts(&prompt(&[1, 2, 950])).is_empty());
     // The last part belongs to the request itself.
     assert!(quarantine.held_parts(&prompt(&[1, 66])).is_empty());
 }
 
+/// A prompt of which the digest is known.
+fn whole(parts: &[placement::PromptPart], content: u64) -> quarantine::Prompt<'_> {
+    quarantine::Prompt { parts, content: Some(content) }
+}
+
+/// Guards against a request that crashes engines and is cleared by sound ones with the same parts.
+#[test]
+fn request_that_explains_three_crashes_is_held() {
+    let mut quarantine = quarantine::Quarantine::new(7);
+    let parts = prompt(&[1, 2, 940]);
+    quarantine.record_sound(ms(0), whole(&parts, 8));
+    for number in 0..3 {
+        let now = ms(READY + number * 300);
+        quarantine.record_crash(now, engine(number), None, whole(&parts, 9));
+        // Requests with the same parts wait as well, each only once.
+        quarantine.record_crash(now, engine(number), None, whole(&parts, 20 + number));
+    }
+    let now = ms(READY + SETTLED);
+    let changes = quarantine.update(now);
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    assert!(quarantine::is_request(changes[0].suspect) && changes[0].is_held);
+    assert_eq!(quarantine.held_parts(whole(&parts, 9)).len(), 1);
+    assert!(quarantine.held_parts(whole(&parts, 8)).is_empty(), "the parts are not held");
+    quarantine.record_sound(now + ms(100), whole(&parts, 8));
+    assert!(quarantine.update(now + ms(1_000)).is_empty(), "another request clears its parts only");
+    assert_eq!(quarantine.held_parts(whole(&parts, 9)).len(), 1);
+    quarantine.record_sound(now + ms(100), whole(&parts, 9));
+    assert_eq!(quarantine.update(now + ms(2_000)).len(), 1);
+    assert!(quarantine.held_parts(whole(&parts, 9)).is_empty());
+}
+
+/// Guards against a part that goes on to crash engines because a request with it is held.
+#[test]
+fn part_is_held_after_a_request_with_it() {
+    let mut quarantine = experienced();
+    let parts = prompt(&[1, 66, 941]);
+    for number in 0..3 {
+        quarantine.record_crash(ms(READY), engine(number), None, whole(&parts, 9));
+    }
+    let changes = quarantine.update(ms(READY + SETTLED));
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    assert!(quarantine::is_request(changes[0].suspect), "one request explains all");
+    let now = READY + 2 * SETTLED;
+    quarantine.record_crash(ms(now), engine(3), None, whole(&parts, 10));
+    let changes = quarantine.update(ms(now + SETTLED));
+    assert_eq!(changes.iter().map(|change| change.suspect).collect::<Vec<_>>(), [66]);
+}
+
+/// Guards against a request that other gateways, or those that start later, let go.
+#[test]
+fn reports_pass_held_requests_on() {
+    let [mut first, mut second] = [1, 2].map(|_| experienced());
+    let parts = prompt(&[1, 2, 942]);
+    first.record_crash(ms(READY), engine(0), None, whole(&parts, 9));
+    second.record_crash(ms(READY), engine(1), None, whole(&parts, 9));
+    first.record_crash(ms(READY), engine(2), None, whole(&parts, 9));
+    let reports = [report("g1", first.report(ms(READY))), report("g2", second.report(ms(READY)))];
+    first.apply_reports(ms(READY), &name("g1"), &reports);
+    assert_eq!(first.update(ms(READY + SETTLED)).len(), 1);
+    let reports = [report("g1", first.report(ms(READY + SETTLED)))];
+    let mut third = quarantine::Quarantine::new(8);
+    third.apply_reports(ms(READY + SETTLED), &name("g3"), &reports);
+    assert_eq!(third.held_parts(whole(&parts, 9)).len(), 1);
+}
+
+/// Guards against memory that grows with each request.
+#[test]
+fn endless_distinct_requests_are_not_remembered() {
+    let mut quarantine = experienced();
+    let parts = prompt(&[1, 2, 943]);
+    for content in 0..50_000 {
+        quarantine.record_sound(ms(READY + content), whole(&parts, content));
+        quarantine.record_crash(
+            ms(READY + content),
+            engine(content % 600),
+            None,
+            whole(&parts, content),
+        );
+    }
+    let report = quarantine.report(ms(READY + 50_000));
+    let suspects: usize = report.crashes.iter().map(|crash| crash.suspects.len()).sum();
+    assert!(report.crashes.len() <= 16 && suspects <= 16 * 48, "{suspects}");
+    assert!(format!("{quarantine:?}").len() < 4 << 20, "its state is bounded");
+}
+
 #[test]
 fn sound_parts_are_not_held_after_many_engines_crash_at_once() {
     let mut quarantine = experienced();
@@ -91,7 +176,7 @@
         }
     }
     let changes = quarantine.update(ms(READY + 3_000));
-    assert_eq!(changes.iter().map(|change| change.part).collect::<Vec<_>>(), [66]);
+    assert_eq!(changes.iter().map(|change| change.suspect).collect::<Vec<_>>(), [66]);
 }
 
 #[test]
@@ -132,7 +217,7 @@
     for (gateway, own) in [(&mut first, &names[0]), (&mut second, &names[1])] {
         gateway.apply_reports(now, own, &reports);
         let changes = gateway.update(ms(READY + SETTLED));
-        assert_eq!(changes.iter().map(|change| change.part).collect::<Vec<_>>(), [66]);
+        assert_eq!(changes.iter().map(|change| change.suspect).collect::<Vec<_>>(), [66]);
     }
     // A gateway that starts later, also under a name that it had, holds what was held.
     let now = ms(READY + SETTLED);
