headers: an answer that names no request belongs to none

Cause: the code assumed that refusals may lack the id.

Change: an answer to a call with an id counts only if it names that id, whatever its status. Otherwise the call is broken, nothing is concluded from its headers (notices included), and the connection is not used again.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -20,8 +20,8 @@
 /// Properties of an upstream's answer that its head reveals.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct AnswerHead {
-    /// Whether the answer names another request, so that it belongs to an earlier one on the
-    /// connection.
+    /// Whether the answer does not name the request, so that it belongs to an earlier one on the
+    /// connection, or to none. Nothing is concluded from it.
     pub is_mismatched: bool,
     /// Whether the answer carries the upstream's mark. A success without it is not the upstream's
     /// and counts as broken.
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -114,12 +114,12 @@
             instance: request_call.instance.clone(),
             started_ms: request_call.started_ms,
         };
-        self.report_notice(process, &head).await;
-        // The answer belongs to an earlier request on the connection. Dropping the connection also
-        // drops the answer that is still to come.
+        // The answer belongs to an earlier request on the connection, or to none. Dropping the connection
+        // also drops the answer that is still to come.
         if head.is_mismatched {
             return broken(gateway::BreakCause::Invalid);
         }
+        self.report_notice(process, &head).await;
         if head.not_run || head.wrong_instance {
             let outcome = gateway::Outcome::NotRun {
                 elsewhere: head.wrong_instance,
