--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -86,7 +86,7 @@
 const FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// Runs a gateway until it is asked to stop and its callers' connections have ended, at most
-/// `stop_ms` after the signal. `file` is the settings file that a reload reads.
+/// `stop_ms` and [`FLUSH_TIME`] after the signal. `file` is the settings file that a reload reads.
 ///
 /// # Errors
 /// Fails if one of its addresses cannot be listened on.
