settings: capacity of the instance, from which a gateway's weight follows

Cause: all gateways had the weight 100, so that on fleets of unequal instances the one with 0.07 cores and 10 Mbit/s read the store and formed batches for its failure domain as often as the one with 0.5 cores.

Change: the settings state what the instance gives the process (processor, link, memory, descriptors), and the weight follows from processor and link unless it is set.

--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -49,7 +49,7 @@
         instance: settings.instance.clone(),
         address: settings.peer_listen,
         domain: settings.domain.clone(),
-        weight: settings.weight,
+        weight: settings.effective_weight(),
     };
     let reader = StoreReader {
         store: store.clone(),
--- a/lib/src/gateway_settings.rs
+++ b/lib/src/gateway_settings.rs
@@ -35,9 +35,13 @@
     /// Interval between two reads of the store.
     #[serde(default = "default_poll")]
     pub poll_ms: unit::Millis,
-    /// Share of the batches that this gateway forms, relative to the weights of other gateways.
-    #[serde(default = "default_weight")]
-    pub weight: u32,
+    /// Share of the common work of gateways that this one does, relative to the weights of others:
+    /// forming batches and reading the store. If `None`, it follows from [`Self::capacity`].
+    #[serde(default)]
+    pub weight: Option<u32>,
+    /// What the instance gives the process.
+    #[serde(default)]
+    pub capacity: Capacity,
     /// On a stop, time for which new connections are still accepted, until the balancer has removed
     /// the gateway.
     #[serde(default = "default_notice")]
@@ -47,12 +51,49 @@
     pub stop_ms: unit::Millis,
 }
 
-fn default_retry_share() -> unit::Share {
-    unit::Share(0.1)
+impl Settings {
+    /// Returns the share of the common work of gateways that this one does.
+    pub fn effective_weight(&self) -> u32 {
+        self.weight.unwrap_or_else(|| self.capacity.weight())
+    }
 }
 
-fn default_weight() -> u32 {
-    100
+/// What an instance gives the process that runs on it.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(default)]
+pub struct Capacity {
+    /// Part of a processor core.
+    pub cpu_share: f64,
+    /// Rate of the network link, in megabits per second.
+    pub link_mbps: f64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Number of file descriptors that the process may open.
+    pub max_files: usize,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        Self { cpu_share: 1.0, link_mbps: 1_000.0, memory_mb: 1_024, max_files: 8_192 }
+    }
+}
+
+/// Weight of a gateway with a whole core.
+const CORE_WEIGHT: f64 = 1_000.0;
+/// Link rate from which the processor, not the link, limits the common work.
+const SUFFICIENT_LINK_MBPS: f64 = 100.0;
+
+impl Capacity {
+    /// Returns the weight of a gateway with this capacity. A slow link delays the reads that other
+    /// gateways wait for, so it reduces the weight as a slow processor does.
+    fn weight(&self) -> u32 {
+        let link_share = (self.link_mbps / SUFFICIENT_LINK_MBPS).min(1.0);
+        (CORE_WEIGHT * self.cpu_share * link_share).clamp(1.0, f64::from(u32::MAX)) as u32
+    }
+}
+
+fn default_retry_share() -> unit::Share {
+    unit::Share(0.1)
 }
 
 fn default_poll() -> unit::Millis {
--- /dev/null
+++ b/lib/tests/test_gateway_settings.rs
@@ -0,0 +1,31 @@
+//! Settings of a gateway that follow from other settings.
+
+use bramleyshelf_lib::gateway_settings;
+
+/// Settings with the given `capacity` section and, if not empty, further fields.
+fn settings(capacity: &str, further: &str) -> gateway_settings::Settings {
+    let text = format!(
+        r#"{{
+            "instance": "g1", "listen": "127.0.0.1:1", "probe_listen": "127.0.0.1:2",
+            "metrics_listen": "127.0.0.1:3", "peer_listen": "127.0.0.1:4", "domain": "a",
+            "regions": {{"a": "north"}}, "store": "127.0.0.1:5", "capacity": {capacity}{further}
+        }}"#
+    );
+    serde_json::from_str(&text).expect("the settings are valid")
+}
+
+/// Guards against a slow link on the instance that reads the store for its failure domain: it would
+/// delay the reads that all other gateways there wait for.
+#[test]
+fn weight_of_small_instance_is_a_fraction() {
+    let large = settings(r#"{"cpu_share": 0.5, "link_mbps": 200.0}"#, "");
+    let small = settings(r#"{"cpu_share": 0.09, "link_mbps": 10.0}"#, "");
+    assert!(small.effective_weight() * 20 < large.effective_weight());
+    assert!(small.effective_weight() >= 1);
+}
+
+#[test]
+fn weight_that_is_set_overrides_capacity() {
+    let set = settings(r#"{"cpu_share": 0.09}"#, r#", "weight": 7"#);
+    assert_eq!(set.effective_weight(), 7);
+}
