regions: routes and teams may be restricted to regions

Cause: operators must be able to keep requests of a route or a team in certain regions. Gateways chose upstreams by distance, load and cached prompts alone.

Change: `allowed_regions` of a route and of a tenant become a `table::RegionBound`. A restricted request with stages is served whole in one region. Without one, it is refused at once as not run, with a Retry-After only if the upstreams are ejected or paused. When a newer table comes into force, requests in progress obey it as well as the one of their arrival; stages in an excluded region are given up and run again in an allowed one.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -524,14 +524,16 @@
         notice.is_leaving && !std::mem::replace(&mut upstream.entry.leaving, true)
     }
 
-    /// Returns how long all upstreams of a service that are not leaving want no calls; `None` if one
-    /// takes calls, or there are none.
+    /// Returns how long all eligible upstreams of a service that are not leaving want no calls; `None`
+    /// if one takes calls, or there are none.
     pub fn service_pause(
         &self,
         now: time::Duration,
         service: &id::ServiceId,
+        is_eligible: impl Fn(&Upstream) -> bool,
     ) -> Option<time::Duration> {
-        let ends = self.service_upstreams(service).map(|(_, up)| up.pause_end);
+        let eligible = self.service_upstreams(service).filter(|(_, up)| is_eligible(up));
+        let ends = eligible.map(|(_, up)| up.pause_end);
         Some(ends.min()?.saturating_sub(now)).filter(|pause| !pause.is_zero())
     }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 mod groups;
 mod holds;
 mod messages;
+mod regions;
 mod request;
 mod stages;
 
@@ -286,6 +287,7 @@
         }
         self.table = table;
         self.has_table = true;
+        self.rebind_requests(effects);
     }
 
     /// Prepares for lists that are older than the ones before.
@@ -397,19 +399,19 @@
         self.refuse_for(id, kind, message, delay.unwrap_or(admission::MIN_RETRY_DELAY), effects);
     }
 
-    /// Ends a request like [`Self::refuse`]; its caller may try again after `delay`.
+    /// Ends a request like [`Self::refuse`]; its caller may try again after `delay`, if there is one.
     fn refuse_for(
         &mut self,
         id: id::RequestId,
         kind: refusal::Kind,
         message: &str,
-        delay: time::Duration,
+        delay: impl Into<Option<time::Duration>>,
         effects: &mut Vec<Effect>,
     ) {
         let Some(request) = self.requests.get(&id) else { return };
         let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
         let refusal = refusal::Refusal::new(kind, ran, message);
-        let retry_after = Some(delay).filter(|_| ran == refusal::Ran::No);
+        let retry_after = delay.into().filter(|_| ran == refusal::Ran::No);
         log_refusal(&request.external_id, &refusal, retry_after, effects);
         if !request.has_started {
             effects.push(Effect::Refuse { request: id, refusal, retry_after });
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -11,7 +11,6 @@
 use crate::placement;
 use crate::quarantine;
 use crate::refusal;
-use crate::roster;
 use crate::table;
 use crate::telemetry;
 
@@ -98,7 +97,8 @@
         let Some(service) = route.pick_service(draw) else {
             return Err(reject(Kind::NoUpstream, "the route names no service"));
         };
-        let regions = self.regions_for(route);
+        let bound = request::initial_bound(route, team.as_ref());
+        let regions = self.regions_for(route, service, &bound);
         let now = self.now.mono;
         let region = self.region_with_engine(service, &arrival.prompt_parts, &regions);
         let region = region.or_else(|| regions.first().cloned());
@@ -106,11 +106,12 @@
         let mut request =
             request::Request::new(now, arrival, route, team.as_ref(), service.clone(), region)
                 .map_err(|message| reject(Kind::BadRequest, message))?;
+        self.check_servable(&request, &regions)?;
         if self.fleet.service_upstreams(service).next().is_none() {
             return Err(reject(Kind::NoUpstream, "no upstream of the service is known"));
         }
         // Stages take time, so a pause may be over by the time that their results are there.
-        if let Some(pause) = self.fleet.service_pause(now, service)
+        if let Some(pause) = self.answer_pause(&request)
             && (route.stages.is_empty() || now + pause >= request.deadline)
         {
             let rejection = reject(Kind::NoUpstream, calls::PAUSED_MESSAGE);
@@ -133,20 +134,6 @@
         Ok((request, estimate))
     }
 
-    /// Returns the regions that have an upstream for each stage of a route, this gateway's own
-    /// region first. Upstreams that are leaving or ejected do not count.
-    fn regions_for(&self, route: &table::Route) -> Vec<id::RegionId> {
-        let now = self.now.mono;
-        let can_serve = |region: &id::RegionId| {
-            route.stages.iter().all(|stage| {
-                let service = stage.service.clone();
-                let pool = roster::PoolId { service, region: region.clone() };
-                self.fleet.pool_upstreams(&pool).any(|(_, up)| !up.health.is_ejected(now))
-            })
-        };
-        self.fleet.regions().into_iter().filter(can_serve).collect()
-    }
-
     /// Returns the region of the engine that all gateways prefer for a prompt, if the prompt is
     /// worth the distance and the region has an upstream for each stage.
     fn region_with_engine(
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -67,12 +67,18 @@
             self.refuse(id, Kind::DeadlineExceeded, "the time for the answer is over", effects);
             return;
         }
+        if !request.may_stay() {
+            if self.move_request(id, effects) {
+                self.advance(id, effects);
+            }
+            return;
+        }
         let Some((choice, reason)) = self.choose_upstream(request) else {
-            match self.fleet.service_pause(self.now.mono, &request.service) {
-                Some(pause) => {
-                    self.refuse_for(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects);
-                }
-                None => self.refuse(id, Kind::NoUpstream, "no upstream takes work", effects),
+            if let Some(pause) = self.answer_pause(request) {
+                self.refuse_for(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects);
+            } else {
+                let delay = self.retry_delay(request);
+                self.refuse_for(id, Kind::NoUpstream, "no upstream takes work", delay, effects);
             }
             return;
         };
@@ -177,7 +183,9 @@
         results: &[request::StoredResult],
     ) -> Vec<placement::Candidate> {
         let now = self.now.mono;
-        let is_open = |up: &(&id::InstanceId, &fleet::Upstream)| !up.1.is_paused(now);
+        let is_open = |up: &(&id::InstanceId, &fleet::Upstream)| {
+            !up.1.is_paused(now) && self.may_answer(request, up.1)
+        };
         let all: Vec<_> = self.fleet.service_upstreams(&request.service).filter(is_open).collect();
         let is_untried = |up: &&(&id::InstanceId, &fleet::Upstream)| !request.tried.contains(up.0);
         let is_usable = |up: &&(&id::InstanceId, &fleet::Upstream)| up.1.is_usable(now);
--- /dev/null
+++ b/lib/src/gateway/regions.rs
@@ -0,0 +1,182 @@
+//! Regions in which a request may be served: those that its route and its team allow and that have
+//! the upstreams it needs. Only the reducer of the gateway uses this module.
+
+use crate::admission;
+use crate::fleet;
+use crate::gateway;
+use crate::gateway::arrivals;
+use crate::gateway::calls;
+use crate::gateway::request;
+use crate::id;
+use crate::refusal;
+use crate::roster;
+use crate::table;
+use crate::telemetry;
+
+/// Why a request is refused that no region may serve.
+const NO_REGION_MESSAGE: &str = "no region that the route and the team allow has the upstreams";
+
+impl gateway::Gateway {
+    /// Returns the allowed regions that have an upstream for each stage of a route, this gateway's
+    /// own region first. Upstreams that are leaving or ejected do not count. For a restricted
+    /// request, a region must also have an upstream that answers and is not paused, as everything is
+    /// done in one region.
+    pub(super) fn regions_for(
+        &self,
+        route: &table::Route,
+        service: &id::ServiceId,
+        bound: &table::RegionBound,
+    ) -> Vec<id::RegionId> {
+        let now = self.now.mono;
+        let is_sound = |up: &fleet::Upstream| !up.health.is_ejected(now);
+        let is_open = |up: &fleet::Upstream| !up.is_paused(now);
+        self.find_regions(route, service, bound, is_sound, is_open)
+    }
+
+    /// Returns the allowed regions in which each stage has an upstream that satisfies a condition and,
+    /// for a restricted request, the service has one that satisfies another.
+    fn find_regions(
+        &self,
+        route: &table::Route,
+        service: &id::ServiceId,
+        bound: &table::RegionBound,
+        is_sound: impl Fn(&fleet::Upstream) -> bool,
+        is_open: impl Fn(&fleet::Upstream) -> bool,
+    ) -> Vec<id::RegionId> {
+        let has_stages = |region: &id::RegionId| {
+            route.stages.iter().all(|stage| {
+                let pool = pool_of(&stage.service, region);
+                self.fleet.pool_upstreams(&pool).any(|(_, up)| is_sound(up))
+            })
+        };
+        let has_answerer = |region: &id::RegionId| {
+            self.fleet.pool_upstreams(&pool_of(service, region)).any(|(_, up)| is_open(up))
+        };
+        let regions = self.fleet.regions().into_iter().filter(|region| bound.allows(region));
+        regions
+            .filter(has_stages)
+            .filter(|region| !bound.is_restricted() || has_answerer(region))
+            .collect()
+    }
+
+    /// Checks that a request that arrives can be served in an allowed region. `regions` are those
+    /// that [`Self::regions_for`] has found.
+    ///
+    /// # Errors
+    /// Fails if no region can serve it. The caller is told to try again only if a region exists whose
+    /// upstreams are unavailable for the moment.
+    pub(super) fn check_servable(
+        &self,
+        request: &request::Request,
+        regions: &[id::RegionId],
+    ) -> Result<(), admission::Rejection> {
+        if !regions.is_empty() || !request.bound.is_restricted() {
+            return Ok(());
+        }
+        let is_allowed = |up: &fleet::Upstream| {
+            self.fleet.region(&up.entry.domain).is_some_and(|region| request.bound.allows(region))
+        };
+        let pause = self.fleet.service_pause(self.now.mono, &request.service, is_allowed);
+        let message = if pause.is_some() { calls::PAUSED_MESSAGE } else { NO_REGION_MESSAGE };
+        let rejection = arrivals::reject(refusal::Kind::NoUpstream, message);
+        let delay = rejection.retry_after.max(pause);
+        let retry_after = delay.filter(|_| self.retry_delay(request).is_some());
+        Err(admission::Rejection { retry_after, ..rejection })
+    }
+
+    /// Returns the delay after which the caller of a request may try again for which no upstream is
+    /// available now; `None` if no region has the upstreams that it needs.
+    pub(super) fn retry_delay(&self, request: &request::Request) -> Option<std::time::Duration> {
+        let (route, bound) = (&request.route, &request.bound);
+        let is_hopeless = bound.is_restricted()
+            && self.find_regions(route, &request.service, bound, |_| true, |_| true).is_empty();
+        (!is_hopeless).then_some(admission::MIN_RETRY_DELAY)
+    }
+
+    /// Returns whether an upstream of its service may answer a request. A restricted request that
+    /// has stages is answered in their region.
+    pub(super) fn may_answer(&self, request: &request::Request, up: &fleet::Upstream) -> bool {
+        if !request.bound.is_restricted() {
+            return true;
+        }
+        let Some(region) = self.fleet.region(&up.entry.domain) else { return false };
+        request.bound.allows(region) && (request.stages.is_empty() || *region == request.region)
+    }
+
+    /// Returns how long all upstreams that may answer a request want no calls; `None` if one takes
+    /// calls, or there are none.
+    pub(super) fn answer_pause(&self, request: &request::Request) -> Option<std::time::Duration> {
+        let may_answer = |up: &fleet::Upstream| self.may_answer(request, up);
+        self.fleet.service_pause(self.now.mono, &request.service, may_answer)
+    }
+
+    /// Applies the table in force to the requests in progress. A request obeys the table of its
+    /// arrival and the one in force.
+    pub(super) fn rebind_requests(&mut self, effects: &mut Vec<gateway::Effect>) {
+        let table = std::sync::Arc::clone(&self.table);
+        for request in self.requests.values_mut() {
+            let bound = bound_in(&table, request);
+            request.bound = request.arrival_bound.intersect(&bound);
+        }
+        self.move_requests(effects);
+    }
+
+    /// Moves requests that wait for stages in a region in which these may not go on. A request whose
+    /// call is in flight is left until the call has ended.
+    pub(super) fn move_requests(&mut self, effects: &mut Vec<gateway::Effect>) {
+        let is_moved = |request: &request::Request| request.call.is_none() && !request.may_stay();
+        let moved = self.requests.iter().filter(|(_, request)| is_moved(request));
+        let moved: Vec<_> = moved.map(|(id, _)| *id).collect();
+        for id in moved {
+            self.advance(id, effects);
+        }
+    }
+
+    /// Has all stages of a request computed again in a region that may serve it, or refuses the
+    /// request. Its results are freed, as nothing outside its regions may be used for it. Returns
+    /// whether it goes on.
+    pub(super) fn move_request(
+        &mut self,
+        id: id::RequestId,
+        effects: &mut Vec<gateway::Effect>,
+    ) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let regions = self.regions_for(&request.route, &request.service, &request.bound);
+        let Some(region) = regions.into_iter().next() else {
+            let delay = self.retry_delay(request);
+            self.refuse_for(id, refusal::Kind::NoUpstream, NO_REGION_MESSAGE, delay, effects);
+            return false;
+        };
+        let request = request.clone();
+        let line = telemetry::Line::new("request_moved")
+            .with("request", &request.external_id)
+            .with("from", &request.region)
+            .with("to", &region);
+        effects.push(gateway::Effect::Log(line));
+        self.drop_groups(&request, effects);
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        request.region = region;
+        for result in request.reset_all() {
+            self.free_result(result);
+        }
+        true
+    }
+}
+
+fn pool_of(service: &id::ServiceId, region: &id::RegionId) -> roster::PoolId {
+    roster::PoolId { service: service.clone(), region: region.clone() }
+}
+
+/// Returns the regions in which a table allows a request that arrived under an earlier one. Its route
+/// and team are looked up as for a new request and by their names, and all that is found holds.
+fn bound_in(table: &table::Table, request: &request::Request) -> table::RegionBound {
+    let by_path = table.find_route(&request.host, &request.path);
+    let by_name = table.routes.iter().filter(|route| route.name == request.route.name);
+    let routes = by_path.into_iter().chain(by_name).map(|route| &route.allowed_regions);
+    let all_teams = table.teams.iter().flat_map(|teams| teams.values());
+    let by_team = all_teams.filter(|team| Some(&team.name) == request.team.as_ref());
+    let credential = request.credential.as_ref();
+    let by_credential = credential.and_then(|credential| table.team(credential));
+    let teams = by_credential.into_iter().chain(by_team).map(|team| &team.allowed_regions);
+    routes.chain(teams).fold(table::RegionBound::default(), |all, bound| all.intersect(bound))
+}
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -56,6 +56,14 @@
     pub service: id::ServiceId,
     /// Region in which its stages run.
     pub region: id::RegionId,
+    /// Host that it names, by which later tables are searched for its route.
+    pub host: String,
+    /// Path of the request, for the same purpose.
+    pub path: String,
+    /// Regions that the table on its arrival allows.
+    pub arrival_bound: table::RegionBound,
+    /// Regions that the table on its arrival and the one in force both allow.
+    pub bound: table::RegionBound,
     /// Team of the caller; `None` if the route needs no credential.
     pub team: Option<id::TeamId>,
     /// Credential that has to be valid whenever a call is made; `None` if none is needed.
@@ -116,12 +124,17 @@
         region: id::RegionId,
     ) -> Result<Self, String> {
         let stages = initial_pieces(route, arrival)?;
+        let bound = initial_bound(route, team);
         let budget = arrival.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
         Ok(Self {
             external_id: arrival.external_id.clone(),
             route: sync::Arc::clone(route),
             service,
             region,
+            host: arrival.host.clone(),
+            path: arrival.path.clone(),
+            arrival_bound: bound.clone(),
+            bound,
             team: team.map(|team| team.name.clone()),
             credential: team.and(arrival.credential.clone()),
             rank: team.and_then(|team| team.rank).unwrap_or(route.rank),
@@ -235,6 +248,20 @@
         self.stage_results(0..self.stages.len())
     }
 
+    /// Returns whether its stages may go on in its region.
+    pub fn may_stay(&self) -> bool {
+        self.stages.is_empty() || self.bound.allows(&self.region)
+    }
+
+    /// Marks all pieces as pending again, and returns the results that are no longer used.
+    pub fn reset_all(&mut self) -> Vec<StoredResult> {
+        let results = self.all_results();
+        for piece in self.stages.iter_mut().flatten() {
+            *piece = Piece::Pending;
+        }
+        results
+    }
+
     /// Marks the results of a stage as freed and returns them, so that the caller frees them.
     pub fn take_results(&mut self, stage: usize) -> Vec<StoredResult> {
         let results = self.stage_results(std::iter::once(stage));
@@ -288,6 +315,15 @@
     }
 }
 
+/// Returns the regions in which the table allows requests of a route and team.
+pub fn initial_bound(route: &table::Route, team: Option<&table::Team>) -> table::RegionBound {
+    let of_team = team.map(|team| &team.allowed_regions);
+    of_team.map_or_else(
+        || route.allowed_regions.clone(),
+        |of_team| route.allowed_regions.intersect(of_team),
+    )
+}
+
 /// Makes the initial state of the pieces that a caller asks for, or returns a message for the
 /// caller.
 fn initial_pieces(
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -35,6 +35,9 @@
         if request.call.is_some() {
             return;
         }
+        if !request.may_stay() && !self.move_request(id, effects) {
+            return;
+        }
         self.free_used_results(id);
         let Some(request) = self.requests.get(&id) else { return };
         // Starting one stage can make another one ready: see `ready_stages` on heavy results.
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -62,6 +62,41 @@
     /// Rank of its requests, which overrides that of the route; 0 is the highest priority. `None`
     /// keeps the rank of the route.
     pub rank: Option<u8>,
+    /// Regions in which its requests may be served.
+    #[serde(default)]
+    pub allowed_regions: RegionBound,
+}
+
+/// Regions in which requests may be served: all of them, or only the listed ones.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(transparent)]
+pub struct RegionBound(Option<collections::BTreeSet<id::RegionId>>);
+
+impl RegionBound {
+    /// Makes a bound that allows only the given regions, and nothing if there are none.
+    pub fn only(regions: impl IntoIterator<Item = id::RegionId>) -> Self {
+        Self(Some(regions.into_iter().collect()))
+    }
+
+    /// Returns whether any region is excluded.
+    pub fn is_restricted(&self) -> bool {
+        self.0.is_some()
+    }
+
+    /// Returns whether requests may be served in a region.
+    pub fn allows(&self, region: &id::RegionId) -> bool {
+        self.0.as_ref().is_none_or(|allowed| allowed.contains(region))
+    }
+
+    /// Returns the bound that allows what both allow.
+    #[must_use]
+    pub fn intersect(&self, other: &Self) -> Self {
+        match (&self.0, &other.0) {
+            (Some(a), Some(b)) => Self(Some(a.intersection(b).cloned().collect())),
+            (Some(_), None) => self.clone(),
+            (None, _) => other.clone(),
+        }
+    }
 }
 
 /// Limits on requests.
@@ -138,6 +173,9 @@
     pub is_public: bool,
     /// Stages that have to be done before an upstream can answer a request.
     pub stages: Vec<Stage>,
+    /// Regions in which the requests may be served.
+    #[serde(default)]
+    pub allowed_regions: RegionBound,
 }
 
 /// A stage of requests that consists of independent pieces.
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -24,6 +24,7 @@
         split: vec![(name("app"), 1)],
         is_public: false,
         stages: Vec::new(),
+        allowed_regions: table::RegionBound::default(),
     })
 }
 
@@ -50,7 +51,11 @@
     };
     let plain = table::Service { max_connections: 64, ..table::Service::default() };
     let stage = table::Service { batching: Some(batching), ..plain.clone() };
-    let team = table::Team { name: name("ski"), rank: None };
+    let team = table::Team {
+        name: name("ski"),
+        rank: None,
+        allowed_regions: table::RegionBound::default(),
+    };
     sync::Arc::new(table::Table {
         version: table::Version(version),
         routes: vec![
--- a/lib/tests/test_gateway_affinity.rs
+++ b/lib/tests/test_gateway_affinity.rs
@@ -44,6 +44,7 @@
         split: vec![(name("llm"), 1)],
         is_public: true,
         stages: vec![stage],
+        allowed_regions: table::RegionBound::default(),
     };
     let engine = table::Engine { slots: 64, token_capacity: 400_000 };
     let plain = table::Service { max_connections: 64, ..table::Service::default() };
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -39,6 +39,37 @@
     relay::Snapshot::new(sent, store_era::Era(1), table, fleet, vec![peer("g1", "a")].into())
 }
 
+/// Guards against a bound that gets lost on the way to a gateway that reads through another one.
+#[test]
+fn response_keeps_the_bounds_of_routes_and_teams() {
+    let bounds: [table::RegionBound; 3] = [
+        table::RegionBound::default(),
+        table::RegionBound::only(["east", "west"].map(|region| region.parse().expect("a name"))),
+        table::RegionBound::only([]),
+    ];
+    for bound in bounds {
+        let reads = snapshot(at(1_000), 3, &["u1"]);
+        let team = table::Team {
+            name: "ski".parse().expect("a name"),
+            rank: None,
+            allowed_regions: bound.clone(),
+        };
+        let teams = [(table::Credential("key".into()), team)].into_iter().collect();
+        let table = table::Table { teams: Some(teams), ..(*reads.table.table).clone() };
+        let table = relay::KnownTable { table: sync::Arc::new(table), ..reads.table };
+        let fleet = reads.fleet.to_vec();
+        let reads = relay::Snapshot::new(reads.sent, reads.era, table, fleet, reads.gateways);
+        let request = relay::Snapshot::to_request(None);
+        let response = reads.to_response(at(1_100), request).expect("it is fresh");
+        let bytes = rmp_serde::to_vec(&response).expect("it can be encoded");
+        let response = rmp_serde::from_slice(&bytes).expect("it can be decoded");
+        let received =
+            relay::Snapshot::from_response(at(1_100), response, None).expect("it is whole");
+        let team = received.table.table.team(&table::Credential("key".into())).cloned();
+        assert_eq!(team.map(|team| team.allowed_regions), Some(bound));
+    }
+}
+
 #[test]
 fn response_never_appears_younger_than_it_is() {
     quickcheck::quickcheck(is_conservative as fn(u32, u16, u16, u16) -> bool);
