engine_pace: gateways learn the speeds of engines and share them in their failure domain

Cause: on a fleet whose engines have 0.6, 1.0 and 1.6 times the usual speed, all were preferred for as many prompt parts.

Change: each relayed stream is a sample of the time between the events of its engine; samples above the known pace count less, as other work on the engine makes streams slower. Gateways send their samples to the one that reads the store for their failure domain, once a second, and get back what has changed. The faster of two engines by rendezvous hash is preferred for a part, so that fast engines get more parts and gateways that disagree divide a part among two engines at most.

--- /dev/null
+++ b/lib/src/engine_pace/exchange.rs
@@ -0,0 +1,111 @@
+//! Exchange of paces within a failure domain: each gateway sends its measurements to the one that
+//! reads the store for the domain, and gets back what has changed there.
+//!
+//! If that gateway fails, the others go on with what they know and measure, until another one is
+//! chosen. A message that is lost loses some measurements.
+
+use std::time;
+
+use tokio::sync::{mpsc, watch};
+
+use crate::clock;
+use crate::clock::Clock as _;
+use crate::engine_pace;
+use crate::gateway;
+use crate::gateway_peers;
+use crate::gateway_reads;
+use crate::gateway_settings;
+use crate::id;
+use crate::relay;
+use crate::roster;
+use crate::upstream_pool;
+
+/// Version of the messages; a gateway refuses other versions.
+pub const VERSION: u16 = 1;
+/// Path for messages of type `Request`.
+pub const PATH: &str = "/relay/paces";
+/// Pause between two exchanges.
+const INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Measurements of a gateway.
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+pub struct Request {
+    /// Version of the message format.
+    pub version: u16,
+    /// State of the receiver's paces that the sender knows.
+    pub known: engine_pace::KnownState,
+    /// What the sender has measured since its last message.
+    pub measured: Vec<(id::InstanceId, engine_pace::Pace)>,
+}
+
+/// Paces that have changed at the receiver of a [`Request`].
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+pub struct Response {
+    /// Version of the message format.
+    pub version: u16,
+    /// State to name in the next request.
+    pub known: engine_pace::KnownState,
+    /// Paces that have changed after the state that the request named.
+    pub changed: Vec<(id::InstanceId, engine_pace::Pace)>,
+}
+
+/// Handles the measurements of another gateway.
+pub fn respond(
+    now: time::Duration,
+    paces: &engine_pace::SharedPaces,
+    request: &Request,
+) -> Response {
+    paces.with(|paces| {
+        for (engine, pace) in &request.measured {
+            paces.record(now, engine, *pace);
+        }
+        let (changed, known) = paces.changes_since(request.known);
+        Response { version: VERSION, known, changed }
+    })
+}
+
+/// Starts the task that exchanges paces with another gateway and passes them to the event loop.
+pub fn spawn(
+    settings: &gateway_settings::Settings,
+    clock: clock::SystemClock,
+    paces: engine_pace::SharedPaces,
+    newest: watch::Receiver<Option<relay::Snapshot>>,
+    events: mpsc::Sender<gateway::Event>,
+) {
+    let me = gateway_reads::own_peer(settings);
+    tokio::spawn(run(me, clock, paces, newest, events));
+}
+
+async fn run(
+    me: roster::Peer,
+    clock: clock::SystemClock,
+    paces: engine_pace::SharedPaces,
+    newest: watch::Receiver<Option<relay::Snapshot>>,
+    events: mpsc::Sender<gateway::Event>,
+) {
+    let pool = upstream_pool::Pool::default();
+    let readers = relay::ReaderSelector::new(me.instance, me.domain);
+    let mut known = engine_pace::KnownState::default();
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let peers =
+            newest.borrow().as_ref().map(|reads| reads.gateways.peers.clone()).unwrap_or_default();
+        if let Some(peer) = readers.reader(clock.now().mono, &peers) {
+            let measured = paces.with(engine_pace::Paces::take_unsent);
+            let request = Request { version: VERSION, known, measured };
+            let response = gateway_peers::exchange_paces(&pool, peer.address, &request).await;
+            if let Some(response) = response {
+                known = response.known;
+                paces.with(|paces| {
+                    for (engine, pace) in response.changed {
+                        paces.adopt(clock.now().mono, engine, pace);
+                    }
+                });
+            }
+        }
+        let known = paces.with(|paces| paces.known(clock.now().mono));
+        if events.send(gateway::Event::EnginesPaced(known)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::net;
 use std::time;
 
+use crate::engine_pace;
 use crate::gateway;
 use crate::id;
 use crate::outlier;
@@ -107,6 +108,9 @@
     slowness: f64,
     /// When the last sample was taken.
     slowness_at: time::Duration,
+    /// Time between the events of its streams relative to the other engines of its service; 1 for an
+    /// upstream without streams.
+    relative_pace: f64,
     /// When the upstream was first missing from the list after a gap, if it is.
     missing_since: Option<time::Duration>,
     /// Results of this gateway's calls that are stored at the upstream.
@@ -138,6 +142,7 @@
             reported_at: time::Duration::ZERO,
             slowness: 1.0,
             slowness_at: time::Duration::ZERO,
+            relative_pace: 1.0,
             missing_since: None,
             results: collections::BTreeMap::new(),
             reserved: unit::ByteSize(0),
@@ -200,6 +205,11 @@
     /// Returns the ratio of the observed to the expected time of its calls. Without new samples it
     /// returns to 1, so that a slow upstream is tried again.
     pub fn slowness(&self, now: time::Duration) -> f64 {
+        self.relative_pace * self.recent_slowness(now)
+    }
+
+    /// Returns the ratio of the observed to the expected time of this gateway's latest calls.
+    fn recent_slowness(&self, now: time::Duration) -> f64 {
         let age = now.saturating_sub(self.slowness_at).as_secs_f64();
         1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_DECAY.as_secs_f64()).exp()
     }
@@ -485,7 +495,7 @@
         let Some(up) = self.upstreams.get_mut(instance) else { return };
         up.health.record_success();
         if let Some(ratio) = ratio {
-            up.slowness = up.slowness(now);
+            up.slowness = up.recent_slowness(now);
             up.slowness += (ratio - up.slowness) * SLOWNESS_SMOOTHING;
             up.slowness_at = now;
         }
@@ -535,6 +545,26 @@
         Some(ends.min()?.saturating_sub(now)).filter(|pause| !pause.is_zero())
     }
 
+    /// Replaces the relative paces of engines. An engine is compared with those of its service.
+    pub fn record_paces(&mut self, paces: Vec<(id::InstanceId, engine_pace::Pace)>) {
+        let mut by_service: collections::BTreeMap<id::ServiceId, Vec<_>> =
+            collections::BTreeMap::new();
+        for (instance, pace) in paces {
+            if let Some(up) = self.upstreams.get(&instance) {
+                by_service.entry(up.entry.service.clone()).or_default().push((instance, pace));
+            }
+        }
+        for engines in by_service.into_values() {
+            let (instances, paces): (Vec<_>, Vec<_>) = engines.into_iter().unzip();
+            let slowness = engine_pace::relative_slowness(&paces);
+            for (instance, slowness) in instances.iter().zip(slowness) {
+                if let Some(up) = self.upstreams.get_mut(instance) {
+                    up.relative_pace = slowness;
+                }
+            }
+        }
+    }
+
     /// Records a load report.
     pub fn record_load(&mut self, now: time::Duration, instance: &id::InstanceId, load: Load) {
         if let Some(up) = self.upstreams.get_mut(instance) {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -195,6 +195,7 @@
             Event::UpstreamNoticed(process, notice) => {
                 self.upstream_noticed(&process, notice, effects);
             }
+            Event::EnginesPaced(paces) => self.fleet.record_paces(paces),
             Event::BatchEnded { batch, outcome, load } => {
                 self.batch_ended(batch, outcome, load, effects);
             }
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -163,7 +163,8 @@
             let region = self.fleet.region(&up.entry.domain);
             up.is_usable(now) && region.is_some_and(|region| regions.contains(region))
         });
-        let engine = placement::preferred_engine(parts, usable.map(|(instance, _)| instance))?;
+        let engines = usable.map(|(instance, up)| (instance, up.slowness(now)));
+        let engine = placement::preferred_engine(parts, engines)?;
         self.fleet.region(&self.fleet.get(engine)?.entry.domain).cloned()
     }
 
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -164,7 +164,7 @@
     /// region of its stages.
     pub(super) fn preferred_engine(&self, request: &request::Request) -> Option<id::InstanceId> {
         let candidates = self.candidates(request, &[]);
-        let engines = candidates.iter().map(|candidate| &candidate.instance);
+        let engines = candidates.iter().map(|candidate| (&candidate.instance, candidate.slowness));
         placement::preferred_engine(&request.prompt_parts, engines).cloned()
     }
 
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -6,6 +6,7 @@
 
 use crate::batch;
 use crate::clock;
+use crate::engine_pace;
 use crate::fleet;
 use crate::handoff;
 use crate::id;
@@ -253,6 +254,8 @@
         /// Load that the upstream reported, if it did.
         load: Option<fleet::Load>,
     },
+    /// Paces of engines as they are known now, from this gateway's streams and those of others.
+    EnginesPaced(Vec<(id::InstanceId, engine_pace::Pace)>),
     /// An answer stated something about the upstream, in its head.
     UpstreamNoticed(upstream_notice::Process, upstream_notice::Notice),
     /// A batch call ended.
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -7,7 +7,10 @@
 use http_body_util::BodyExt as _;
 use tokio::sync::mpsc;
 
+use crate::clock;
+use crate::clock::Clock as _;
 use crate::dialect;
+use crate::engine_pace;
 use crate::event_stream;
 use crate::fleet;
 use crate::gateway;
@@ -55,6 +58,10 @@
     pub peers: upstream_pool::Pool,
     /// Memory for the answers of upstreams.
     pub budget: read_budget::ReadBudget,
+    /// Paces of engines, to which each stream contributes.
+    pub paces: engine_pace::SharedPaces,
+    /// Clock of the paces.
+    pub clock: clock::SystemClock,
     /// Channel to the event loop.
     pub reports: mpsc::Sender<CallReport>,
 }
@@ -74,6 +81,19 @@
 type CallResult = (gateway::Outcome, Option<fleet::Load>);
 
 impl<D: dialect::Dialect> UpstreamClient<D> {
+    /// Makes a client without connections.
+    pub fn new(
+        dialect: D,
+        paces: engine_pace::SharedPaces,
+        clock: clock::SystemClock,
+        reports: mpsc::Sender<CallReport>,
+    ) -> Self {
+        let pool = upstream_pool::Pool::default();
+        let peers = upstream_pool::Pool::default();
+        let budget = read_budget::ReadBudget::new(ANSWERS_BUDGET);
+        Self { dialect, pool, peers, budget, paces, clock, reports }
+    }
+
     /// Sends an event to the event loop.
     pub async fn report(&self, event: gateway::Event) {
         // Fails only while the process stops.
@@ -203,6 +223,7 @@
         let mut share = self.budget.share();
         let (parts, mut body) = response.into_parts();
         let mut stream = None;
+        let mut pace = StreamPace::default();
         // Bytes that complete no event are no progress, so only whole events extend the time.
         let mut event_due = time::Instant::now() + first_timeout;
         let outcome = loop {
@@ -236,6 +257,7 @@
                 break broken(gateway::BreakCause::Invalid);
             }
             let Some(events) = events else { continue };
+            pace.record(splitter.last_id());
             if stream.is_none() {
                 stream = self.begin_stream(request_call, original, &parts).await;
             }
@@ -246,6 +268,9 @@
             }
             event_due = time::Instant::now() + gap_timeout(request_call);
         };
+        let now = self.clock.now().mono;
+        let (events, took) = pace.measured();
+        self.paces.with(|paces| paces.record_stream(now, &request_call.instance, events, took));
         self.end_relay(request_call, original, &parts, stream, &mut splitter, connection, outcome)
             .await
     }
@@ -451,6 +476,31 @@
     }
 }
 
+/// Times of the first and the latest event of a stream.
+#[derive(Debug, Default)]
+struct StreamPace {
+    first: Option<(u64, time::Instant)>,
+    last: Option<(u64, time::Instant)>,
+}
+
+impl StreamPace {
+    /// Records that all events up to the one with the given id were received.
+    fn record(&mut self, last_id: Option<u64>) {
+        let Some(id) = last_id else { return };
+        let event = (id, time::Instant::now());
+        self.first.get_or_insert(event);
+        self.last = Some(event);
+    }
+
+    /// Returns the number of events and the time between the first and the last one.
+    fn measured(&self) -> (u64, time::Duration) {
+        let (Some((first, begun)), Some((last, ended))) = (self.first, self.last) else {
+            return (0, time::Duration::ZERO);
+        };
+        (last.saturating_sub(first) + 1, ended.saturating_duration_since(begun))
+    }
+}
+
 /// Result of reading from a stream.
 enum StreamStep {
     /// The next bytes.
--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -12,6 +12,8 @@
 use crate::clock::Clock as _;
 use crate::dialect;
 use crate::drop_guard;
+use crate::engine_pace;
+use crate::engine_pace::exchange;
 use crate::gateway;
 use crate::gateway_calls;
 use crate::handoff;
@@ -63,6 +65,8 @@
     pub reads: watch::Receiver<Option<relay::Snapshot>>,
     /// Clock by which the age of the reads is computed.
     pub clock: clock::SystemClock,
+    /// Paces of engines.
+    pub paces: engine_pace::SharedPaces,
 }
 
 fn text_response(status: u16, text: &'static str) -> hyper::Response<http::Body> {
@@ -129,6 +133,7 @@
             handoff::PIECES_PATH => self.take_over(&body).await,
             handoff::RELEASE_PATH => self.release(&body).await,
             relay::READS_PATH => self.serve_reads(&body),
+            exchange::PATH => self.exchange_paces(&body),
             _ => Err(PeerRequestError::NoPath),
         };
         result.unwrap_or_else(|e| http::respond(e.status(), "text/plain", e.to_string()))
@@ -167,6 +172,15 @@
         Ok(text_response(200, ""))
     }
 
+    /// Records the paces that another gateway has measured, and answers with those that changed.
+    fn exchange_paces(&self, body: &[u8]) -> Result<hyper::Response<http::Body>, PeerRequestError> {
+        let request: exchange::Request =
+            decode(body, exchange::VERSION, |m: &exchange::Request| m.version)?;
+        let response = exchange::respond(self.clock.now().mono, &self.paces, &request);
+        let body = rmp_serde::to_vec(&response).expect("paces can be encoded");
+        Ok(http::respond(200, MEDIA_TYPE, body))
+    }
+
     /// Answers with the newest reads of the store.
     fn serve_reads(&self, body: &[u8]) -> Result<hyper::Response<http::Body>, PeerRequestError> {
         let request: relay::ReadsRequest =
@@ -186,18 +200,36 @@
     address: net::SocketAddr,
     request: relay::ReadsRequest,
 ) -> Option<relay::ReadsResponse> {
-    let work = async {
-        let request = post(address, relay::READS_PATH, &request);
-        let (response, connection) = pool.send(address, MAX_CONNECTIONS, request).await.ok()?;
-        let is_success = response.status() == 200;
-        let body = http::read_body(response.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await;
-        let body = body.ok()?;
-        connection.release();
-        is_success
-            .then(|| decode(&body, relay::VERSION, |m: &relay::ReadsResponse| m.version).ok())
-            .flatten()
-    };
-    http::with_timeout(READS_TIMEOUT, work).await.flatten()
+    let work = ask(pool, address, relay::READS_PATH, &request);
+    let body = http::with_timeout(READS_TIMEOUT, work).await.flatten()?;
+    decode(&body, relay::VERSION, |m: &relay::ReadsResponse| m.version).ok()
+}
+
+/// Sends another gateway what this one has measured of engines; `None` if it does not answer in
+/// time.
+pub async fn exchange_paces(
+    pool: &upstream_pool::Pool,
+    address: net::SocketAddr,
+    request: &exchange::Request,
+) -> Option<exchange::Response> {
+    let work = ask(pool, address, exchange::PATH, request);
+    let body = http::with_timeout(READS_TIMEOUT, work).await.flatten()?;
+    decode(&body, exchange::VERSION, |m: &exchange::Response| m.version).ok()
+}
+
+/// Sends a message to another gateway and returns the body of its answer; `None` if it refuses.
+async fn ask(
+    pool: &upstream_pool::Pool,
+    address: net::SocketAddr,
+    path: &'static str,
+    message: &impl serde::Serialize,
+) -> Option<bytes::Bytes> {
+    let request = post(address, path, message);
+    let (response, connection) = pool.send(address, MAX_CONNECTIONS, request).await.ok()?;
+    let is_success = response.status() == 200;
+    let body = http::read_body(response.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await.ok()?;
+    connection.release();
+    is_success.then_some(body)
 }
 
 fn post(
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -45,12 +45,7 @@
     events: &mpsc::Sender<gateway::Event>,
     reports: watch::Receiver<crash_report::Report>,
 ) -> tokio::task::JoinHandle<()> {
-    let me = roster::Peer {
-        instance: settings.instance.clone(),
-        address: settings.peer_listen,
-        domain: settings.domain.clone(),
-        weight: settings.effective_weight(),
-    };
+    let me = own_peer(settings);
     let reader = StoreReader {
         store: store.clone(),
         clock,
@@ -66,6 +61,16 @@
     tokio::spawn(announce(store.clone(), me))
 }
 
+/// Returns this gateway as it announces itself.
+pub fn own_peer(settings: &gateway_settings::Settings) -> roster::Peer {
+    roster::Peer {
+        instance: settings.instance.clone(),
+        address: settings.peer_listen,
+        domain: settings.domain.clone(),
+        weight: settings.effective_weight(),
+    }
+}
+
 /// Whether one kind of call to the store succeeds. Logs when calls begin to fail and when they
 /// succeed again, once each, and counts them.
 struct ReadHealth {
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -13,6 +13,8 @@
 use crate::clock::Clock as _;
 use crate::crash_report;
 use crate::dialect;
+use crate::engine_pace;
+use crate::engine_pace::exchange;
 use crate::gateway;
 use crate::gateway_calls;
 use crate::gateway_http;
@@ -22,11 +24,9 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
-use crate::read_budget;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
-use crate::upstream_pool;
 
 /// Interval of the reducer's ticks. Results to free are collected until the next tick.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -125,24 +125,25 @@
         gateway_http::ProbeHandler { ready: ready_receiver, metrics_path: METRICS_PATH };
     tokio::spawn(http::serve(probe_listener, probe_handler.clone(), stopped_receiver.clone()));
     tokio::spawn(http::serve(metrics_listener, probe_handler, stopped_receiver.clone()));
-    let serial = sync::Arc::new(sync::atomic::AtomicU64::new(1));
     let (newest, newest_receiver) = watch::channel(None);
+    let paces = engine_pace::SharedPaces::new(engine_pace::Paces::new(fastrand::u64(..)));
     let peer_handler = gateway_peers::PeerHandler {
         messages: peer_messages,
-        serial,
-        reads: newest_receiver,
+        serial: sync::Arc::new(sync::atomic::AtomicU64::new(1)),
+        reads: newest_receiver.clone(),
         clock,
+        paces: paces.clone(),
     };
     tokio::spawn(http::serve(peer_listener, peer_handler, stopped_receiver));
     let (crash_reports, crash_receiver) = watch::channel(crash_report::Report::default());
     let announcer =
         gateway_reads::spawn(&settings, &store, clock, newest, &read_events, crash_receiver);
+    exchange::spawn(&settings, clock, paces.clone(), newest_receiver, read_events);
     let outputs = Outputs { ready, limits, crash_reports };
-    let mut shell = Shell::new(&settings, clock, dialect, reports, outputs);
-    let mut tick = tokio::time::interval(TICK_INTERVAL);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut prune = tokio::time::interval(PRUNE_INTERVAL);
-    prune.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let client = gateway_calls::UpstreamClient::new(dialect, paces, clock, reports);
+    let mut shell = Shell::new(&settings, clock, client, outputs);
+    let mut tick = delaying_interval(TICK_INTERVAL);
+    let mut prune = delaying_interval(PRUNE_INTERVAL);
     let mut stopping_since = None;
     let mut can_reload = true;
     loop {
@@ -200,6 +201,13 @@
     Ok(())
 }
 
+/// Makes an interval that does not catch up on ticks that a busy loop has missed.
+fn delaying_interval(period: time::Duration) -> tokio::time::Interval {
+    let mut interval = tokio::time::interval(period);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    interval
+}
+
 fn log_start(settings: &gateway_settings::Settings) {
     let line = telemetry::Line::new("start")
         .with("role", "gateway")
@@ -239,17 +247,13 @@
     fn new(
         settings: &gateway_settings::Settings,
         clock: clock::SystemClock,
-        dialect: D,
-        reports: mpsc::Sender<gateway_calls::CallReport>,
+        client: gateway_calls::UpstreamClient<D>,
         outputs: Outputs,
     ) -> Self {
-        let pool = upstream_pool::Pool::default();
-        let peers = upstream_pool::Pool::default();
-        let budget = read_budget::ReadBudget::new(gateway_calls::ANSWERS_BUDGET);
         Self {
             reducer: gateway::Gateway::new(reducer_settings(settings), fastrand::u64(..)),
             clock,
-            client: gateway_calls::UpstreamClient { dialect, pool, peers, budget, reports },
+            client,
             requests: collections::BTreeMap::new(),
             call_tasks: collections::BTreeMap::new(),
             handover_tasks: collections::BTreeMap::new(),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod diagnostic;
 pub mod dialect;
 pub mod drop_guard;
+pub mod engine_pace;
 pub mod entry;
 pub mod entry_http;
 pub mod entry_shell;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -27,6 +27,10 @@
 /// Milliseconds to transfer a megabyte from another region.
 const REMOTE_MS_PER_MB: f64 = 400.0;
 
+/// Ratio of the speeds of two engines from which the faster one is preferred for a part. Engines of
+/// equal speed differ by less in what gateways measure, and parts must not move between them.
+const MIN_SPEED_RATIO: f64 = 1.4;
+
 /// One part of a prompt that engines cache as a unit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PromptPart {
@@ -124,7 +128,7 @@
         parts: &[PromptPart],
         candidates: &[Candidate],
     ) -> Option<Choice> {
-        let engines = candidates.iter().map(|candidate| &candidate.instance);
+        let engines = candidates.iter().map(|candidate| (&candidate.instance, candidate.slowness));
         let preferred = preferred_engine(parts, engines);
         // Other gateways send prompts with the shared parts to the preferred engine, which keeps
         // them in its cache. Every other engine is charged with the time to process them.
@@ -151,11 +155,15 @@
     }
 }
 
-/// Returns the engine that every gateway prefers for the shared parts of a prompt: the one with the
-/// highest rendezvous hash, whatever its load. `None` without parts or engines.
+/// Returns the engine that every gateway prefers for the shared parts of a prompt, whatever its load:
+/// the faster one of the two with the highest rendezvous hash. `engines` come with their slowness.
+/// `None` without parts or engines.
+///
+/// With two engines to choose from, fast engines get more parts than slow ones, and gateways that
+/// disagree about speeds still divide a part among two engines at most.
 pub fn preferred_engine<'a>(
     parts: &[PromptPart],
-    engines: impl Iterator<Item = &'a id::InstanceId>,
+    engines: impl Iterator<Item = (&'a id::InstanceId, f64)>,
 ) -> Option<&'a id::InstanceId> {
     // The last part belongs to a single request or session. Of the shared parts, the one before it
     // is common to the fewest prompts.
@@ -164,8 +172,22 @@
         [only] => only.id,
         [.., shared, _] => shared.id,
     };
-    engines
-        .max_by_key(|engine| xxhash_rust::xxh3::xxh3_64_with_seed(engine.as_str().as_bytes(), key))
+    let mut best: [Option<(u64, &id::InstanceId, f64)>; 2] = [None, None];
+    for (engine, slowness) in engines {
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(engine.as_str().as_bytes(), key);
+        let entry = Some((hash, engine, slowness));
+        let rank = best.iter().position(|other| other.is_none_or(|(other, ..)| hash > other));
+        match rank {
+            Some(0) => best = [entry, best[0]],
+            Some(_) => best[1] = entry,
+            None => {}
+        }
+    }
+    let (_, first, first_slowness) = best[0]?;
+    match best[1] {
+        Some((_, second, slowness)) if slowness * MIN_SPEED_RATIO < first_slowness => Some(second),
+        _ => Some(first),
+    }
 }
 
 /// Returns whether the shared parts of a prompt take longer to process than another region is away,
--- /dev/null
+++ b/lib/tests/test_engine_pace.rs
@@ -0,0 +1,171 @@
+//! Speeds of engines that gateways learn from their streams, and what they do with them.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use bramleyshelf_lib::{engine_pace, fleet, id, placement};
+
+const SERVICE: &str = "models";
+
+fn instance(name: &str) -> id::InstanceId {
+    name.parse().expect("a valid name")
+}
+
+fn millis(value: u64) -> time::Duration {
+    time::Duration::from_millis(value)
+}
+
+/// Streams of `events` events with the given pause between two.
+fn record(paces: &mut engine_pace::Paces, engine: &str, pause_ms: u64, streams: usize) {
+    for _ in 0..streams {
+        let events = 11;
+        paces.record_stream(millis(1), &instance(engine), events, millis(pause_ms * (events - 1)));
+    }
+}
+
+fn entry(name: &str) -> fleet::ListEntry {
+    fleet::ListEntry {
+        instance: instance(name),
+        service: SERVICE.parse().expect("a valid name"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: "a".parse().expect("a valid name"),
+        leaving: false,
+        started_ms: None,
+    }
+}
+
+/// Guards against equal shares for engines of unequal speed: those of 0.6 times the usual speed
+/// would be overloaded while those of 1.6 times the usual speed are idle.
+#[test]
+fn preferred_engines_share_parts_by_speed() {
+    let speeds = [0.6, 1.0, 1.6];
+    let engines: Vec<_> =
+        (0..57).map(|index| (instance(&format!("e{index}")), speeds[index % 3])).collect();
+    let mut parts = [0_u32; 3];
+    for part in 0..3_000 {
+        let prompt = [part, part + 1_000_000].map(|id| placement::PromptPart { id, tokens: 100 });
+        let candidates = engines.iter().map(|(engine, speed)| (engine, 1.0 / speed));
+        let preferred =
+            placement::preferred_engine(&prompt, candidates).expect("there are engines");
+        let index = engines.iter().position(|(engine, _)| engine == preferred).expect("listed");
+        parts[index % 3] += 1;
+    }
+    // In proportion to speed, slow engines would get a fifth and fast ones a half.
+    let share = |count: u32| f64::from(count) / 3_000.0;
+    assert!(share(parts[0]) < 0.2, "slow engines get {}", share(parts[0]));
+    assert!(share(parts[2]) > 0.45, "fast engines get {}", share(parts[2]));
+}
+
+/// Guards against parts that move between engines of equal speed, whose caches would be lost.
+#[test]
+fn preferred_engine_stays_with_small_differences() {
+    let engines: Vec<_> = (0..20).map(|index| instance(&format!("e{index}"))).collect();
+    for part in 0..200 {
+        let prompt = [part, part + 1_000_000].map(|id| placement::PromptPart { id, tokens: 100 });
+        let equal = engines.iter().map(|engine| (engine, 1.0));
+        let noisy = engines.iter().enumerate().map(|(index, engine)| {
+            let noise = if index % 2 == 0 { 0.9 } else { 1.1 };
+            (engine, noise)
+        });
+        assert_eq!(
+            placement::preferred_engine(&prompt, equal),
+            placement::preferred_engine(&prompt, noisy)
+        );
+    }
+}
+
+/// Guards against a speed that is learned from the streams of one gateway only: each relays too few.
+#[test]
+fn measurements_of_other_gateways_count() {
+    let mut own = engine_pace::Paces::new(1);
+    let mut other = engine_pace::Paces::new(2);
+    record(&mut other, "slow", 33, 3);
+    record(&mut other, "usual", 20, 3);
+    let request =
+        engine_pace::exchange::Request { measured: other.take_unsent(), ..Default::default() };
+    let shared = engine_pace::SharedPaces::new(own);
+    let response = engine_pace::exchange::respond(millis(2), &shared, &request);
+    assert_eq!(response.changed.len(), 2);
+    own = engine_pace::Paces::new(3);
+    for (engine, pace) in response.changed {
+        own.adopt(millis(3), engine, pace);
+    }
+    let known: Vec<_> = own.known(millis(4)).into_iter().map(|(_, pace)| pace).collect();
+    let slowness = engine_pace::relative_slowness(&known);
+    assert!(slowness[0] / slowness[1] > 1.3, "slowness {slowness:?}");
+    assert!(other.take_unsent().is_empty(), "nothing is sent twice");
+}
+
+/// Guards against an engine that counts as slow because it has much to do: its parts would move to
+/// others, which then count as slow.
+#[test]
+fn load_hardly_changes_the_pace() {
+    let mut paces = engine_pace::Paces::new(1);
+    for _ in 0..10 {
+        record(&mut paces, "idle", 20, 2);
+        record(&mut paces, "loaded", 20, 1);
+        record(&mut paces, "loaded", 60, 1);
+    }
+    let known: Vec<_> = paces.known(millis(4)).into_iter().map(|(_, pace)| pace).collect();
+    let slowness = engine_pace::relative_slowness(&known);
+    assert!(slowness[1] / slowness[0] < 1.3, "slowness {slowness:?}");
+}
+
+/// Guards against changes that are never sent again after the gateway that collects them restarted.
+#[test]
+fn changes_since_state_of_earlier_process_are_complete() {
+    let mut before = engine_pace::Paces::new(1);
+    record(&mut before, "a", 20, 1);
+    record(&mut before, "b", 20, 1);
+    let (_, known) = before.changes_since(engine_pace::KnownState::default());
+    let mut restarted = engine_pace::Paces::new(2);
+    record(&mut restarted, "c", 20, 1);
+    let (changed, _) = restarted.changes_since(known);
+    assert_eq!(changed.len(), 1);
+    assert_eq!(before.changes_since(known).0.len(), 0);
+}
+
+/// Guards against the whole list in each message of the steady state.
+#[test]
+fn steady_paces_are_not_sent_again() {
+    let mut paces = engine_pace::Paces::new(1);
+    record(&mut paces, "a", 20, 5);
+    let (_, known) = paces.changes_since(engine_pace::KnownState::default());
+    record(&mut paces, "a", 20, 5);
+    assert_eq!(paces.changes_since(known).0, Vec::new());
+}
+
+/// Guards against streams that say nothing, and against numbers of a faulty gateway.
+#[test]
+fn implausible_measurements_are_ignored() {
+    let mut paces = engine_pace::Paces::new(1);
+    paces.record_stream(millis(1), &instance("short"), 2, millis(100));
+    paces.record_stream(millis(1), &instance("instant"), 10, time::Duration::ZERO);
+    for (ln_seconds, weight) in [(f64::NAN, 1.0), (1e9, 1.0), (-3.0, f64::INFINITY), (-3.0, -1.0)] {
+        paces.record(millis(1), &instance("odd"), engine_pace::Pace { ln_seconds, weight });
+        paces.adopt(millis(1), instance("odd"), engine_pace::Pace { ln_seconds, weight });
+    }
+    assert_eq!(paces.known(millis(2)), Vec::new());
+}
+
+/// Guards against engines that are compared with those of another service.
+#[test]
+fn slowness_is_relative_to_own_service() {
+    let regions = collections::BTreeMap::new();
+    let mut fleet = fleet::Fleet::new("a".parse().expect("a valid name"), regions);
+    let other = |name| {
+        let service = "others".parse().expect("a valid name");
+        fleet::ListEntry { service, ..entry(name) }
+    };
+    fleet.update(millis(1), vec![entry("a"), entry("b"), entry("c"), other("x"), other("y")]);
+    let mut paces = engine_pace::Paces::new(1);
+    for (engine, pause_ms) in [("a", 20), ("b", 20), ("c", 40), ("x", 200), ("y", 200)] {
+        record(&mut paces, engine, pause_ms, 10);
+    }
+    fleet.record_paces(paces.known(millis(2)));
+    let slowness = |name| fleet.get(&instance(name)).expect("listed").slowness(millis(2));
+    assert!((slowness("x") - 1.0).abs() < 0.01);
+    assert!((slowness("a") - 1.0).abs() < 0.01);
+    assert!(slowness("c") > 1.7);
+}
