cold: gateways limit the calls to cold upstreams together

Cause: an upstream that has just started crashes at a rate well above `cold_per_s`. Each gateway called cold upstreams as others, and calls for popular prompt parts were drawn to a returning engine by all of them at once.

Change: `lib/src/cold` divides the rate of each cold upstream among three gateways, chosen by rendezvous hashing, and keeps a sliding window of what this one sent. The fleet knows which upstreams are cold; calls, batches and messages that free results ask it and are recorded at the moment of the effect. While a whole service is cold, requests wait up to 400 ms for their turn, by rank; the others are refused as not run, with a Retry-After that is spread.

--- a/lib/src/batch/usable_upstreams.rs
+++ b/lib/src/batch/usable_upstreams.rs
@@ -37,6 +37,7 @@
     ) -> Option<Self> {
         let mut upstreams: Vec<_> =
             fleet.pool_upstreams(pool).filter(|(_, up)| up.is_usable(now)).collect();
+        upstreams.retain(|(instance, _)| fleet.may_send(now, instance));
         let lowest = upstreams.iter().map(|(_, up)| up.slowness(now)).min_by(f64::total_cmp)?;
         upstreams.retain(|(_, up)| up.slowness(now) <= lowest * MAX_SLOWNESS_RATIO);
         let has_idle = upstreams.iter().any(|(_, up)| up.in_flight == 0);
--- /dev/null
+++ b/lib/src/cold.rs
@@ -0,0 +1,119 @@
+//! Rate limit for cold upstreams: how many calls this gateway may send to an upstream that has just
+//! started, without asking anybody.
+//!
+//! Load pattern: a process, a pool or a whole failure domain comes back at once, while calls for
+//! popular prompt parts are drawn to its engines by every gateway. A cold upstream crashes at a rate
+//! well above its limit, and the limit holds over all gateways together. So the rate is split into
+//! quotas of few gateways, and only these call a cold upstream.
+//!
+//! The folder holds pure decisions: `now` and all inputs come from outside. [`crate::fleet`] applies
+//! it to the upstreams of a gateway, and the children of [`crate::gateway`] ask the fleet; nothing
+//! else imports it but the modules that carry its figures from the settings and the list.
+
+mod limit;
+mod phase;
+mod quota;
+mod waiting;
+mod window;
+
+pub use limit::{Allowance, Limit};
+pub use phase::{ASSUMED_TIME, Left, Phase};
+pub use quota::{Gateway, Order, QUOTA_DELAY, Target};
+pub use waiting::{Plan, Waiting, plan, sort};
+
+use std::collections;
+use std::time;
+
+use crate::id;
+
+/// Limits the calls of one gateway to cold upstreams.
+#[derive(Debug, Default)]
+pub struct Limiter {
+    quotas: quota::Quotas,
+    windows: collections::BTreeMap<id::InstanceId, window::SendWindow>,
+}
+
+impl Limiter {
+    /// Applies the gateways of a listing. `own` is this one; it has no quota unless it is listed.
+    pub fn update_gateways(
+        &mut self,
+        now: time::Duration,
+        own: &id::InstanceId,
+        gateways: collections::BTreeMap<id::InstanceId, Gateway>,
+    ) {
+        self.quotas.update_gateways(now, own, gateways);
+    }
+
+    /// Replaces the upstreams whose rates are limited while they are cold.
+    pub fn update_targets(
+        &mut self,
+        now: time::Duration,
+        targets: collections::BTreeMap<id::InstanceId, Target>,
+    ) {
+        self.windows
+            .retain(|upstream, window| targets.contains_key(upstream) || !window.is_empty(now));
+        self.quotas.update_targets(targets);
+    }
+
+    /// Returns whether this gateway may use a quota for an upstream, whether or not it is used up.
+    pub fn has_quota(&self, now: time::Duration, upstream: &id::InstanceId) -> bool {
+        self.quotas.usable_from(upstream).is_some_and(|from| from <= now)
+    }
+
+    /// Returns whether a call may be sent to a cold upstream now.
+    pub fn may_send(&self, now: time::Duration, upstream: &id::InstanceId, limit: &Limit) -> bool {
+        self.next_send(now, upstream, limit).is_some_and(|at| at <= now)
+    }
+
+    /// Returns the earliest time at which a call may be sent to an upstream that is still cold by
+    /// then; `None` if this gateway has no quota for it.
+    pub fn next_send(
+        &self,
+        now: time::Duration,
+        upstream: &id::InstanceId,
+        limit: &Limit,
+    ) -> Option<time::Duration> {
+        let share = limit.share();
+        if share == 0 {
+            return None;
+        }
+        let usable_from = self.quotas.usable_from(upstream)?;
+        let free = self.windows.get(upstream).map(|window| window.next_free(share));
+        Some(usable_from.max(free.unwrap_or_default()).max(now))
+    }
+
+    /// Returns the times until `end` at which calls may be sent to an upstream that is cold until
+    /// then, one for each call, the earliest first.
+    pub fn call_times(
+        &self,
+        now: time::Duration,
+        upstream: &id::InstanceId,
+        limit: &Limit,
+        end: time::Duration,
+    ) -> Vec<time::Duration> {
+        let Some(usable_from) = self.quotas.usable_from(upstream) else { return Vec::new() };
+        let share = limit.share();
+        let window = self.windows.get(upstream);
+        let first = |free| usable_from.max(now).max(free);
+        let times = (1..=share).map(|left| {
+            // With `left` calls of the quota still to be made, as many as this are used up.
+            let used = share + 1 - left;
+            first(window.map(|window| window.next_free(used)).unwrap_or_default())
+        });
+        let mut times: Vec<_> = times.filter(|at| *at < end).collect();
+        times.sort_unstable();
+        times
+    }
+
+    /// Returns the number of calls that were sent to an upstream in the last second, at most as many
+    /// as its quota allowed then.
+    pub fn sent_lately(&self, now: time::Duration, upstream: &id::InstanceId) -> usize {
+        self.windows.get(upstream).map_or(0, |window| window.count(now))
+    }
+
+    /// Records a call at the moment at which it is sent. Calls to a warm upstream count as well,
+    /// because it can become cold within the same second.
+    pub fn record_sent(&mut self, now: time::Duration, upstream: &id::InstanceId, limit: &Limit) {
+        self.windows.entry(upstream.clone()).or_default().record(now, limit.share());
+    }
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -3,10 +3,15 @@
 //! Load pattern: upstreams come, go and change their speed at any time, and the platform's list
 //! lags behind. What a gateway observes in its own calls takes precedence over reports.
 
+mod cold_upstreams;
+
+pub use cold_upstreams::ColdTerms;
+
 use std::collections;
 use std::net;
 use std::time;
 
+use crate::cold;
 use crate::gateway;
 use crate::id;
 use crate::outlier;
@@ -61,6 +66,10 @@
     /// does not contain it.
     #[serde(rename = "born")]
     pub started_ms: Option<u64>,
+    /// How long it stays cold, as it wrote it; `None` if it is not cold. It counts down, so that the
+    /// entry of a cold upstream differs with each write, and that of a warm one does not.
+    #[serde(default)]
+    pub cold_left: Option<cold::Left>,
 }
 
 impl ListEntry {
@@ -96,6 +105,8 @@
     pub unread_tokens: u64,
     /// Its recent failures and ejections.
     pub health: outlier::Health,
+    /// When it is cold.
+    cold: cold::Phase,
     /// Time until which it gets no calls because it was full.
     pub backoff_until: time::Duration,
     /// Time until which it wants no calls at all, as it stated itself.
@@ -132,6 +143,7 @@
             in_flight: 0,
             unread_tokens: 0,
             health: outlier::Health::default(),
+            cold: cold::Phase::default(),
             backoff_until: time::Duration::ZERO,
             pause_end: time::Duration::ZERO,
             reported_load: Load::default(),
@@ -234,6 +246,8 @@
     pub leaving: Vec<id::InstanceId>,
     /// Upstreams that are gone or were restarted.
     pub gone: Vec<id::InstanceId>,
+    /// Upstreams that have become cold, of services with a limit for that.
+    pub cold: Vec<id::InstanceId>,
     /// Number of results that expired without being freed, by the upstream that stored them.
     pub expired_results: collections::BTreeMap<id::InstanceId, usize>,
 }
@@ -253,6 +267,9 @@
     /// Processes that left lately, with the time.
     left: collections::BTreeMap<upstream_notice::Process, time::Duration>,
     notices: upstream_notice::Notices,
+    /// Terms of the services whose upstreams take few calls while they are cold.
+    cold_terms: collections::BTreeMap<id::ServiceId, ColdTerms>,
+    limiter: cold::Limiter,
 }
 
 impl Fleet {
@@ -270,6 +287,8 @@
             restored_at: None,
             left: collections::BTreeMap::new(),
             notices: upstream_notice::Notices::default(),
+            cold_terms: collections::BTreeMap::new(),
+            limiter: cold::Limiter::default(),
         }
     }
 
@@ -313,6 +332,8 @@
         if is_after_gap {
             self.gap_end = now;
         }
+        // The first list contains what has been running for long, and says what is cold.
+        let is_first = self.last_update.is_none();
         self.last_update = Some(now);
         let is_stale = self.is_restored_within(now, STALE_LIST_TIME);
         let mut present = collections::BTreeSet::new();
@@ -330,13 +351,19 @@
             entry.leaving |= self.notices.is_leaving(&process);
             let pause_end = self.notices.pause_end(&process);
             let instance = entry.instance.clone();
+            let cold_left = entry.cold_left;
             self.apply_entry(entry, &mut change);
+            let is_new = !is_first && change.joined.last() == Some(&instance);
+            if self.record_cold_listed(now, &instance, cold_left, is_new) {
+                change.cold.push(instance.clone());
+            }
             if let Some(upstream) = self.upstreams.get_mut(&instance) {
                 upstream.pause_end = pause_end;
             }
         }
         self.notices.prune(now);
         self.remove_missing(now, &present, &mut change);
+        self.update_cold_targets(now);
         self.left.retain(|_, at| now.saturating_sub(*at) < LEFT_MEMORY);
         for (instance, upstream) in &mut self.upstreams {
             let expired = upstream.expire_results(now);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -12,6 +12,7 @@
 mod arrivals;
 mod batches;
 mod calls;
+mod cold_calls;
 mod groups;
 mod holds;
 mod messages;
@@ -30,6 +31,7 @@
 use crate::admission;
 use crate::batch;
 use crate::clock;
+use crate::cold;
 use crate::config_lease;
 use crate::fleet;
 use crate::id;
@@ -58,6 +60,8 @@
     pub revocation_bound: Option<time::Duration>,
     /// Retries that are allowed, as a share of the requests to a service.
     pub retry_share: f64,
+    /// By how much the rate of a service may be exceeded at a cold upstream.
+    pub cold_allowance: cold::Allowance,
 }
 
 impl Settings {
@@ -107,6 +111,8 @@
     /// Results to free at the next tick, by the upstream that stores them.
     unneeded_results: collections::BTreeMap<id::InstanceId, Vec<Handle>>,
     retry_budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
+    /// Requests that wait for a call to a cold upstream, with the time since when.
+    cold_waits: collections::BTreeMap<id::RequestId, time::Duration>,
     quarantine: quarantine::Quarantine,
     /// Calls whose answers have begun, with the time at which they count as sound.
     sound_calls: collections::BTreeSet<(time::Duration, CallId)>,
@@ -167,6 +173,7 @@
             route_times: collections::BTreeMap::new(),
             unneeded_results: collections::BTreeMap::new(),
             retry_budgets: collections::BTreeMap::new(),
+            cold_waits: collections::BTreeMap::new(),
             quarantine,
             sound_calls: collections::BTreeSet::new(),
             stop: None,
@@ -180,6 +187,8 @@
     /// Handles one event and appends the effects that the shell has to carry out.
     pub fn step(&mut self, now: clock::Now, event: Event, effects: &mut Vec<Effect>) {
         self.now = now;
+        // Requests that wait go before those that arrive.
+        self.call_waiting(effects);
         match event {
             Event::TableRead { confirmed, table } => self.apply_table(confirmed, table, effects),
             Event::StoreRestored => self.store_restored(effects),
@@ -286,6 +295,7 @@
         }
         self.table = table;
         self.has_table = true;
+        self.fleet.set_cold_terms(self.now.mono, self.cold_terms());
     }
 
     /// Prepares for lists that are older than the ones before.
@@ -312,6 +322,15 @@
                 effects.push(Effect::Log(line));
             }
         }
+        for instance in &change.cold {
+            let now = self.now.mono;
+            let wait = self.fleet.next_send(now, instance).saturating_sub(now);
+            let line = telemetry::Line::new("upstream_cold")
+                .with("upstream", instance)
+                .with("quota", self.fleet.quota(now, instance).unwrap_or_default())
+                .with("next_ms", wait.as_millis());
+            effects.push(Effect::Log(line));
+        }
         for (instance, results) in &change.expired_results {
             let line = telemetry::Line::new("results_expired")
                 .with("upstream", instance)
@@ -351,6 +370,7 @@
                 effects.push(Effect::Log(telemetry::Line::new(event).with("peer", instance)));
             }
         }
+        self.fleet.set_gateways(self.now.mono, &self.settings.instance, &self.roster);
     }
 
     /// Returns whether a call for a request may be made: its credential, if it needs one, must
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -76,6 +76,7 @@
         let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
         let slowness = upstream.slowness(now);
         self.fleet.record_sent(&next.instance, 0);
+        self.fleet.record_message(now, &next.instance);
         let timeout = next.expected_time.mul_f64(2.0 * slowness.max(1.0)) + MAX_QUEUE_TIME;
         let line = telemetry::Line::new("batch")
             .with("batch", id)
@@ -177,6 +178,7 @@
             }
             _ => {
                 self.record_upstream_failure(&call.instance, effects);
+                self.assume_restarted(&call.instance, effects);
                 self.pieces_failed(&call);
             }
         }
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -68,10 +68,14 @@
             return;
         }
         let Some((choice, reason)) = self.choose_upstream(request) else {
-            match self.fleet.service_pause(self.now.mono, &request.service) {
+            let service = request.service.clone();
+            match self.fleet.service_pause(self.now.mono, &service) {
                 Some(pause) => {
                     self.refuse_for(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects);
                 }
+                None if self.fleet.service_cold_wait(self.now.mono, &service).is_some() => {
+                    self.wait_for_quota(id, &service, effects);
+                }
                 None => self.refuse(id, Kind::NoUpstream, "no upstream takes work", effects),
             }
             return;
@@ -128,8 +132,12 @@
             .with("preferred", choice.is_preferred)
             .with("budget_ms", budget.as_millis())
             .with("repeat", !is_first)
-            .with("waited_ms", self.now.mono.saturating_sub(request.arrived).as_millis());
+            .with("waited_ms", self.now.mono.saturating_sub(request.arrived).as_millis())
+            .with("cold_quota", cold_quota(&self.fleet, self.now.mono, &choice.instance))
+            .with("cold_sent", self.fleet.sent_lately(self.now.mono, &choice.instance));
         effects.push(gateway::Effect::Log(line));
+        self.cold_waits.remove(&id);
+        self.fleet.record_message(self.now.mono, &choice.instance);
         self.placement.record(self.now.mono, &choice.instance, &request.prompt_parts);
         self.fleet.record_sent(&choice.instance, choice.tokens);
         let state = PendingCall {
@@ -177,7 +185,9 @@
         results: &[request::StoredResult],
     ) -> Vec<placement::Candidate> {
         let now = self.now.mono;
-        let is_open = |up: &(&id::InstanceId, &fleet::Upstream)| !up.1.is_paused(now);
+        let is_open = |up: &(&id::InstanceId, &fleet::Upstream)| {
+            !up.1.is_paused(now) && self.fleet.may_send(now, up.0)
+        };
         let all: Vec<_> = self.fleet.service_upstreams(&request.service).filter(is_open).collect();
         let is_untried = |up: &&(&id::InstanceId, &fleet::Upstream)| !request.tried.contains(up.0);
         let is_usable = |up: &&(&id::InstanceId, &fleet::Upstream)| up.1.is_usable(now);
@@ -315,6 +325,7 @@
             gateway::Outcome::Unsent => {
                 self.record_not_run(call.request);
                 self.record_upstream_failure(&call.instance, effects);
+                self.assume_restarted(&call.instance, effects);
                 self.retry_not_run(call.request, "the upstream could not be reached", effects);
             }
             gateway::Outcome::NotRun { inputs_gone: true, .. } => {
@@ -337,8 +348,11 @@
                 self.fleet.record_success(self.now.mono, &call.instance, None);
                 self.finish_request(call.request, took, effects);
             }
-            gateway::Outcome::Broken { last, .. } => {
+            gateway::Outcome::Broken { last, cause } => {
                 self.record_upstream_failure(&call.instance, effects);
+                if cause == gateway::BreakCause::ConnectionLost {
+                    self.assume_restarted(&call.instance, effects);
+                }
                 self.call_broken(call.request, last, effects);
             }
         }
@@ -477,6 +491,11 @@
     }
 }
 
+/// Returns the quota for an upstream for logs; `none` if it is warm.
+fn cold_quota(fleet: &fleet::Fleet, now: time::Duration, instance: &id::InstanceId) -> String {
+    fleet.quota(now, instance).map_or_else(|| "none".to_owned(), |quota| quota.to_string())
+}
+
 /// Returns an upstream without an engine with its cost. Each call in flight adds 30% of the time of
 /// a call.
 fn plain_choice(candidate: placement::Candidate) -> placement::Choice {
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -408,8 +408,11 @@
             if let Some(peer) = batcher {
                 let message = handoff::Release { version: handoff::VERSION, instance, handles };
                 effects.push(gateway::Effect::ForwardRelease { address: peer.address, message });
+            } else if !self.fleet.may_send_message(self.now.mono, &instance) {
+                self.unneeded_results.insert(instance, handles);
             } else {
                 let address = upstream_address;
+                self.fleet.record_message(self.now.mono, &instance);
                 effects.push(gateway::Effect::FreeResults { process, address, handles });
             }
         }
@@ -424,10 +427,12 @@
         let Some(upstream) = self.fleet.get(&message.instance) else { return };
         let (process, address) = (upstream.entry.process(), upstream.entry.address);
         let handoff::Release { instance, handles, .. } = message;
-        if upstream.is_paused(self.now.mono) {
+        let now = self.now.mono;
+        if upstream.is_paused(now) || !self.fleet.may_send_message(now, &instance) {
             self.unneeded_results.entry(instance).or_default().extend(handles);
             return;
         }
+        self.fleet.record_message(now, &instance);
         effects.push(gateway::Effect::FreeResults { process, address, handles });
     }
 
--- a/lib/src/gateway_settings.rs
+++ b/lib/src/gateway_settings.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::net;
 
+use crate::cold;
 use crate::id;
 use crate::unit;
 
@@ -29,6 +30,12 @@
     /// that were read last stay in use for as long as the store is unavailable.
     #[serde(default)]
     pub revocation_ms: Option<unit::Millis>,
+    /// Factor by which the calls to a cold upstream may exceed the rate of its service in any second.
+    #[serde(default = "default_cold_excess")]
+    pub cold_excess: f64,
+    /// Number of calls to a cold upstream in any second on top of that.
+    #[serde(default)]
+    pub cold_slack: f64,
     /// Retries allowed, as a share of the requests to a service.
     #[serde(default = "default_retry_share")]
     pub retry_share: unit::Share,
@@ -92,6 +99,10 @@
     }
 }
 
+fn default_cold_excess() -> f64 {
+    cold::Allowance::default().excess
+}
+
 fn default_retry_share() -> unit::Share {
     unit::Share(0.1)
 }
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::clock::Clock as _;
+use crate::cold;
 use crate::crash_report;
 use crate::dialect;
 use crate::gateway;
@@ -232,6 +233,10 @@
         regions: settings.regions.clone(),
         revocation_bound: settings.revocation_ms.map(unit::Millis::duration),
         retry_share: settings.retry_share.0,
+        cold_allowance: cold::Allowance {
+            excess: settings.cold_excess,
+            slack: settings.cold_slack,
+        },
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod check;
 pub mod claim;
 pub mod clock;
+pub mod cold;
 pub mod config;
 pub mod config_lease;
 pub mod config_sync;
--- a/lib/src/outlier.rs
+++ b/lib/src/outlier.rs
@@ -48,6 +48,11 @@
         true
     }
 
+    /// Returns when the last ejection ends or ended; `None` if there was none.
+    pub fn ejected_until(&self) -> Option<time::Duration> {
+        self.ejected_until
+    }
+
     /// Returns whether the upstream is ejected.
     pub fn is_ejected(&self, now: time::Duration) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -59,6 +59,13 @@
     pub region: id::RegionId,
 }
 
+impl PoolId {
+    /// Returns the seed of the rendezvous hash that orders the gateways for the pool.
+    pub fn seed(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(self.to_string().as_bytes())
+    }
+}
+
 /// Gateways that are alive according to the store.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -95,6 +102,11 @@
         (joined, left)
     }
 
+    /// Returns the live gateways.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
     /// Returns the number of live gateways.
     pub fn len(&self) -> usize {
         self.peers.len()
@@ -130,7 +142,7 @@
         pool: &PoolId,
         regions: &collections::BTreeMap<id::DomainId, id::RegionId>,
     ) -> Option<&Peer> {
-        let seed = xxhash_rust::xxh3::xxh3_64(pool.to_string().as_bytes());
+        let seed = pool.seed();
         self.peers
             .values()
             .filter(|peer| regions.get(&peer.domain) == Some(&pool.region))
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -183,6 +183,10 @@
     pub batching: Option<Batching>,
     /// Properties of the model engines; `None` if the upstreams are no engines.
     pub engine: Option<Engine>,
+    /// Calls per second that one upstream takes while it is cold, from all callers together; `None`
+    /// if there is no limit.
+    #[serde(default)]
+    pub cold_rate: Option<unit::PerSecond>,
 }
 
 /// Terms on which an upstream runs batches of pieces.
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use bramleyshelf_lib::{
-    batch, clock, fleet, gateway, handoff, id, placement, refusal, roster, table, unit,
+    batch, clock, cold, fleet, gateway, handoff, id, placement, refusal, roster, table, unit,
 };
 use bramleyshelf_testutils::values::{ms, name};
 
@@ -88,6 +88,7 @@
             regions: collections::BTreeMap::from(regions),
             revocation_bound: Some(ms(5_000)),
             retry_share: 0.1,
+            cold_allowance: cold::Allowance::default(),
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness =
@@ -126,6 +127,7 @@
             domain: name("a"),
             leaving: false,
             started_ms: None,
+            cold_left: None,
         };
         let mut list: Vec<_> = apps.iter().map(|app| entry(app, "app")).collect();
         list.extend([entry("s1", "scan"), entry("r1", "rank")]);
--- a/lib/tests/test_gateway_affinity.rs
+++ b/lib/tests/test_gateway_affinity.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{clock, fleet, gateway, id, placement, table, unit};
+use bramleyshelf_lib::{clock, cold, fleet, gateway, id, placement, table, unit};
 use bramleyshelf_testutils::values::{ms, name};
 
 const REGIONS: [(&str, &str); 3] = [("a", "east"), ("b", "east"), ("c", "west")];
@@ -84,6 +84,7 @@
             regions: collections::BTreeMap::from(regions),
             revocation_bound: None,
             retry_share: 0.1,
+            cold_allowance: cold::Allowance::default(),
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness = Self { gateway: gateway::Gateway::new(settings, 7), now, requests: 0 };
@@ -101,6 +102,7 @@
             domain: name(domain),
             leaving: false,
             started_ms: None,
+            cold_left: None,
         };
         let engines = engines.iter().map(|engine| entry("llm", engine));
         let stages = STAGES.iter().map(|stage| entry("photos", stage));
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -24,6 +24,7 @@
         domain: name(domain),
         leaving: false,
         started_ms: None,
+        cold_left: None,
     }
 }
 
--- a/lib/tests/test_gateway_settings.rs
+++ b/lib/tests/test_gateway_settings.rs
@@ -29,3 +29,11 @@
     let set = settings(r#"{"cpu_share": 0.09}"#, r#", "weight": 7"#);
     assert_eq!(set.effective_weight(), 7);
 }
+
+#[test]
+fn limit_for_cold_upstreams_is_the_rate_unless_it_is_set() {
+    let plain = settings("{}", "");
+    assert_eq!((plain.cold_excess, plain.cold_slack), (1.0, 0.0));
+    let set = settings("{}", r#", "cold_excess": 1.5, "cold_slack": 5"#);
+    assert_eq!((set.cold_excess, set.cold_slack), (1.5, 5.0));
+}
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -4,7 +4,7 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{clock, fleet, relay, roster, store_era, table};
+use bramleyshelf_lib::{clock, cold, fleet, relay, roster, store_era, table, unit};
 use bramleyshelf_testutils::values::ms;
 
 fn at(millis: u64) -> clock::Now {
@@ -28,6 +28,7 @@
         domain: "a".parse().expect("a name"),
         leaving: false,
         started_ms: None,
+        cold_left: None,
     }
 }
 
@@ -221,3 +222,28 @@
     same.table.confirmed = None;
     assert_eq!(same.following(Some(&kept)).table.confirmed, Some(at(1_000)));
 }
+
+/// Guards against lists that are sent again each second because of times that count down.
+#[test]
+fn only_entries_of_cold_upstreams_are_sent_again() {
+    let names = ["u1", "u2", "u3"];
+    let cold = |at_ms: u64, time, sequence| {
+        let mut snapshot = snapshot(at(at_ms), 3, &names);
+        let mut list = snapshot.fleet.to_vec();
+        list[1].cold_left = Some(cold::Left { time: unit::Millis(time), sequence });
+        let table = snapshot.table.clone();
+        snapshot = relay::Snapshot::new(at(at_ms), snapshot.era, table, list, snapshot.gateways);
+        snapshot
+    };
+    let response = |earlier: &relay::Snapshot, later: relay::Snapshot| {
+        let later = later.following(Some(earlier));
+        later.to_response(later.sent, relay::Snapshot::to_request(Some(earlier))).expect("fresh")
+    };
+    let warm = snapshot(at(1_000), 3, &names);
+    let steady = response(&warm, snapshot(at(2_000), 3, &names));
+    assert!(steady.fleet.is_none() && steady.changes.is_none());
+    let changes = response(&warm, cold(2_000, 3_000, 5)).changes.expect("one entry differs");
+    assert_eq!(changes.changed.len(), 1);
+    let same = response(&cold(2_000, 3_000, 5), cold(3_000, 3_000, 5));
+    assert!(same.fleet.is_none() && same.changes.is_none());
+}
--- a/lib/tests/test_store_era.rs
+++ b/lib/tests/test_store_era.rs
@@ -13,6 +13,7 @@
         domain: "a".parse().expect("a name"),
         leaving: false,
         started_ms: Some(started_ms),
+        cold_left: None,
     }
 }
 
