--- a/lib/src/cold.rs
+++ b/lib/src/cold.rs
@@ -44,6 +44,11 @@
         self.quotas.update_gateways(now, own, gateways);
     }
 
+    /// Gives up all quotas, until the next listing of gateways is applied.
+    pub fn give_up_quotas(&mut self) {
+        self.quotas.give_up();
+    }
+
     /// Replaces the upstreams whose rates are limited while they are cold.
     pub fn update_targets(
         &mut self,
--- a/lib/src/cold/quota.rs
+++ b/lib/src/cold/quota.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Lets this gateway be chosen for nothing.
+    pub(super) fn give_up(&mut self) {
+        self.own = None;
+        self.held.clear();
+    }
+
     /// Replaces the upstreams. For a new one, the choice is as old as the list of gateways.
     pub(super) fn update_targets(
         &mut self,
--- a/lib/src/fleet/cold_upstreams.rs
+++ b/lib/src/fleet/cold_upstreams.rs
@@ -51,6 +51,11 @@
         self.limiter.update_gateways(now, own, gateways.collect());
     }
 
+    /// Gives up the quotas of this gateway for cold upstreams, until the next [`Self::set_gateways`].
+    pub fn give_up_quotas(&mut self) {
+        self.limiter.give_up_quotas();
+    }
+
     /// Lets the upstreams of a failure domain count as cold for a while, because they are called
     /// again after a time without calls and their entries may not say yet that they restarted.
     pub fn assume_cold(&mut self, now: time::Duration, domain: &id::DomainId) {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -218,6 +218,8 @@
             Event::PeerProbed { peer, is_alive } => self.peer_probed(&peer, is_alive, effects),
             Event::Drain { left } => {
                 self.stop.get_or_insert(PlannedStop { since: now.mono, end: now.mono + left });
+                // A new process of the same name may soon use them.
+                self.fleet.give_up_quotas();
             }
             Event::Stop => self.refuse_all(effects),
             Event::Tick => self.tick(effects),
@@ -370,7 +372,9 @@
                 effects.push(Effect::Log(telemetry::Line::new(event).with("peer", instance)));
             }
         }
-        self.fleet.set_gateways(self.now.mono, &self.settings.instance, &self.roster);
+        if self.stop.is_none() {
+            self.fleet.set_gateways(self.now.mono, &self.settings.instance, &self.roster);
+        }
     }
 
     /// Returns whether a call for a request may be made: its credential, if it needs one, must
--- a/lib/tests/test_cold_calls.rs
+++ b/lib/tests/test_cold_calls.rs
@@ -378,6 +378,28 @@
     harness.assert_within_share();
 }
 
+/// Guards against a process that is stopping while its successor of the same name uses the quota.
+#[test]
+fn gateway_that_stops_gives_up_its_quotas() {
+    let mut harness = Harness::alone(Some(RATE));
+    harness.list(&[("u1", "a"), ("u2", "b")], 3_000);
+    let (_, effects) = harness.arrive("/last/1");
+    let call = call_of(&effects).expect("it is sent").call;
+    harness.step(gateway::Event::Drain { left: ms(7_000) });
+    harness.arrive("/last/1");
+    let own = roster::Peer {
+        instance: name("g0"),
+        address: "10.0.0.2:81".parse().expect("an address"),
+        domain: name("a"),
+        weight: 100,
+    };
+    harness.step(gateway::Event::GatewaysListed(vec![own].into()));
+    harness.advance(ms(2_600));
+    let outcome = gateway::Outcome::NotRun { elsewhere: false, inputs_gone: false };
+    harness.step(gateway::Event::CallEnded { call, outcome, load: None });
+    assert_eq!(harness.sent.len(), 1);
+}
+
 /// Guards against batch calls, and messages that free results, beside the limit.
 #[test]
 fn batches_and_freed_results_count() {
