--- a/lib/src/gateway/regions.rs
+++ b/lib/src/gateway/regions.rs
@@ -110,6 +110,16 @@
         self.fleet.service_pause(self.now.mono, &request.service, may_answer)
     }
 
+    /// Returns how long no upstream that may answer a request may be called because all are cold;
+    /// `None` if one may be called now, or there are none.
+    pub(super) fn answer_cold_wait(
+        &self,
+        request: &request::Request,
+    ) -> Option<std::time::Duration> {
+        let may_answer = |up: &fleet::Upstream| self.may_answer(request, up);
+        self.fleet.service_cold_wait(self.now.mono, &request.service, may_answer)
+    }
+
     /// Applies the table in force to the requests in progress. A request obeys the table of its
     /// arrival and the one in force.
     pub(super) fn rebind_requests(&mut self, effects: &mut Vec<gateway::Effect>) {
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -68,7 +68,9 @@
 }
 
 /// Regions in which requests may be served: all of them, or only the listed ones.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(
+    Clone, Debug, Default, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
 #[serde(transparent)]
 pub struct RegionBound(Option<collections::BTreeSet<id::RegionId>>);
 
@@ -221,6 +223,10 @@
     pub batching: Option<Batching>,
     /// Properties of the model engines; `None` if the upstreams are no engines.
     pub engine: Option<Engine>,
+    /// Calls per second that one upstream takes while it is cold, from all callers together; `None`
+    /// if there is no limit.
+    #[serde(default)]
+    pub cold_rate: Option<unit::PerSecond>,
 }
 
 /// Terms on which an upstream runs batches of pieces.
--- a/lib/tests/test_engine_pace.rs
+++ b/lib/tests/test_engine_pace.rs
@@ -32,6 +32,7 @@
         domain: "a".parse().expect("a valid name"),
         leaving: false,
         started_ms: None,
+        cold_left: None,
     }
 }
 
--- a/lib/tests/test_regions.rs
+++ b/lib/tests/test_regions.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use bramleyshelf_lib::{
-    clock, fleet, gateway, id, placement, refusal, roster, table, unit, upstream_notice,
+    clock, cold, fleet, gateway, id, placement, refusal, roster, table, unit, upstream_notice,
 };
 use bramleyshelf_testutils::values::{ms, name};
 
@@ -122,6 +122,7 @@
             regions: DOMAINS.iter().map(|(d, r)| (name(d), name(r))).collect(),
             revocation_bound: None,
             retry_share: 1.0,
+            cold_allowance: cold::Allowance::default(),
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness =
@@ -159,6 +160,7 @@
             domain: name(domain),
             leaving: false,
             started_ms: None,
+            cold_left: None,
         };
         let list = listed.map(entry).collect();
         self.step(gateway::Event::UpstreamsListed(list))
