shedding: requests are shed by the loss of their callers, if so set

Cause: under a burst of 2.5 times the usual load, requests were admitted as late although on-time work left no capacity for them. They waited until their deadline, and the work of their first stages was lost.

Change: with `overload` = `loss`, the gateway that forms the batches of a pool chooses the groups that are on time by loss per unit of work, orders the others behind them, and gives up those that would miss the deadline. It answers the handover with a delay, and the owner refuses the request at once. The estimate of a late request follows the batcher, and a late request keeps its due time. With `due`, the default, nothing changes, including messages.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -14,7 +14,7 @@
 /// Shortest delay that a refused caller is given.
 pub const MIN_RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
 /// Longest delay that a refused caller is given.
-const MAX_RETRY_DELAY: time::Duration = time::Duration::from_secs(4);
+pub const MAX_RETRY_DELAY: time::Duration = time::Duration::from_secs(4);
 /// Share of its target within which an answer must be expected for the request to count as on time.
 /// Estimates are off by about the remaining share. If requests were admitted up to the target
 /// itself, half of them would be late.
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -6,8 +6,11 @@
 //! so that calls grow with the load. Pieces of requests that can still be on time are sent first,
 //! ordered by their remaining time.
 
+mod places;
 mod usable_upstreams;
 
+pub use places::GivenUp;
+
 use std::collections;
 use std::time;
 
@@ -15,6 +18,8 @@
 use crate::id;
 use crate::pool_rate;
 use crate::roster;
+use crate::shedding;
+use crate::shedding::loss;
 use crate::table;
 use crate::unit;
 
@@ -60,6 +65,8 @@
     /// Failure domain that the piece should run in, as it holds most of the inputs or the upstream
     /// that reads the result; `None` if these are small.
     pub near_domain: Option<id::DomainId>,
+    /// What the loss of its request is judged by; `None` if its gateway does not say.
+    pub terms: Option<loss::Terms>,
 }
 
 /// Identifies a batch call, unique within the gateway process.
@@ -171,11 +178,26 @@
 /// Queued pieces by pool.
 #[derive(Debug, Default)]
 pub struct Queues {
-    queues: collections::BTreeMap<roster::PoolId, collections::BTreeMap<GroupId, QueuedGroup>>,
+    by_pool: collections::BTreeMap<roster::PoolId, collections::BTreeMap<GroupId, QueuedGroup>>,
     spare_shares: collections::BTreeMap<roster::PoolId, pool_rate::SpareShare>,
+    /// Rate factors of pools as last recorded.
+    rates: collections::BTreeMap<roster::PoolId, pool_rate::RateFactor>,
+    /// When groups of a pool that cannot be computed in time were last looked for.
+    checked_at: collections::BTreeMap<roster::PoolId, time::Duration>,
+    overload: shedding::Overload,
 }
 
 impl Queues {
+    /// Makes empty queues whose groups yield to each other by the given rule.
+    pub fn new(overload: shedding::Overload) -> Self {
+        Self { overload, ..Self::default() }
+    }
+
+    /// Records the rate factor of a pool.
+    pub fn record_rate(&mut self, pool: &roster::PoolId, rate: pool_rate::RateFactor) {
+        self.rates.insert(pool.clone(), rate);
+    }
+
     /// Adds a piece of a group of which no piece was sent before.
     pub fn push(&mut self, pool: &roster::PoolId, piece: QueuedPiece) {
         self.insert(pool, piece);
@@ -188,7 +210,7 @@
 
     /// Adds a piece and returns its group.
     fn insert(&mut self, pool: &roster::PoolId, piece: QueuedPiece) -> &mut QueuedGroup {
-        let queue = self.queues.entry(pool.clone()).or_default();
+        let queue = self.by_pool.entry(pool.clone()).or_default();
         let group = queue.entry(piece.id.group).or_default();
         group.pieces.insert(piece.id.piece, piece);
         group
@@ -196,7 +218,7 @@
 
     /// Removes all queued pieces of a group.
     pub fn remove_group(&mut self, pool: &roster::PoolId, group: GroupId) {
-        if let Some(queue) = self.queues.get_mut(pool) {
+        if let Some(queue) = self.by_pool.get_mut(pool) {
             queue.remove(&group);
         }
     }
@@ -215,7 +237,7 @@
     ) -> WaitEstimate {
         let mut on_time = upcoming.map(|pieces| Demand { pieces, result_bytes: 0 });
         let mut late = Demand::default();
-        for group in self.queues.get(pool).into_iter().flat_map(collections::BTreeMap::values) {
+        for group in self.by_pool.get(pool).into_iter().flat_map(collections::BTreeMap::values) {
             match classify(now, group, batching) {
                 Class::Late => late.insert(group),
                 // Started groups are sent before all others.
@@ -223,13 +245,7 @@
                 Class::OnTime => on_time[rank_index(group.rank())].insert(group),
             }
         }
-        let usable: Vec<_> =
-            fleet.pool_upstreams(pool).filter(|(_, up)| up.is_usable(now)).collect();
-        // Speed as a multiple of one upstream at its nominal rate. It stays above zero, so that the
-        // estimate is finite if no upstream is usable.
-        let speed: f64 = usable.iter().map(|(_, up)| 1.0 / up.slowness(now).max(0.5)).sum();
-        let speed = speed.max(0.25) * rate.0;
-        let is_busy = usable.iter().all(|(_, up)| up.in_flight > 0);
+        let (speed, is_busy) = pool_speed(now, pool, fleet, rate);
         let call_seconds = batching.duration(batching.max_pieces).as_secs_f64() / speed;
         // While all upstreams are busy, a piece waits for half a call on average until one is idle.
         let mut seconds = if is_busy { call_seconds / 2.0 } else { 0.0 };
@@ -240,15 +256,22 @@
         // Late pieces use only the share that on-time work leaves free, and on-time work continues
         // to arrive. A new piece then waits for its own share of a call as well.
         let spare_share = self.spare_shares.get(pool).copied().unwrap_or_default().share();
-        let piece_seconds =
-            if spare_share < 1.0 { call_seconds / batching.max_pieces.max(1) as f64 } else { 0.0 };
+        let piece_seconds = if spare_share >= 1.0 {
+            0.0
+        } else if self.overload == shedding::Overload::Loss {
+            // Late pieces fill calls that on-time work leaves free, so a new one waits until a whole
+            // call is left.
+            call_seconds
+        } else {
+            call_seconds / batching.max_pieces.max(1) as f64
+        };
         let late = seconds + (late.drain_seconds(batching, speed) + piece_seconds) / spare_share;
         WaitEstimate { on_time, late: time::Duration::from_secs_f64(late) }
     }
 
     /// Returns the pools that have queued pieces.
     pub fn pools(&self) -> Vec<roster::PoolId> {
-        let non_empty = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let non_empty = self.by_pool.iter().filter(|(_, queue)| !queue.is_empty());
         non_empty.map(|(pool, _)| pool.clone()).collect()
     }
 
@@ -261,12 +284,24 @@
         batching: &table::Batching,
         fleet: &fleet::Fleet,
     ) -> Option<Dispatch> {
-        let queue = self.queues.get_mut(pool)?;
+        let queue = self.by_pool.get_mut(pool)?;
         let queued: usize = queue.values().map(|group| group.pieces.len()).sum();
         let usable = usable_upstreams::UsableUpstreams::find(now, pool, batching, fleet, queued)?;
-        let mut groups: Vec<_> = queue.values().collect();
-        groups.sort_by_key(|group| (classify(now, group, batching), group.priority_time()));
-        let (instance, upstream) = groups.into_iter().find_map(|group| usable.pick(group))?;
+        let order = match self.overload {
+            shedding::Overload::Due => places::due_order(now, queue, batching),
+            shedding::Overload::Loss => {
+                let rate = self.rates.get(pool).copied().unwrap_or_default();
+                let spare_share = self.spare_shares.get(pool).copied().unwrap_or_default();
+                let (speed, is_busy) = pool_speed(now, pool, fleet, rate);
+                let spare_share = spare_share.share();
+                let state = places::PoolState { now, batching, speed, is_busy, spare_share };
+                places::loss_order(&state, queue)
+            }
+        };
+        let mut groups: Vec<_> =
+            queue.iter().filter_map(|(id, group)| Some((*order.get(id)?, group))).collect();
+        groups.sort_by_key(|(order, _)| *order);
+        let (instance, upstream) = groups.into_iter().find_map(|(_, group)| usable.pick(group))?;
         let held = upstream.held_bytes(now).0;
         let total_memory = upstream.usable_memory(batching.result_memory).0;
         let free_memory = total_memory.saturating_sub(held);
@@ -286,13 +321,11 @@
             has_reservation: false,
             max_remote,
         }
-        .take(queue, domain, |group| {
-            let delay = if group.is_remote_from(domain) {
-                REMOTE_INPUT_DELAY
-            } else {
-                time::Duration::ZERO
-            };
-            let order = (classify(now, group, batching), group.priority_time() + delay);
+        .take(queue, domain, |id, group| {
+            let mut order = *order.get(&id)?;
+            if group.is_remote_from(domain) {
+                order.time += REMOTE_INPUT_DELAY;
+            }
             usable.may_run(group, domain).then_some(order)
         });
         if pieces.is_empty() {
@@ -315,6 +348,20 @@
     }
 }
 
+/// Returns the speed of a pool, as a multiple of one upstream at its nominal rate, and whether all of
+/// its upstreams are busy. The speed stays above zero, so that estimates are finite if no upstream is
+/// usable.
+fn pool_speed(
+    now: time::Duration,
+    pool: &roster::PoolId,
+    fleet: &fleet::Fleet,
+    rate: pool_rate::RateFactor,
+) -> (f64, bool) {
+    let usable: Vec<_> = fleet.pool_upstreams(pool).filter(|(_, up)| up.is_usable(now)).collect();
+    let speed: f64 = usable.iter().map(|(_, up)| 1.0 / up.slowness(now).max(0.5)).sum();
+    (speed.max(0.25) * rate.0, usable.iter().all(|(_, up)| up.in_flight > 0))
+}
+
 /// Returns the number of queued pieces that are not late.
 fn count_on_time(
     now: time::Duration,
@@ -387,10 +434,10 @@
         mut self,
         queue: &mut collections::BTreeMap<GroupId, QueuedGroup>,
         domain: &id::DomainId,
-        order: impl Fn(&QueuedGroup) -> Option<(Class, time::Duration)>,
+        order: impl Fn(GroupId, &QueuedGroup) -> Option<places::Order>,
     ) -> Vec<QueuedPiece> {
         let mut order: Vec<_> =
-            queue.iter().filter_map(|(id, group)| Some((order(group)?, *id))).collect();
+            queue.iter().filter_map(|(id, group)| Some((order(*id, group)?, *id))).collect();
         order.sort_unstable();
         let mut taken = Vec::new();
         for (_, id) in order {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -16,6 +16,7 @@
 mod holds;
 mod messages;
 mod request;
+mod shed;
 mod stages;
 
 pub use messages::{
@@ -40,6 +41,7 @@
 use crate::retry;
 use crate::roster;
 use crate::route_times;
+use crate::shedding;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -58,6 +60,8 @@
     pub revocation_bound: Option<time::Duration>,
     /// Retries that are allowed, as a share of the requests to a service.
     pub retry_share: f64,
+    /// Rule by which requests are delayed or turned away under overload.
+    pub overload: shedding::Overload,
 }
 
 impl Settings {
@@ -152,7 +156,7 @@
             table_lease: config_lease::ConfigLease::new(settings.revocation_bound),
             fleet: fleet::Fleet::new(settings.domain.clone(), settings.regions.clone()),
             placement: placement::Placement::default(),
-            queues: batch::Queues::default(),
+            queues: batch::Queues::new(settings.overload),
             requests: collections::BTreeMap::new(),
             deadlines: collections::BTreeSet::new(),
             calls: collections::BTreeMap::new(),
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -12,6 +12,8 @@
 use crate::quarantine;
 use crate::refusal;
 use crate::roster;
+use crate::shedding;
+use crate::shedding::arrival;
 use crate::table;
 use crate::telemetry;
 
@@ -120,10 +122,14 @@
         let spent = times.estimate_spent(request.deadline.saturating_sub(now));
         request.due = request.due.saturating_sub(spent);
         let estimate = self.choose_region(&mut request, &regions);
-        let class = admission::decide(&estimate)?;
+        let class = match self.settings.overload {
+            shedding::Overload::Due => admission::decide(&estimate)?,
+            shedding::Overload::Loss => arrival::decide(&estimate, self.rng.f64())?,
+        };
         request.probed_part = self.check_held(request.prompt())?;
         match class {
             // Late requests yield to others, so their latency says nothing about the estimates.
+            admission::Class::Late if self.settings.overload == shedding::Overload::Loss => {}
             admission::Class::Late => request.due = request.due.min(now),
             admission::Class::OnTime if estimate.is_retry => {}
             admission::Class::OnTime => request.estimate = estimate.on_time,
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -42,6 +42,7 @@
         for pool in self.queues.pools() {
             let Some(service) = table.services.get(&pool.service) else { continue };
             let Some(batching) = &service.batching else { continue };
+            self.give_up_groups(&pool, batching, effects);
             while let Some(next) = self.queues.dispatch(self.now.mono, &pool, batching, &self.fleet)
             {
                 self.send_batch(&pool, next, service, batching, effects);
@@ -189,6 +190,7 @@
         if call.had_backlog {
             let rate = self.pool_rates.entry(call.pool.clone()).or_default();
             rate.record(&call.batching, call.pieces.len(), took);
+            self.queues.record_rate(&call.pool, *rate);
         }
     }
 
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -11,6 +11,7 @@
 use crate::handoff;
 use crate::id;
 use crate::roster;
+use crate::shedding::loss;
 use crate::telemetry;
 use crate::unit;
 
@@ -49,6 +50,8 @@
     pub due: time::Duration,
     /// Time from which the results are useless to the request.
     pub deadline: time::Duration,
+    /// What the loss of the request is judged by; `None` if requests are not shed by loss.
+    pub terms: Option<loss::Terms>,
     /// Rank of the request; 0 is the highest priority.
     pub rank: u8,
     /// Typical size of one result.
@@ -129,6 +132,10 @@
             result_size: group.result_size,
             input: group.input.clone(),
             near_domain: group.near_domain.clone(),
+            shedding: group.terms.map(|terms| handoff::SheddingTerms {
+                latest_ms: terms.latest.saturating_sub(now).into(),
+                work_us: u64::try_from(terms.work.as_micros()).unwrap_or(u64::MAX),
+            }),
         };
         let line = telemetry::Line::new("hand_over")
             .with("request", &group.external_id)
@@ -183,6 +190,10 @@
             stage: message.stage,
             due,
             deadline: now + message.budget_ms.duration(),
+            terms: message.shedding.map(|terms| loss::Terms {
+                latest: now + terms.latest_ms.duration(),
+                work: time::Duration::from_micros(terms.work_us),
+            }),
             rank: message.rank,
             result_size: message.result_size,
             input: message.input,
@@ -231,7 +242,7 @@
     }
 
     /// Removes a group and its queued pieces, and frees its results.
-    fn drop_group(&mut self, id: batch::GroupId) -> Option<Group> {
+    pub(super) fn drop_group(&mut self, id: batch::GroupId) -> Option<Group> {
         let group = self.groups.remove(&id)?;
         self.queues.remove_group(&group.pool, id);
         self.free_outcomes(&group);
@@ -272,7 +283,10 @@
                     holder.last_answer = self.now.mono;
                 }
                 self.reported_waits.insert(pool, (self.now.mono, result.wait));
-                self.finish_group(id, effects);
+                match result.retry_ms {
+                    Some(delay) => self.end_given_up(id, delay.duration(), effects),
+                    None => self.finish_group(id, effects),
+                }
             }
             _ => {
                 self.peer_lost(&peer, effects);
@@ -375,7 +389,7 @@
                 self.handovers.remove(&handover);
                 let outcomes = group.pieces.into_values().flatten().collect();
                 let wait = self.local_wait(&group.pool);
-                let result = handoff::HandoverResult { outcomes, wait };
+                let result = handoff::HandoverResult { outcomes, wait, retry_ms: None };
                 effects.push(gateway::Effect::AnswerHandover(handover, result));
             }
         }
@@ -452,6 +466,7 @@
             rank: self.rank,
             result_size: self.result_size,
             near_domain,
+            terms: self.terms,
         }
     }
 }
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -15,6 +15,7 @@
 use crate::refusal;
 use crate::roster;
 use crate::route_times;
+use crate::shedding;
 use crate::table;
 
 /// Upper limit on the wait that is expected in a later stage. The pieces that are queued there now
@@ -57,6 +58,7 @@
         let group = batch::GroupId(self.next_serial());
         let Some(request) = self.requests.get(&id) else { return };
         let due = request.due.saturating_sub(self.remaining_time(request, stage));
+        let terms = self.loss_terms(request, stage);
         let engine_domain = self.engine_domain(request, stage);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let route_stage = &request.route.stages[stage];
@@ -83,6 +85,7 @@
             stage,
             due,
             deadline: request.start_deadline,
+            terms,
             rank: request.rank,
             result_size,
             input,
@@ -253,7 +256,12 @@
                     .unwrap_or_default()
             };
             on_time[stage] = start(&on_time).max(wait.on_time[rank]) + work;
-            late[stage] = start(&late).max(wait.late) + work;
+            late[stage] = match self.settings.overload {
+                shedding::Overload::Due => start(&late).max(wait.late) + work,
+                // Work that can be on time keeps arriving while earlier stages of the request run,
+                // so late work waits as long then as it would now.
+                shedding::Overload::Loss => start(&late) + wait.late + work,
+            };
         }
         let times = self.route_times(&request.route.name);
         let run = if request.stages.is_empty() { time::Duration::ZERO } else { times.run_time };
@@ -339,7 +347,7 @@
     }
 
     /// Returns the recorded times of a route, or initial values.
-    fn route_times(&self, route: &str) -> route_times::RouteTimes {
+    pub(super) fn route_times(&self, route: &str) -> route_times::RouteTimes {
         self.route_times.get(route).copied().unwrap_or_default()
     }
 
--- a/lib/src/gateway_settings.rs
+++ b/lib/src/gateway_settings.rs
@@ -4,6 +4,7 @@
 use std::net;
 
 use crate::id;
+use crate::shedding;
 use crate::unit;
 
 /// Settings of one gateway process.
@@ -49,6 +50,9 @@
     /// Longest time that a stop waits for requests in progress.
     #[serde(default = "default_stop")]
     pub stop_ms: unit::Millis,
+    /// Rule by which requests are delayed or turned away under overload.
+    #[serde(default)]
+    pub overload: shedding::Overload,
 }
 
 impl Settings {
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -232,6 +232,7 @@
         regions: settings.regions.clone(),
         revocation_bound: settings.revocation_ms.map(unit::Millis::duration),
         retry_share: settings.retry_share.0,
+        overload: settings.overload,
     }
 }
 
--- a/lib/src/handoff.rs
+++ b/lib/src/handoff.rs
@@ -52,6 +52,20 @@
     #[serde(default)]
     #[serde(rename = "inputs")]
     pub near_domain: Option<id::DomainId>,
+    /// Times by which the other gateway may reject the pieces. Gateways that shed requests by due
+    /// time leave the field out, as earlier releases neither send nor decode it. It has to stay the
+    /// last field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shedding: Option<SheddingTerms>,
+}
+
+/// What the loss of a request is judged by, as it is handed over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct SheddingTerms {
+    /// Time until the stage has to end for an answer before the deadline of the request.
+    pub latest_ms: unit::Millis,
+    /// Microseconds of work that the request still needs at the bottleneck of its route.
+    pub work_us: u64,
 }
 
 /// Outcomes of pieces that were handed over.
@@ -62,6 +76,11 @@
     pub outcomes: Vec<Outcome>,
     /// Current estimate of the wait of new pieces in the pool.
     pub wait: batch::WaitEstimate,
+    /// Delay after which the request may be tried again, if the pieces were given up because they
+    /// cannot be computed in time. Sent only if the handover had `shedding`, as earlier releases do
+    /// not decode the field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_ms: Option<unit::Millis>,
 }
 
 /// Outcome of one piece that was handed over.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod route_times;
 pub mod routing;
 pub mod settings;
+pub mod shedding;
 pub mod sidecar;
 pub mod sidecar_http;
 pub mod sidecar_shell;
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use bramleyshelf_lib::{
-    batch, clock, fleet, gateway, handoff, id, placement, refusal, roster, table, unit,
+    batch, clock, fleet, gateway, handoff, id, placement, refusal, roster, shedding, table, unit,
 };
 use bramleyshelf_testutils::values::{ms, name};
 
@@ -88,6 +88,7 @@
             regions: collections::BTreeMap::from(regions),
             revocation_bound: Some(ms(5_000)),
             retry_share: 0.1,
+            overload: shedding::Overload::Due,
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness =
@@ -569,7 +570,8 @@
     assert!(effects.is_empty(), "the holder is alive: {effects:?}");
     let handle = gateway::Handle("h".to_owned());
     let outcomes = vec![handoff::Outcome::Done { instance: name("s1"), handle }];
-    let result = handoff::HandoverResult { outcomes, wait: batch::WaitEstimate::default() };
+    let result =
+        handoff::HandoverResult { outcomes, wait: batch::WaitEstimate::default(), retry_ms: None };
     let effects = harness.step(gateway::Event::HandoverEnded(group, Some(result)));
     assert_eq!(batch_call(&effects).items[0].stage, 1, "the result is used by the next stage");
 }
@@ -582,7 +584,8 @@
     let group = handed_over(&effects).expect("the pieces are handed over");
     let handle = gateway::Handle("h".to_owned());
     let outcomes = vec![handoff::Outcome::Done { instance: name("s1"), handle }];
-    let result = handoff::HandoverResult { outcomes, wait: batch::WaitEstimate::default() };
+    let result =
+        handoff::HandoverResult { outcomes, wait: batch::WaitEstimate::default(), retry_ms: None };
     let effects = harness.step(gateway::Event::HandoverEnded(group, Some(result)));
     assert!(handed_over(&effects).is_some(), "the next stage is handed over");
 }
@@ -622,6 +625,7 @@
         result_size: unit::ByteSize(8_000),
         input: gateway::PieceInput::Key("k".to_owned()),
         near_domain: None,
+        shedding: None,
     };
     let handover = gateway::HandoverId(4);
     let effects =
--- a/lib/tests/test_gateway_affinity.rs
+++ b/lib/tests/test_gateway_affinity.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{clock, fleet, gateway, id, placement, table, unit};
+use bramleyshelf_lib::{clock, fleet, gateway, id, placement, shedding, table, unit};
 use bramleyshelf_testutils::values::{ms, name};
 
 const REGIONS: [(&str, &str); 3] = [("a", "east"), ("b", "east"), ("c", "west")];
@@ -84,6 +84,7 @@
             regions: collections::BTreeMap::from(regions),
             revocation_bound: None,
             retry_share: 0.1,
+            overload: shedding::Overload::Due,
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness = Self { gateway: gateway::Gateway::new(settings, 7), now, requests: 0 };
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -73,6 +73,7 @@
                 rank: 0,
                 result_size: size,
                 near_domain: inputs,
+                terms: None,
             },
         );
     }
--- a/lib/tests/test_gateway_settings.rs
+++ b/lib/tests/test_gateway_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway that follow from other settings.
 
-use bramleyshelf_lib::gateway_settings;
+use bramleyshelf_lib::{gateway_settings, shedding};
 
 /// Settings with the given `capacity` section and, if not empty, further fields.
 fn settings(capacity: &str, further: &str) -> gateway_settings::Settings {
@@ -29,3 +29,10 @@
     let set = settings(r#"{"cpu_share": 0.09}"#, r#", "weight": 7"#);
     assert_eq!(set.effective_weight(), 7);
 }
+
+/// Guards against a change of behaviour for operators who do not set the rule.
+#[test]
+fn overload_is_by_due_time_unless_set() {
+    assert_eq!(settings("{}", "").overload, shedding::Overload::Due);
+    assert_eq!(settings("{}", r#", "overload": "loss""#).overload, shedding::Overload::Loss);
+}
