batch: calls prefer idle upstreams that are fast at the moment

Cause: upstreams state in a fourth figure of X-Runner-Load how long work takes there at this moment; the figure was not read.

Change: `fleet::Load` has an optional pace. Of the idle upstreams with memory, the one with the lowest pace of the last 300 ms is called. Paces that differ by less than a quarter do not override the failure domain of the inputs.

--- a/lib/src/batch/usable_upstreams.rs
+++ b/lib/src/batch/usable_upstreams.rs
@@ -14,6 +14,10 @@
 /// Slowness relative to the fastest usable upstream above which an upstream gets no calls.
 const MAX_SLOWNESS_RATIO: f64 = 2.0;
 
+/// Per cent of the usual time by which the paces of two upstreams have to differ to count. A smaller
+/// gain is less than fetching inputs from another failure domain costs.
+const PACE_STEP: u32 = 25;
+
 /// Upstreams of a pool that may get calls, at least one of which is idle.
 pub(super) struct UsableUpstreams<'a> {
     now: time::Duration,
@@ -45,8 +49,9 @@
     }
 
     /// Picks an idle upstream for a group. Prefers upstreams with few calls of other gateways, then
-    /// those with enough memory, then those in the failure domain that the group should run in,
-    /// then those that hold the fewest bytes of results.
+    /// those with enough memory, then those where work takes the least time at this moment, then
+    /// those in the failure domain that the group should run in, then those that hold the fewest
+    /// bytes of results.
     pub(super) fn pick(
         &self,
         group: &batch::QueuedGroup,
@@ -56,7 +61,8 @@
         let best = allowed.min_by_key(|(_, up)| {
             let is_remote = group.is_remote_from(&up.entry.domain);
             let held = up.held_bytes(self.now).0;
-            (up.foreign_calls(self.now), !self.has_room(up, group), is_remote, held)
+            let pace = up.pace(self.now) / PACE_STEP;
+            (up.foreign_calls(self.now), !self.has_room(up, group), pace, is_remote, held)
         });
         best.copied()
     }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -80,8 +80,16 @@
     pub waiting: u32,
     /// Number of requests that can run at the same time.
     pub slots: u32,
+    /// Time that work takes there at this moment, in per cent of the usual; `None` if the upstream
+    /// does not say.
+    pub pace: Option<u32>,
 }
 
+/// Usual time that work takes, in per cent.
+pub const USUAL_PACE: u32 = 100;
+/// Values of a pace that are plausible. Others are ignored.
+pub const PACES: std::ops::RangeInclusive<u32> = 10..=10_000;
+
 /// State that a gateway keeps about one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -204,6 +212,15 @@
         1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_DECAY.as_secs_f64()).exp()
     }
 
+    /// Returns the time that work takes at the upstream, in per cent of the usual, according to its
+    /// latest report; [`USUAL_PACE`] if the report is outdated or does not say.
+    pub fn pace(&self, now: time::Duration) -> u32 {
+        if now.saturating_sub(self.reported_at) > MAX_LOAD_AGE {
+            return USUAL_PACE;
+        }
+        self.reported_load.pace.unwrap_or(USUAL_PACE)
+    }
+
     /// Returns the number of running and queued calls of others, according to its latest report; 0
     /// if the report is outdated.
     pub fn foreign_calls(&self, now: time::Duration) -> u32 {
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -75,7 +75,7 @@
         let held = upstream.held_bytes(now);
         let foreign_calls = upstream.foreign_calls(now);
         let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
-        let slowness = upstream.slowness(now);
+        let (slowness, pace) = (upstream.slowness(now), upstream.pace(now));
         self.fleet.record_sent(&next.instance, 0);
         let timeout = next.expected_time.mul_f64(2.0 * slowness.max(1.0)) + MAX_QUEUE_TIME;
         let line = telemetry::Line::new("batch")
@@ -85,6 +85,7 @@
             .with("pieces", pieces.len())
             .with("expected_ms", next.expected_time.as_millis())
             .with("foreign", foreign_calls)
+            .with("pace", pace)
             .with("held_kb", held.0 / 1_000)
             .with("room_kb", next.free_memory.0 / 1_000)
             .with("left", next.remaining_pieces)
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -238,6 +238,36 @@
     assert_eq!(call.instance, name("u1"));
 }
 
+/// Guards against calls to an upstream that is slow at this moment while another one is idle, and
+/// against figures that stay in use although paces change many times a second.
+#[test]
+fn batch_prefers_the_lowest_recent_pace() {
+    // Paces of u1 and u2, age of the reports, upstream that is called. Without a difference, u1 is
+    // called, as it holds fewer results.
+    let cases = [
+        (Some(250), Some(100), 300, "u2"),
+        (Some(250), Some(100), 301, "u1"),
+        (Some(250), None, 0, "u2"),
+        (None, Some(60), 0, "u2"),
+        (None, Some(250), 0, "u1"),
+        (Some(108), Some(101), 0, "u1"),
+    ];
+    for (first, second, age, expected) in cases {
+        let mut fleet = fleet_of(&[("u1", "a"), ("u2", "a")]);
+        let upstream = fleet.get_mut(&name("u2")).expect("it is listed");
+        upstream.add_result(gateway::Handle("h".into()), unit::ByteSize(8_000), ms(9_000));
+        for (instance, pace) in [("u1", first), ("u2", second)] {
+            let load = fleet::Load { slots: 1, pace, ..fleet::Load::default() };
+            fleet.record_load(ms(1_000), &name(instance), load);
+        }
+        let mut queues = batch::Queues::default();
+        push(&mut queues, 1, 2, 5_000, 8_000);
+        let call = queues.dispatch(ms(1_000 + age), &pool(), &batching(), &fleet);
+        let called = call.expect("both are idle").instance;
+        assert_eq!(called, name(expected), "{first:?} {second:?} {age}");
+    }
+}
+
 #[test]
 fn fleet_memory_share_falls_to_what_fitted() {
     // Results differ in size, so that some pieces of a full call find no memory.
