shedding: ranks keep their order and no kind is starved

Cause: requests of a low rank have a long deadline, so they waited until a burst was over and were served more often than a higher rank that is refused at once. Under a lasting overload nothing kept a kind from being shed altogether.

Change: each gateway counts the share of each kind that it serves. While a higher rank of the same service is refused, a lower one whose share is above yields. The estimate of late work assumes no spare capacity while on-time work fills the next call of each upstream.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -255,7 +255,15 @@
         });
         // Late pieces use only the share that on-time work leaves free, and on-time work continues
         // to arrive. A new piece then waits for its own share of a call as well.
-        let spare_share = self.spare_shares.get(pool).copied().unwrap_or_default().share();
+        let mut spare_share = self.spare_shares.get(pool).copied().unwrap_or_default();
+        if self.overload == shedding::Overload::Loss
+            && seconds > call_seconds * fleet.pool_upstreams(pool).count() as f64
+        {
+            // The next call of each upstream is full of on-time work. The recorded share follows
+            // the start of a burst only after some calls.
+            spare_share = pool_rate::SpareShare::none();
+        }
+        let spare_share = spare_share.share();
         let piece_seconds = if spare_share >= 1.0 {
             0.0
         } else if self.overload == shedding::Overload::Loss {
--- a/lib/src/batch/places.rs
+++ b/lib/src/batch/places.rs
@@ -125,6 +125,7 @@
             run_time: self.batching.duration(queued.min(most).max(group.pieces.len().min(most))),
             pool_time,
             work: terms.map_or(pool_time, |terms| terms.work),
+            is_raised: terms.is_some_and(|terms| terms.is_raised),
         }
     }
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::roster;
 use crate::route_times;
 use crate::shedding;
+use crate::shedding::shares;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -106,6 +107,8 @@
     >,
     /// Rate factors of pools whose batches are formed here.
     pool_rates: collections::BTreeMap<roster::PoolId, pool_rate::RateFactor>,
+    /// Shares of requests that are served, by kind.
+    shares: shares::Shares,
     /// Observed times of routes by their names.
     route_times: collections::BTreeMap<String, route_times::RouteTimes>,
     /// Results to free at the next tick, by the upstream that stores them.
@@ -168,6 +171,7 @@
             reported_waits: collections::BTreeMap::new(),
             reported_upcoming: collections::BTreeMap::new(),
             pool_rates: collections::BTreeMap::new(),
+            shares: shares::Shares::default(),
             route_times: collections::BTreeMap::new(),
             unneeded_results: collections::BTreeMap::new(),
             retry_budgets: collections::BTreeMap::new(),
@@ -410,6 +414,7 @@
         delay: time::Duration,
         effects: &mut Vec<Effect>,
     ) {
+        self.record_loss(id);
         let Some(request) = self.requests.get(&id) else { return };
         let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
         let refusal = refusal::Refusal::new(kind, ran, message);
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -13,7 +13,6 @@
 use crate::refusal;
 use crate::roster;
 use crate::shedding;
-use crate::shedding::arrival;
 use crate::table;
 use crate::telemetry;
 
@@ -124,7 +123,7 @@
         let estimate = self.choose_region(&mut request, &regions);
         let class = match self.settings.overload {
             shedding::Overload::Due => admission::decide(&estimate)?,
-            shedding::Overload::Loss => arrival::decide(&estimate, self.rng.f64())?,
+            shedding::Overload::Loss => self.admit_by_loss(&mut request, &estimate)?,
         };
         request.probed_part = self.check_held(request.prompt())?;
         match class {
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -135,6 +135,7 @@
             shedding: group.terms.map(|terms| handoff::SheddingTerms {
                 latest_ms: terms.latest.saturating_sub(now).into(),
                 work_us: u64::try_from(terms.work.as_micros()).unwrap_or(u64::MAX),
+                is_raised: terms.is_raised,
             }),
         };
         let line = telemetry::Line::new("hand_over")
@@ -193,6 +194,7 @@
             terms: message.shedding.map(|terms| loss::Terms {
                 latest: now + terms.latest_ms.duration(),
                 work: time::Duration::from_micros(terms.work_us),
+                is_raised: terms.is_raised,
             }),
             rank: message.rank,
             result_size: message.result_size,
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::placement;
 use crate::quarantine;
+use crate::shedding::shares;
 use crate::table;
 
 /// Maximum number of pieces of one stage.
@@ -100,6 +101,8 @@
     pub may_have_run: bool,
     /// Whether the caller received the beginning of the answer.
     pub has_started: bool,
+    /// Whether it yields to no other request, because its kind is served too rarely.
+    pub is_raised: bool,
 }
 
 impl Request {
@@ -143,6 +146,7 @@
             call_count: 0,
             may_have_run: false,
             has_started: false,
+            is_raised: false,
         })
     }
 
@@ -151,6 +155,12 @@
         quarantine::Prompt { parts: &self.prompt_parts, content: self.content }
     }
 
+    /// Returns the requests that it is counted with.
+    pub fn kind(&self) -> shares::Kind {
+        let (service, route) = (self.service.clone(), self.route.name.clone());
+        shares::Kind { service, rank: self.rank, route }
+    }
+
     /// Returns the deadline that applies at present: that for the start of the answer, or that for
     /// its end.
     pub fn current_deadline(&self) -> time::Duration {
--- a/lib/src/gateway/shed.rs
+++ b/lib/src/gateway/shed.rs
@@ -5,6 +5,7 @@
 
 use std::time;
 
+use crate::admission;
 use crate::batch;
 use crate::gateway;
 use crate::gateway::groups;
@@ -16,6 +17,7 @@
 use crate::shedding;
 use crate::shedding::arrival;
 use crate::shedding::loss;
+use crate::shedding::shares;
 use crate::table;
 use crate::telemetry;
 
@@ -71,6 +73,38 @@
         }
     }
 
+    /// Decides whether a request is admitted if requests are shed by loss.
+    pub(super) fn admit_by_loss(
+        &mut self,
+        request: &mut request::Request,
+        estimate: &admission::LatencyEstimate,
+    ) -> Result<admission::Class, admission::Rejection> {
+        if request.stages.is_empty() {
+            return arrival::decide(estimate, shares::Standing::Usual, self.rng.f64());
+        }
+        let now = self.now.mono;
+        let kind = request.kind();
+        if !estimate.is_retry {
+            self.shares.record_arrived(now, &kind);
+        }
+        let standing = self.shares.standing(now, &kind);
+        let result = arrival::decide(estimate, standing, self.rng.f64());
+        match &result {
+            Ok(_) => self.shares.record_admitted(now, &kind),
+            Err(_) => self.shares.record_refused(now, &kind),
+        }
+        request.is_raised = standing == shares::Standing::Raised;
+        result
+    }
+
+    /// Records that a request was refused after its admission.
+    pub(super) fn record_loss(&mut self, id: id::RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if !request.has_started && !request.stages.is_empty() {
+            self.shares.record_lost(self.now.mono, &request.kind());
+        }
+    }
+
     /// Returns what the loss of a request is judged by when one of its stages starts; `None` if
     /// requests are not shed by loss.
     pub(super) fn loss_terms(
@@ -91,7 +125,8 @@
         }
         let unfinished = (0..request.stages.len()).filter(|stage| !request.is_stage_done(*stage));
         let work = unfinished.map(|stage| self.stage_work(request, stage)).max();
-        Some(loss::Terms { latest, work: work.unwrap_or_default() })
+        let work = work.unwrap_or_default();
+        Some(loss::Terms { latest, work, is_raised: request.is_raised })
     }
 
     /// Returns the shortest time from the end of a stage to the start of the answer: what the later
--- a/lib/src/handoff.rs
+++ b/lib/src/handoff.rs
@@ -66,6 +66,8 @@
     pub latest_ms: unit::Millis,
     /// Microseconds of work that the request still needs at the bottleneck of its route.
     pub work_us: u64,
+    /// Whether the request yields to no other, because its kind is served too rarely.
+    pub is_raised: bool,
 }
 
 /// Outcomes of pieces that were handed over.
--- a/lib/src/pool_rate.rs
+++ b/lib/src/pool_rate.rs
@@ -60,6 +60,11 @@
         self.0 += (sample - self.0) * SPARE_SMOOTHING;
     }
 
+    /// Returns the share of a pool that on-time work fills completely.
+    pub fn none() -> Self {
+        Self(0.0)
+    }
+
     /// Returns the share for use in estimates, which is above zero.
     pub fn share(self) -> f64 {
         self.0.max(MIN_SPARE)
--- a/lib/src/shedding.rs
+++ b/lib/src/shedding.rs
@@ -5,7 +5,7 @@
 //! to a request which then misses its deadline is lost to another one, and its caller has waited in
 //! vain. The modules answer three questions: what a request loses if it is shed ([`loss`]), which
 //! queued groups can still be on time and which have to yield or be given up ([`plan`]), and which
-//! new requests are admitted ([`arrival`]).
+//! new requests are admitted ([`arrival`], and [`shares`] for the balance between ranks).
 //!
 //! All decisions are pure. [`crate::batch`] and [`crate::gateway`] import these modules; these
 //! modules import neither of them.
@@ -13,6 +13,7 @@
 pub mod arrival;
 pub mod loss;
 pub mod plan;
+pub mod shares;
 
 /// Rule by which requests are delayed or turned away under overload.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
--- a/lib/src/shedding/loss.rs
+++ b/lib/src/shedding/loss.rs
@@ -21,6 +21,8 @@
     pub latest: time::Duration,
     /// Work that the request still needs at the bottleneck of its route, including this stage.
     pub work: time::Duration,
+    /// Whether it goes before requests of all ranks, because its kind is served too rarely.
+    pub is_raised: bool,
 }
 
 /// Times and rank by which the loss of a request is judged.
--- a/lib/src/shedding/plan.rs
+++ b/lib/src/shedding/plan.rs
@@ -34,6 +34,8 @@
     pub pool_time: time::Duration,
     /// Work that its request still needs at the bottleneck of its route.
     pub work: time::Duration,
+    /// Whether it yields to no other group, because its kind is served too rarely.
+    pub is_raised: bool,
 }
 
 /// State of a pool.
@@ -155,6 +157,9 @@
 
 /// Returns the loss per unit of work of a group if it started now.
 fn density(now: time::Duration, job: &Job) -> f64 {
+    if job.is_raised {
+        return f64::INFINITY;
+    }
     let (rank, end) = (job.rank, now + job.run_time);
     let prospect = loss::Prospect { rank, end, due: job.due, latest: job.latest };
     prospect.loss_per_work(job.work)
--- a/lib/tests/shedding_replay/mod.rs
+++ b/lib/tests/shedding_replay/mod.rs
@@ -107,18 +107,7 @@
         kinds: &[Kind],
         stages: &[Stage],
     ) -> Self {
-        let regions = collections::BTreeMap::from([(name("a"), name("east"))]);
-        let gateways = (0..gateway_count).map(|index| {
-            let settings = gateway::Settings {
-                instance: gateway_name(index),
-                domain: name("a"),
-                regions: regions.clone(),
-                revocation_bound: None,
-                retry_share: 0.1,
-                overload,
-            };
-            gateway::Gateway::new(settings, index as u64 + 1)
-        });
+        let gateways = (0..gateway_count).map(|index| new_gateway(overload, index));
         let mut replay = Self {
             now: ms(10_000),
             actions: collections::BTreeMap::new(),
@@ -236,28 +225,8 @@
     /// Passes the table and the lists to all gateways.
     fn list(&mut self) {
         let now = self.clock();
-        let entry = |instance: String, service: &str| fleet::ListEntry {
-            instance: name(&instance),
-            service: name(service),
-            address: "10.0.0.1:80".parse().expect("an address"),
-            domain: name("a"),
-            leaving: false,
-            started_ms: None,
-        };
-        let mut upstreams: Vec<_> = (0..20).map(|i| entry(format!("e{i}"), "engine")).collect();
-        for stage in &self.stages {
-            let entries =
-                (0..stage.upstreams).map(|i| entry(format!("{}{i}", stage.service), stage.service));
-            upstreams.extend(entries);
-        }
-        let peers: Vec<_> = (0..self.gateways.len())
-            .map(|index| roster::Peer {
-                instance: gateway_name(index),
-                address: address(index),
-                domain: name("a"),
-                weight: 100,
-            })
-            .collect();
+        let upstreams = list_upstreams(&self.stages);
+        let peers = list_gateways(self.gateways.len());
         for index in 0..self.gateways.len() {
             let table = sync::Arc::clone(&self.table);
             self.step(index, gateway::Event::TableRead { confirmed: Some(now), table });
@@ -394,6 +363,52 @@
     }
 }
 
+/// Makes a gateway without a table, upstreams or peers.
+pub fn new_gateway(overload: shedding::Overload, index: usize) -> gateway::Gateway {
+    let settings = gateway::Settings {
+        instance: gateway_name(index),
+        domain: name("a"),
+        regions: collections::BTreeMap::from([(name("a"), name("east"))]),
+        revocation_bound: None,
+        retry_share: 0.1,
+        overload,
+    };
+    gateway::Gateway::new(settings, index as u64 + 1)
+}
+
+/// Makes the entry of an upstream in the list.
+fn list_entry(instance: &str, service: &str) -> fleet::ListEntry {
+    fleet::ListEntry {
+        instance: name(instance),
+        service: name(service),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: name("a"),
+        leaving: false,
+        started_ms: None,
+    }
+}
+
+/// Makes the list of all upstreams.
+pub fn list_upstreams(stages: &[Stage]) -> Vec<fleet::ListEntry> {
+    let mut list: Vec<_> = (0..20).map(|i| list_entry(&format!("e{i}"), "engine")).collect();
+    for stage in stages {
+        let service = stage.service;
+        list.extend((0..stage.upstreams).map(|i| list_entry(&format!("{service}{i}"), service)));
+    }
+    list
+}
+
+/// Makes the list of gateways.
+pub fn list_gateways(count: usize) -> Vec<roster::Peer> {
+    let peer = |index| roster::Peer {
+        instance: gateway_name(index),
+        address: address(index),
+        domain: name("a"),
+        weight: 100,
+    };
+    (0..count).map(peer).collect()
+}
+
 fn gateway_name(index: usize) -> id::InstanceId {
     name(&format!("g{index}"))
 }
@@ -407,7 +422,8 @@
     usize::from(address.port()) - 1
 }
 
-fn make_table(kinds: &[Kind], stages: &[Stage]) -> sync::Arc<table::Table> {
+/// Makes a table with one route for each kind.
+pub fn make_table(kinds: &[Kind], stages: &[Stage]) -> sync::Arc<table::Table> {
     let routes = kinds.iter().map(|kind| {
         let stages =
             kind.stages.iter().enumerate().map(|(index, (service, _, size))| table::Stage {
