shedding: nothing is given up while upstreams are full for a moment

Cause: the plan of a pool counted only upstreams that take calls at the moment. While all of them were full for 60 ms, the pool seemed to have a quarter of one upstream, and most of its queue was given up.

Change: upstreams that were full a moment ago count. If no upstream is known to work, only groups are given up that none could do in time.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -292,19 +292,13 @@
         batching: &table::Batching,
         fleet: &fleet::Fleet,
     ) -> Option<Dispatch> {
+        let state = self.pool_state(now, pool, batching, fleet);
         let queue = self.by_pool.get_mut(pool)?;
         let queued: usize = queue.values().map(|group| group.pieces.len()).sum();
         let usable = usable_upstreams::UsableUpstreams::find(now, pool, batching, fleet, queued)?;
         let order = match self.overload {
             shedding::Overload::Due => places::due_order(now, queue, batching),
-            shedding::Overload::Loss => {
-                let rate = self.rates.get(pool).copied().unwrap_or_default();
-                let spare_share = self.spare_shares.get(pool).copied().unwrap_or_default();
-                let (speed, is_busy) = pool_speed(now, pool, fleet, rate);
-                let spare_share = spare_share.share();
-                let state = places::PoolState { now, batching, speed, is_busy, spare_share };
-                places::loss_order(&state, queue)
-            }
+            shedding::Overload::Loss => state.loss_order(queue),
         };
         let mut groups: Vec<_> =
             queue.iter().filter_map(|(id, group)| Some((*order.get(id)?, group))).collect();
--- a/lib/src/batch/places.rs
+++ b/lib/src/batch/places.rs
@@ -49,16 +49,13 @@
         batching: &table::Batching,
         fleet: &fleet::Fleet,
     ) -> GivenUp {
-        let Some(queue) = self.by_pool.get_mut(pool) else { return GivenUp::default() };
         let last = self.checked_at.get(pool).copied().unwrap_or_default();
         if self.overload == shedding::Overload::Due || now < last + CHECK_INTERVAL {
             return GivenUp::default();
         }
         self.checked_at.insert(pool.clone(), now);
-        let rate = self.rates.get(pool).copied().unwrap_or_default();
-        let (speed, is_busy) = batch::pool_speed(now, pool, fleet, rate);
-        let spare_share = self.spare_shares.get(pool).copied().unwrap_or_default().share();
-        let state = PoolState { now, batching, speed, is_busy, spare_share };
+        let state = self.pool_state(now, pool, batching, fleet);
+        let Some(queue) = self.by_pool.get_mut(pool) else { return GivenUp::default() };
         let (jobs, places) = state.places(queue);
         let groups: Vec<_> = queue
             .keys()
@@ -70,6 +67,30 @@
         let drain = state.start() + jobs.iter().map(|job| job.pool_time).sum::<time::Duration>();
         GivenUp { groups, drain }
     }
+
+    /// Returns the state of a pool on which the places of its groups depend. Upstreams that were
+    /// full a moment ago count, as they take calls again soon. If none is known that works, the
+    /// speed is infinite, so that only groups are given up that no upstream could do in time.
+    pub(super) fn pool_state<'a>(
+        &self,
+        now: time::Duration,
+        pool: &roster::PoolId,
+        batching: &'a table::Batching,
+        fleet: &fleet::Fleet,
+    ) -> PoolState<'a> {
+        let is_working = |up: &fleet::Upstream| {
+            !up.entry.leaving && !up.health.is_ejected(now) && !up.is_paused(now)
+        };
+        let (mut speed, mut is_busy) = (0.0, true);
+        for (_, up) in fleet.pool_upstreams(pool).filter(|(_, up)| is_working(up)) {
+            speed += 1.0 / up.slowness(now).max(0.5);
+            is_busy &= up.in_flight > 0;
+        }
+        let rate = self.rates.get(pool).copied().unwrap_or_default();
+        let speed = if speed > 0.0 { speed * rate.0 } else { f64::INFINITY };
+        let spare_share = self.spare_shares.get(pool).copied().unwrap_or_default().share();
+        PoolState { now, batching, speed, is_busy, spare_share }
+    }
 }
 
 /// State of a pool on which the places of its groups depend.
@@ -128,6 +149,22 @@
             is_raised: terms.is_some_and(|terms| terms.is_raised),
         }
     }
+
+    /// Returns the order of groups by the loss of callers, without those that are given up.
+    pub(super) fn loss_order(&self, queue: &Queue) -> collections::BTreeMap<batch::GroupId, Order> {
+        let (_, places) = self.places(queue);
+        let order = |group: &batch::QueuedGroup, place| {
+            let (class, position) = match place {
+                plan::Place::Started => (batch::Class::Started, 0),
+                plan::Place::OnTime => (batch::Class::OnTime, 0),
+                plan::Place::Yielding(position) => (batch::Class::Late, position),
+                plan::Place::GivenUp => return None,
+            };
+            Some(Order { class, position, time: group.priority_time() })
+        };
+        let groups = queue.iter().zip(places);
+        groups.filter_map(|((id, group), place)| Some((*id, order(group, place)?))).collect()
+    }
 }
 
 /// Returns the order of groups by due time.
@@ -143,22 +180,3 @@
     };
     queue.iter().map(|(id, group)| (*id, order(group))).collect()
 }
-
-/// Returns the order of groups by the loss of callers, without those that are given up.
-pub(super) fn loss_order(
-    state: &PoolState<'_>,
-    queue: &Queue,
-) -> collections::BTreeMap<batch::GroupId, Order> {
-    let (_, places) = state.places(queue);
-    let order = |group: &batch::QueuedGroup, place| {
-        let (class, position) = match place {
-            plan::Place::Started => (batch::Class::Started, 0),
-            plan::Place::OnTime => (batch::Class::OnTime, 0),
-            plan::Place::Yielding(position) => (batch::Class::Late, position),
-            plan::Place::GivenUp => return None,
-        };
-        Some(Order { class, position, time: group.priority_time() })
-    };
-    let groups = queue.iter().zip(places);
-    groups.filter_map(|((id, group), place)| Some((*id, order(group, place)?))).collect()
-}
--- a/lib/tests/test_shedding.rs
+++ b/lib/tests/test_shedding.rs
@@ -275,6 +275,32 @@
     }
 }
 
+/// Guards against a whole queue that is given up while all upstreams are full for a moment.
+#[test]
+fn nothing_is_given_up_while_all_upstreams_are_full_for_a_moment() {
+    let pool = roster::PoolId { service: name("scan"), region: name("east") };
+    let table = shedding_replay::make_table(&kinds(), &stages());
+    let batching = table.services[&pool.service].batching.expect("it is a stage");
+    let regions = collections::BTreeMap::from([(name("a"), name("east"))]);
+    let mut fleet = fleet::Fleet::new(name("a"), regions);
+    fleet.update(ms(0), shedding_replay::list_upstreams(&stages()));
+    for index in 0..6 {
+        let upstream = fleet.get_mut(&name(&format!("scan{index}"))).expect("it is listed");
+        upstream.backoff_until = ms(1_060);
+    }
+    let mut queues = batch::Queues::new(shedding::Overload::Loss);
+    for group in 0..12 {
+        let id = batch::PieceId { group: batch::GroupId(group), piece: 0 };
+        let terms = loss::Terms { latest: ms(1_700), work: ms(10), is_raised: false };
+        let result_size = unit::ByteSize(8_000);
+        let (due, near_domain, terms) = (ms(1_300), None, Some(terms));
+        let piece = batch::QueuedPiece { id, due, rank: 1, result_size, near_domain, terms };
+        queues.push(&pool, piece);
+    }
+    let given_up = queues.give_up(ms(1_000), &pool, &batching, &fleet);
+    assert_eq!(given_up.groups, []);
+}
+
 /// Guards against a caller that loses its place in the queues when it returns after a refusal.
 #[test]
 fn returning_request_keeps_its_place() {
