shedding: groups that yield wait until a whole call is left

Cause: a group that yields was expected to go as soon as on-time work had left room for its own pieces. While nothing is left it was kept and given up later, after more than its target.

Change: the plan of a pool expects the first group that yields to wait until a whole call is left, as the estimate on arrival does.

--- a/lib/src/batch/places.rs
+++ b/lib/src/batch/places.rs
@@ -120,7 +120,9 @@
     fn places(&self, queue: &Queue) -> (Vec<plan::Job>, Vec<plan::Place>) {
         let queued = queue.values().map(|group| group.pieces.len()).sum();
         let jobs: Vec<_> = queue.values().map(|group| self.job(group, queued)).collect();
-        let capacity = plan::Capacity { start: self.start(), spare_share: self.spare_share };
+        let call_time = self.batching.duration(self.batching.max_pieces).div_f64(self.speed);
+        let spare_share = self.spare_share;
+        let capacity = plan::Capacity { start: self.start(), call_time, spare_share };
         let places = plan::plan(self.now, capacity, &jobs);
         (jobs, places)
     }
--- a/lib/src/shedding/plan.rs
+++ b/lib/src/shedding/plan.rs
@@ -43,6 +43,8 @@
 pub struct Capacity {
     /// Time until an upstream is idle.
     pub start: time::Duration,
+    /// Time in which the whole pool does the work of one full call.
+    pub call_time: time::Duration,
     /// Share that work which can be on time leaves free.
     pub spare_share: f64,
 }
@@ -115,7 +117,7 @@
             }
         }
     }
-    place_yielding(now, queued, capacity.spare_share, jobs, &mut places);
+    place_yielding(now, queued, capacity, jobs, &mut places);
     places
 }
 
@@ -124,7 +126,7 @@
 fn place_yielding(
     now: time::Duration,
     queued: time::Duration,
-    spare_share: f64,
+    capacity: Capacity,
     jobs: &[Job],
     places: &mut [Place],
 ) {
@@ -135,11 +137,14 @@
         let (a, b) = (key(a), key(b));
         b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
     });
+    // Groups that yield fill calls that others leave free, so the first one waits until a whole call
+    // is left.
+    let first = if capacity.spare_share < 1.0 { capacity.call_time } else { time::Duration::ZERO };
     let mut ahead = time::Duration::ZERO;
     let mut position = 0;
     for index in yielding {
         let job = &jobs[index];
-        let wait = queued + (ahead + job.pool_time).div_f64(spare_share);
+        let wait = queued + (ahead + job.pool_time).max(first).div_f64(capacity.spare_share);
         if now + wait + job.run_time > job.latest {
             places[index] = Place::GivenUp;
         } else {
--- a/lib/tests/test_shedding.rs
+++ b/lib/tests/test_shedding.rs
@@ -375,7 +375,11 @@
     }
 }
 
-const CAPACITY: plan::Capacity = plan::Capacity { start: time::Duration::ZERO, spare_share: 0.5 };
+const CAPACITY: plan::Capacity = plan::Capacity {
+    start: time::Duration::ZERO,
+    call_time: time::Duration::from_millis(100),
+    spare_share: 0.5,
+};
 
 /// Guards against a queue in which each group is a little late.
 #[test]
