--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -18,6 +18,7 @@
 mod messages;
 mod regions;
 mod request;
+mod shed;
 mod stages;
 
 pub use messages::{
@@ -43,6 +44,8 @@
 use crate::retry;
 use crate::roster;
 use crate::route_times;
+use crate::shedding;
+use crate::shedding::shares;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -63,6 +66,8 @@
     pub retry_share: f64,
     /// By how much the rate of a service may be exceeded at a cold upstream.
     pub cold_allowance: cold::Allowance,
+    /// Rule by which requests are delayed or turned away under overload.
+    pub overload: shedding::Overload,
 }
 
 impl Settings {
@@ -107,6 +112,8 @@
     >,
     /// Rate factors of pools whose batches are formed here.
     pool_rates: collections::BTreeMap<roster::PoolId, pool_rate::RateFactor>,
+    /// Shares of requests that are served, by kind.
+    shares: shares::Shares,
     /// Observed times of routes by their names.
     route_times: collections::BTreeMap<String, route_times::RouteTimes>,
     /// Results to free at the next tick, by the upstream that stores them.
@@ -159,7 +166,7 @@
             table_lease: config_lease::ConfigLease::new(settings.revocation_bound),
             fleet: fleet::Fleet::new(settings.domain.clone(), settings.regions.clone()),
             placement: placement::Placement::default(),
-            queues: batch::Queues::default(),
+            queues: batch::Queues::new(settings.overload),
             requests: collections::BTreeMap::new(),
             deadlines: collections::BTreeSet::new(),
             calls: collections::BTreeMap::new(),
@@ -171,6 +178,7 @@
             reported_waits: collections::BTreeMap::new(),
             reported_upcoming: collections::BTreeMap::new(),
             pool_rates: collections::BTreeMap::new(),
+            shares: shares::Shares::default(),
             route_times: collections::BTreeMap::new(),
             unneeded_results: collections::BTreeMap::new(),
             retry_budgets: collections::BTreeMap::new(),
@@ -433,6 +441,7 @@
         delay: impl Into<Option<time::Duration>>,
         effects: &mut Vec<Effect>,
     ) {
+        self.record_loss(id);
         let Some(request) = self.requests.get(&id) else { return };
         let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
         let refusal = refusal::Refusal::new(kind, ran, message);
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -11,6 +11,7 @@
 use crate::placement;
 use crate::quarantine;
 use crate::refusal;
+use crate::shedding;
 use crate::table;
 use crate::telemetry;
 
@@ -121,10 +122,14 @@
         let spent = times.estimate_spent(request.deadline.saturating_sub(now));
         request.due = request.due.saturating_sub(spent);
         let estimate = self.choose_region(&mut request, &regions);
-        let class = admission::decide(&estimate)?;
+        let class = match self.settings.overload {
+            shedding::Overload::Due => admission::decide(&estimate)?,
+            shedding::Overload::Loss => self.admit_by_loss(&mut request, &estimate)?,
+        };
         request.probed_part = self.check_held(request.prompt())?;
         match class {
             // Late requests yield to others, so their latency says nothing about the estimates.
+            admission::Class::Late if self.settings.overload == shedding::Overload::Loss => {}
             admission::Class::Late => request.due = request.due.min(now),
             admission::Class::OnTime if estimate.is_retry => {}
             admission::Class::OnTime => request.estimate = estimate.on_time,
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -42,6 +42,7 @@
         for pool in self.queues.pools() {
             let Some(service) = table.services.get(&pool.service) else { continue };
             let Some(batching) = &service.batching else { continue };
+            self.give_up_groups(&pool, batching, effects);
             while let Some(next) = self.queues.dispatch(self.now.mono, &pool, batching, &self.fleet)
             {
                 self.send_batch(&pool, next, service, batching, effects);
@@ -74,7 +75,7 @@
         let held = upstream.held_bytes(now);
         let foreign_calls = upstream.foreign_calls(now);
         let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
-        let slowness = upstream.slowness(now);
+        let (slowness, pace) = (upstream.slowness(now), upstream.pace(now));
         self.fleet.record_sent(&next.instance, 0);
         self.fleet.record_message(now, &next.instance);
         let timeout = next.expected_time.mul_f64(2.0 * slowness.max(1.0)) + MAX_QUEUE_TIME;
@@ -85,6 +86,7 @@
             .with("pieces", pieces.len())
             .with("expected_ms", next.expected_time.as_millis())
             .with("foreign", foreign_calls)
+            .with("pace", pace)
             .with("held_kb", held.0 / 1_000)
             .with("room_kb", next.free_memory.0 / 1_000)
             .with("left", next.remaining_pieces)
@@ -191,6 +193,7 @@
         if call.had_backlog {
             let rate = self.pool_rates.entry(call.pool.clone()).or_default();
             rate.record(&call.batching, call.pieces.len(), took);
+            self.queues.record_rate(&call.pool, *rate);
         }
     }
 
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -245,6 +245,7 @@
             excess: settings.cold_excess,
             slack: settings.cold_slack,
         },
+        overload: settings.overload,
     }
 }
 
--- a/lib/tests/test_cold_calls.rs
+++ b/lib/tests/test_cold_calls.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{clock, cold, fleet, gateway, id, refusal, roster, table, unit};
+use bramleyshelf_lib::{clock, cold, fleet, gateway, id, refusal, roster, shedding, table, unit};
 use bramleyshelf_testutils::values::{ms, name};
 
 /// Rate of a cold upstream; with the allowance below, one of three gateways may send five calls in a
@@ -91,6 +91,7 @@
             revocation_bound: None,
             retry_share: 1.0,
             cold_allowance: ALLOWANCE,
+            overload: shedding::Overload::Due,
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let gateway = gateway::Gateway::new(settings, 7);
--- a/lib/tests/test_gateway_affinity.rs
+++ b/lib/tests/test_gateway_affinity.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{clock, cold, fleet, gateway, id, placement, table, unit};
+use bramleyshelf_lib::{clock, cold, fleet, gateway, id, placement, shedding, table, unit};
 use bramleyshelf_testutils::values::{ms, name};
 
 const REGIONS: [(&str, &str); 3] = [("a", "east"), ("b", "east"), ("c", "west")];
@@ -86,6 +86,7 @@
             revocation_bound: None,
             retry_share: 0.1,
             cold_allowance: cold::Allowance::default(),
+            overload: shedding::Overload::Due,
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness = Self { gateway: gateway::Gateway::new(settings, 7), now, requests: 0 };
--- a/lib/tests/test_gateway_settings.rs
+++ b/lib/tests/test_gateway_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway that follow from other settings.
 
-use bramleyshelf_lib::gateway_settings;
+use bramleyshelf_lib::{gateway_settings, shedding};
 
 /// Settings with the given `capacity` section and, if not empty, further fields.
 fn settings(capacity: &str, further: &str) -> gateway_settings::Settings {
@@ -37,3 +37,10 @@
     let set = settings("{}", r#", "cold_excess": 1.5, "cold_slack": 5"#);
     assert_eq!((set.cold_excess, set.cold_slack), (1.5, 5.0));
 }
+
+/// Guards against a change of behaviour for operators who do not set the rule.
+#[test]
+fn overload_is_by_due_time_unless_set() {
+    assert_eq!(settings("{}", "").overload, shedding::Overload::Due);
+    assert_eq!(settings("{}", r#", "overload": "loss""#).overload, shedding::Overload::Loss);
+}
--- a/lib/tests/test_regions.rs
+++ b/lib/tests/test_regions.rs
@@ -6,7 +6,8 @@
 use std::time;
 
 use bramleyshelf_lib::{
-    clock, cold, fleet, gateway, id, placement, refusal, roster, table, unit, upstream_notice,
+    clock, cold, fleet, gateway, id, placement, refusal, roster, shedding, table, unit,
+    upstream_notice,
 };
 use bramleyshelf_testutils::values::{ms, name};
 
@@ -123,6 +124,7 @@
             revocation_bound: None,
             retry_share: 1.0,
             cold_allowance: cold::Allowance::default(),
+            overload: shedding::Overload::Due,
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness =
