regions: operators can evacuate a failure domain

Cause: before a failure domain is shut down, its upstreams must get nothing more within a bound. The list of upstreams says that only once each of them has begun to leave.

Change: with `evacuation_ms` set, the read of the configuration becomes a range read of `op/`, and the domains with a key `op/evacuate/DOMAIN` are left out of every choice of an upstream; results there are not freed. Reads that gateways pass on carry the set (the version of these messages is raised). Only a read that was sent later replaces the set. After a restore of the store it only grows until operators have had the time to write their keys again. Requests that wait for stages there run them in another allowed region, or are refused at once. Without the setting the same keys are read as before.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -3,6 +3,7 @@
 //!
 //! Each platform implements them once, so that the reducers do not depend on names of the wire.
 
+use std::collections;
 use std::sync;
 
 use tokio::sync::watch;
@@ -135,11 +136,23 @@
     pub revision: u64,
 }
 
+/// Keys that the operators write.
+#[derive(Clone, Debug)]
+pub struct OperatorKeys {
+    /// Routing table in force. Evacuated domains are known also if it cannot be decoded.
+    pub table: Result<StoredTable, StoreError>,
+    /// Evacuated failure domains; `None` if they were not read.
+    pub evacuated: Option<collections::BTreeSet<id::DomainId>>,
+}
+
 /// The parts of the platform's store that a gateway uses. All reads are linearizable.
 pub trait GatewayStore: Clone + Send + Sync + 'static {
     /// Reads the routing table in force.
     fn table(&self) -> impl Future<Output = Result<Read<StoredTable>, StoreError>> + Send;
 
+    /// Reads the routing table in force and the evacuated failure domains, in one call.
+    fn operator_keys(&self) -> impl Future<Output = Result<Read<OperatorKeys>, StoreError>> + Send;
+
     /// Records that an era is settled, so that gateways that start later know it.
     fn record_settled(
         &self,
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -244,6 +244,8 @@
     domain: id::DomainId,
     regions: collections::BTreeMap<id::DomainId, id::RegionId>,
     upstreams: collections::BTreeMap<id::InstanceId, Upstream>,
+    /// Failure domains whose upstreams get nothing.
+    evacuated: collections::BTreeSet<id::DomainId>,
     /// When the last list was applied.
     last_update: Option<time::Duration>,
     /// When the first list after the last gap was applied.
@@ -265,6 +267,7 @@
             domain,
             regions,
             upstreams: collections::BTreeMap::new(),
+            evacuated: collections::BTreeSet::new(),
             last_update: None,
             gap_end: time::Duration::ZERO,
             restored_at: None,
@@ -428,7 +431,46 @@
         self.upstreams.is_empty()
     }
 
-    /// Returns the upstreams of a service that are not leaving.
+    /// Replaces the set of evacuated failure domains. Returns those that are new and those that are
+    /// not evacuated any more.
+    pub fn set_evacuated(
+        &mut self,
+        domains: collections::BTreeSet<id::DomainId>,
+    ) -> (Vec<id::DomainId>, Vec<id::DomainId>) {
+        let before = std::mem::replace(&mut self.evacuated, domains);
+        let evacuated = self.evacuated.difference(&before).cloned().collect();
+        (evacuated, before.difference(&self.evacuated).cloned().collect())
+    }
+
+    /// Returns whether any failure domain is evacuated.
+    pub fn has_evacuated(&self) -> bool {
+        !self.evacuated.is_empty()
+    }
+
+    /// Returns whether an upstream is in an evacuated failure domain.
+    pub fn is_evacuated(&self, instance: &id::InstanceId) -> bool {
+        self.upstreams.get(instance).is_some_and(|up| self.evacuated.contains(&up.entry.domain))
+    }
+
+    /// Returns whether all upstreams of a service are in evacuated failure domains, of which there is
+    /// at least one; if a region is given, those of the region.
+    pub fn is_service_evacuated(
+        &self,
+        service: &id::ServiceId,
+        region: Option<&id::RegionId>,
+    ) -> bool {
+        let is_meant = |up: &Upstream| {
+            up.entry.service == *service
+                && region.is_none_or(|region| self.regions.get(&up.entry.domain) == Some(region))
+        };
+        let is_evacuated = |up: &Upstream| self.evacuated.contains(&up.entry.domain);
+        let meant = || self.upstreams.values().filter(|up| is_meant(up));
+        self.has_evacuated()
+            && meant().any(is_evacuated)
+            && meant().all(|up| is_evacuated(up) || up.entry.leaving)
+    }
+
+    /// Returns the upstreams of a service that are neither leaving nor in an evacuated failure domain.
     pub fn service_upstreams<'a>(
         &'a self,
         service: &'a id::ServiceId,
@@ -436,9 +478,10 @@
         self.upstreams
             .iter()
             .filter(move |(_, up)| up.entry.service == *service && !up.entry.leaving)
+            .filter(|(_, up)| !self.evacuated.contains(&up.entry.domain))
     }
 
-    /// Returns the upstreams of a pool that are not leaving.
+    /// Returns the upstreams of a pool that are neither leaving nor in an evacuated failure domain.
     pub fn pool_upstreams<'a>(
         &'a self,
         pool: &'a roster::PoolId,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -184,6 +184,7 @@
         match event {
             Event::TableRead { confirmed, table } => self.apply_table(confirmed, table, effects),
             Event::StoreRestored => self.store_restored(effects),
+            Event::DomainsEvacuated(domains) => self.apply_evacuated(domains, effects),
             Event::UpstreamsListed(list) => self.apply_upstreams(list, effects),
             Event::RequestArrived(request, arrival) => {
                 self.request_arrived(request, &arrival, effects);
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -67,7 +67,7 @@
             self.refuse(id, Kind::DeadlineExceeded, "the time for the answer is over", effects);
             return;
         }
-        if !request.may_stay() {
+        if !self.may_stay(request) {
             if self.move_request(id, effects) {
                 self.advance(id, effects);
             }
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -391,6 +391,10 @@
     pub(super) fn free_unneeded_results(&mut self, effects: &mut Vec<gateway::Effect>) {
         for (instance, handles) in std::mem::take(&mut self.unneeded_results) {
             let Some(upstream) = self.fleet.get(&instance) else { continue };
+            // Nothing is sent there. The results expire by themselves, and count until then.
+            if self.fleet.is_evacuated(&instance) {
+                continue;
+            }
             if upstream.is_paused(self.now.mono) {
                 self.unneeded_results.insert(instance, handles);
                 continue;
@@ -424,6 +428,9 @@
         let Some(upstream) = self.fleet.get(&message.instance) else { return };
         let (process, address) = (upstream.entry.process(), upstream.entry.address);
         let handoff::Release { instance, handles, .. } = message;
+        if self.fleet.is_evacuated(&instance) {
+            return;
+        }
         if upstream.is_paused(self.now.mono) {
             self.unneeded_results.entry(instance).or_default().extend(handles);
             return;
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -1,5 +1,6 @@
 //! Events and effects of the gateway's reducer, as plain data.
 
+use std::collections;
 use std::net;
 use std::sync;
 use std::time;
@@ -236,6 +237,8 @@
     /// The store came back from an older copy of its contents. What is read from now on may be old
     /// or missing until it is written again.
     StoreRestored,
+    /// A read stated the evacuated failure domains.
+    DomainsEvacuated(collections::BTreeSet<id::DomainId>),
     /// The store returned the list of upstreams.
     UpstreamsListed(Vec<fleet::ListEntry>),
     /// A request was received completely.
--- a/lib/src/gateway/regions.rs
+++ b/lib/src/gateway/regions.rs
@@ -1,5 +1,8 @@
 //! Regions in which a request may be served: those that its route and its team allow and that have
-//! the upstreams it needs. Only the reducer of the gateway uses this module.
+//! the upstreams it needs outside evacuated failure domains. Only the reducer of the gateway uses this
+//! module.
+
+use std::collections;
 
 use crate::admission;
 use crate::fleet;
@@ -15,6 +18,8 @@
 
 /// Why a request is refused that no region may serve.
 const NO_REGION_MESSAGE: &str = "no region that the route and the team allow has the upstreams";
+/// Why a request is refused whose upstreams are all in evacuated failure domains.
+const EVACUATED_MESSAGE: &str = "the failure domains with the upstreams are evacuated";
 
 impl gateway::Gateway {
     /// Returns the allowed regions that have an upstream for each stage of a route, this gateway's
@@ -30,7 +35,12 @@
         let now = self.now.mono;
         let is_sound = |up: &fleet::Upstream| !up.health.is_ejected(now);
         let is_open = |up: &fleet::Upstream| !up.is_paused(now);
-        self.find_regions(route, service, bound, is_sound, is_open)
+        let regions = self.find_regions(route, service, bound, is_sound, is_open);
+        if regions.is_empty() && self.fleet.has_evacuated() && !bound.is_restricted() {
+            // Without an evacuation the request would wait in this gateway's region.
+            return self.find_regions(route, service, bound, |_| true, |_| true);
+        }
+        regions
     }
 
     /// Returns the allowed regions in which each stage has an upstream that satisfies a condition and,
@@ -50,13 +60,13 @@
             })
         };
         let has_answerer = |region: &id::RegionId| {
+            if !bound.is_restricted() {
+                return !self.fleet.is_service_evacuated(service, None);
+            }
             self.fleet.pool_upstreams(&pool_of(service, region)).any(|(_, up)| is_open(up))
         };
         let regions = self.fleet.regions().into_iter().filter(|region| bound.allows(region));
-        regions
-            .filter(has_stages)
-            .filter(|region| !bound.is_restricted() || has_answerer(region))
-            .collect()
+        regions.filter(has_stages).filter(has_answerer).collect()
     }
 
     /// Checks that a request that arrives can be served in an allowed region. `regions` are those
@@ -70,14 +80,15 @@
         request: &request::Request,
         regions: &[id::RegionId],
     ) -> Result<(), admission::Rejection> {
-        if !regions.is_empty() || !request.bound.is_restricted() {
+        if !regions.is_empty() || !self.may_lack_regions(request) {
             return Ok(());
         }
         let is_allowed = |up: &fleet::Upstream| {
             self.fleet.region(&up.entry.domain).is_some_and(|region| request.bound.allows(region))
         };
         let pause = self.fleet.service_pause(self.now.mono, &request.service, is_allowed);
-        let message = if pause.is_some() { calls::PAUSED_MESSAGE } else { NO_REGION_MESSAGE };
+        let message =
+            if pause.is_some() { calls::PAUSED_MESSAGE } else { no_region_message(request) };
         let rejection = arrivals::reject(refusal::Kind::NoUpstream, message);
         let delay = rejection.retry_after.max(pause);
         let retry_after = delay.filter(|_| self.retry_delay(request).is_some());
@@ -88,11 +99,17 @@
     /// available now; `None` if no region has the upstreams that it needs.
     pub(super) fn retry_delay(&self, request: &request::Request) -> Option<std::time::Duration> {
         let (route, bound) = (&request.route, &request.bound);
-        let is_hopeless = bound.is_restricted()
+        let is_hopeless = self.may_lack_regions(request)
             && self.find_regions(route, &request.service, bound, |_| true, |_| true).is_empty();
         (!is_hopeless).then_some(admission::MIN_RETRY_DELAY)
     }
 
+    /// Returns whether a request may be refused because no region can serve it. Without a restriction
+    /// or an evacuation, it waits for upstreams that are missing.
+    fn may_lack_regions(&self, request: &request::Request) -> bool {
+        request.bound.is_restricted() || self.fleet.has_evacuated()
+    }
+
     /// Returns whether an upstream of its service may answer a request. A restricted request that
     /// has stages is answered in their region.
     pub(super) fn may_answer(&self, request: &request::Request, up: &fleet::Upstream) -> bool {
@@ -110,6 +127,44 @@
         self.fleet.service_pause(self.now.mono, &request.service, may_answer)
     }
 
+    /// Returns whether the stages of a request may go on in its region: the region is allowed, and
+    /// neither they nor the answer need upstreams that are all in evacuated failure domains.
+    pub(super) fn may_stay(&self, request: &request::Request) -> bool {
+        if request.stages.is_empty() {
+            return true;
+        }
+        let answer_region = Some(&request.region).filter(|_| request.bound.is_restricted());
+        let stages = request.route.stages.iter().enumerate();
+        let needs_evacuated = || {
+            let mut unfinished = stages.filter(|(index, _)| !request.is_stage_done(*index));
+            self.fleet.is_service_evacuated(&request.service, answer_region)
+                || unfinished.any(|(_, stage)| {
+                    self.fleet.is_service_evacuated(&stage.service, Some(&request.region))
+                })
+        };
+        request.bound.allows(&request.region) && !(self.fleet.has_evacuated() && needs_evacuated())
+    }
+
+    /// Applies the set of evacuated failure domains, and logs what changed. Requests that wait for
+    /// stages there move or are refused.
+    pub(super) fn apply_evacuated(
+        &mut self,
+        domains: collections::BTreeSet<id::DomainId>,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        metrics::gauge!("gateway_evacuated_domains").set(domains.len() as f64);
+        let (evacuated, returned) = self.fleet.set_evacuated(domains);
+        for (event, domains) in [("domain_evacuated", &evacuated), ("domain_returned", &returned)] {
+            for domain in domains {
+                let line = telemetry::Line::new(event).with("domain", domain);
+                effects.push(gateway::Effect::Log(line));
+            }
+        }
+        if !evacuated.is_empty() {
+            self.move_requests(effects);
+        }
+    }
+
     /// Applies the table in force to the requests in progress. A request obeys the table of its
     /// arrival and the one in force.
     pub(super) fn rebind_requests(&mut self, effects: &mut Vec<gateway::Effect>) {
@@ -124,7 +179,8 @@
     /// Moves requests that wait for stages in a region in which these may not go on. A request whose
     /// call is in flight is left until the call has ended.
     pub(super) fn move_requests(&mut self, effects: &mut Vec<gateway::Effect>) {
-        let is_moved = |request: &request::Request| request.call.is_none() && !request.may_stay();
+        let is_moved =
+            |request: &request::Request| request.call.is_none() && !self.may_stay(request);
         let moved = self.requests.iter().filter(|(_, request)| is_moved(request));
         let moved: Vec<_> = moved.map(|(id, _)| *id).collect();
         for id in moved {
@@ -144,7 +200,8 @@
         let regions = self.regions_for(&request.route, &request.service, &request.bound);
         let Some(region) = regions.into_iter().next() else {
             let delay = self.retry_delay(request);
-            self.refuse_for(id, refusal::Kind::NoUpstream, NO_REGION_MESSAGE, delay, effects);
+            let message = no_region_message(request);
+            self.refuse_for(id, refusal::Kind::NoUpstream, message, delay, effects);
             return false;
         };
         let request = request.clone();
@@ -163,6 +220,11 @@
     }
 }
 
+/// Returns why a request is refused that no region may serve.
+fn no_region_message(request: &request::Request) -> &'static str {
+    if request.bound.is_restricted() { NO_REGION_MESSAGE } else { EVACUATED_MESSAGE }
+}
+
 fn pool_of(service: &id::ServiceId, region: &id::RegionId) -> roster::PoolId {
     roster::PoolId { service: service.clone(), region: region.clone() }
 }
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -248,11 +248,6 @@
         self.stage_results(0..self.stages.len())
     }
 
-    /// Returns whether its stages may go on in its region.
-    pub fn may_stay(&self) -> bool {
-        self.stages.is_empty() || self.bound.allows(&self.region)
-    }
-
     /// Marks all pieces as pending again, and returns the results that are no longer used.
     pub fn reset_all(&mut self) -> Vec<StoredResult> {
         let results = self.all_results();
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -35,7 +35,7 @@
         if request.call.is_some() {
             return;
         }
-        if !request.may_stay() && !self.move_request(id, effects) {
+        if !self.may_stay(request) && !self.move_request(id, effects) {
             return;
         }
         self.free_used_results(id);
@@ -197,7 +197,8 @@
         let now = self.now.mono;
         let fleet = &self.fleet;
         let is_lost = |instance: &id::InstanceId| {
-            fleet.get(instance).is_none_or(|up| up.health.is_ejected(now))
+            let is_usable = |up: &fleet::Upstream| !up.health.is_ejected(now);
+            fleet.is_evacuated(instance) || !fleet.get(instance).is_some_and(is_usable)
         };
         let Some(request) = self.requests.get_mut(&id) else { return };
         let mut discarded = Vec::new();
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -1,6 +1,7 @@
 //! Background tasks of a gateway that talk to the store: one reads the routing table, the list of
 //! upstreams and the announced gateways, the other announces this gateway.
 
+use std::collections;
 use std::time;
 
 use tokio::sync::{mpsc, watch};
@@ -9,6 +10,7 @@
 use crate::clock::Clock as _;
 use crate::crash_report;
 use crate::dialect;
+use crate::evacuation;
 use crate::gateway;
 use crate::gateway_peers;
 use crate::gateway_settings;
@@ -60,6 +62,8 @@
         events: events.clone(),
         health: ["table", "fleet", "peers"].map(|read| ReadHealth { read, is_lost: false }),
         eras: store_era::Tracker::default(),
+        follows_evacuations: settings.evacuation_ms.is_some(),
+        evacuations: evacuation::Tracker::default(),
     };
     tokio::spawn(reader.run(settings.poll_ms.duration()));
     tokio::spawn(report_crashes(store.clone(), me.instance.clone(), reports));
@@ -106,6 +110,9 @@
     events: mpsc::Sender<gateway::Event>,
     health: [ReadHealth; 3],
     eras: store_era::Tracker,
+    /// Whether evacuated failure domains are read and get nothing.
+    follows_evacuations: bool,
+    evacuations: evacuation::Tracker,
 }
 
 impl<S: dialect::GatewayStore> StoreReader<S> {
@@ -159,15 +166,19 @@
     /// is returned that could be relayed to other gateways.
     async fn read_store(&mut self) -> Option<relay::Snapshot> {
         let sent = self.clock.now();
-        let (table, fleet, gateways) = tokio::join!(
-            with_read_timeout(self.store.table()),
+        let (keys, fleet, gateways) = tokio::join!(
+            with_read_timeout(self.read_operator_keys()),
             with_read_timeout(self.store.fleet()),
             with_read_timeout(self.store.gateways()),
         );
-        let eras = [era_of(&table), era_of(&fleet), era_of(&gateways)];
+        let eras = [era_of(&keys), era_of(&fleet), era_of(&gateways)];
         let era = eras.into_iter().flatten().max();
-        let (table, fleet, gateways) =
-            (value_of(table, era), value_of(fleet, era), value_of(gateways, era));
+        let (keys, fleet, gateways) =
+            (value_of(keys, era), value_of(fleet, era), value_of(gateways, era));
+        let (table, evacuated) = match keys {
+            Ok(keys) => (keys.table, keys.evacuated),
+            Err(e) => (Err(e), None),
+        };
         let errors = [table.as_ref().err(), fleet.as_ref().err(), gateways.as_ref().err()];
         for (health, error) in self.health.iter_mut().zip(errors) {
             health.record(error);
@@ -180,6 +191,7 @@
             self.eras.record_stated(gateways.settled_era);
         }
         let table = table.map(|stored| self.assess(sent, stored));
+        let evacuated = self.record_evacuated(sent, evacuated);
         if let Ok(gateways) = &gateways
             && self.eras.is_settled()
             && gateways.settled_era != Some(era)
@@ -189,10 +201,13 @@
         let parts = match (table, fleet, gateways) {
             (Ok(table), Ok(fleet), Ok(gateways)) => {
                 let newest = self.newest.borrow();
-                let reads = relay::Snapshot::new(sent, era, table, fleet, gateways);
+                let mut reads = relay::Snapshot::new(sent, era, table, fleet, gateways);
+                reads.evacuated = evacuated;
                 return Some(reads.following(newest.as_ref()));
             }
+            // Domains are evacuated before a table lets requests in.
             (table, fleet, gateways) => [
+                evacuated.map(gateway::Event::DomainsEvacuated),
                 table.ok().map(table_event),
                 fleet.ok().map(gateway::Event::UpstreamsListed),
                 gateways.ok().map(gateway::Event::GatewaysListed),
@@ -205,6 +220,18 @@
         None
     }
 
+    /// Reads the table and, if they are followed, the evacuated domains.
+    async fn read_operator_keys(
+        &self,
+    ) -> Result<dialect::Read<dialect::OperatorKeys>, dialect::StoreError> {
+        if self.follows_evacuations {
+            return self.store.operator_keys().await;
+        }
+        let dialect::Read { era, value } = self.store.table().await?;
+        let value = dialect::OperatorKeys { table: Ok(value), evacuated: None };
+        Ok(dialect::Read { era, value })
+    }
+
     /// Returns a table that was read from the store, with whether it is certainly the newest one.
     fn assess(&mut self, sent: clock::Now, stored: dialect::StoredTable) -> relay::KnownTable {
         let dialect::StoredTable { table, revision } = stored;
@@ -222,12 +249,26 @@
             store_era::Relation::Restored => {
                 // Fails only when the process stops.
                 let _ = self.events.send(gateway::Event::StoreRestored).await;
+                self.evacuations.record_restore(self.clock.now().mono);
                 true
             }
             store_era::Relation::Outdated => false,
         }
     }
 
+    /// Records evacuated domains that were read, and returns those in force; `None` if they are not
+    /// followed or were not read.
+    fn record_evacuated(
+        &mut self,
+        sent: clock::Now,
+        read: Option<collections::BTreeSet<id::DomainId>>,
+    ) -> Option<collections::BTreeSet<id::DomainId>> {
+        let read = read.filter(|_| self.follows_evacuations)?;
+        let (now, is_settled) = (self.clock.now().mono, self.eras.is_settled());
+        self.evacuations.record_read(now, sent.mono, is_settled, read);
+        Some(self.evacuations.in_force().clone())
+    }
+
     fn has_lost_store(&self) -> bool {
         self.health.iter().any(|health| health.is_lost)
     }
@@ -253,19 +294,22 @@
         let response = gateway_peers::fetch_reads(&self.pool, peer.address, request).await;
         let reads =
             response.and_then(|response| relay::Snapshot::from_response(sent, response, newest));
+        // A gateway that does not follow evacuations would make a domain appear to have returned.
+        let reads = reads.filter(|reads| !self.follows_evacuations || reads.evacuated.is_some());
         let outcome = if reads.is_some() { "ok" } else { "failed" };
         metrics::counter!("gateway_relay_reads_total", "outcome" => outcome).increment(1);
         if reads.is_none() {
             log::info!("event=reader_avoided peer={}", peer.instance);
             self.readers.avoid(self.clock.now().mono, &peer.instance);
         }
-        let reads = reads?;
+        let mut reads = reads?;
         if !self.enter_era(reads.era).await {
             return None;
         }
         // A read that confirmed an earlier state of the table may have been sent before the restore.
         let is_confirmed = reads.table.confirmed == Some(reads.sent);
         self.eras.record_relayed(reads.table.stored_version(), is_confirmed);
+        reads.evacuated = self.record_evacuated(reads.sent, reads.evacuated.take());
         Some(reads)
     }
 }
@@ -291,10 +335,13 @@
     reads: relay::Snapshot,
     events: &mpsc::Sender<gateway::Event>,
 ) -> Result<(), mpsc::error::SendError<gateway::Event>> {
-    let relay::Snapshot { table, fleet, gateways, .. } = reads;
+    let relay::Snapshot { table, fleet, gateways, evacuated, .. } = reads;
     // Requests are admitted once there is a table, and by then it has to be known which prompts are
     // held back.
     events.send(gateway::Event::GatewaysListed(gateways)).await?;
+    if let Some(evacuated) = evacuated {
+        events.send(gateway::Event::DomainsEvacuated(evacuated)).await?;
+    }
     events.send(gateway::Event::UpstreamsListed(fleet.to_vec())).await?;
     events.send(table_event(table)).await
 }
--- a/lib/src/gateway_settings.rs
+++ b/lib/src/gateway_settings.rs
@@ -29,6 +29,10 @@
     /// that were read last stay in use for as long as the store is unavailable.
     #[serde(default)]
     pub revocation_ms: Option<unit::Millis>,
+    /// Time after which nothing may be sent to a failure domain that operators evacuate. If `None`,
+    /// evacuations are not followed.
+    #[serde(default)]
+    pub evacuation_ms: Option<unit::Millis>,
     /// Retries allowed, as a share of the requests to a service.
     #[serde(default = "default_retry_share")]
     pub retry_share: unit::Share,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod entry;
 pub mod entry_http;
 pub mod entry_shell;
+pub mod evacuation;
 pub mod event_stream;
 pub mod fleet;
 pub mod gateway;
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -26,7 +26,7 @@
 use crate::unit;
 
 /// Version of the messages; a gateway refuses other versions.
-pub const VERSION: u16 = 6;
+pub const VERSION: u16 = 7;
 /// Path for messages of type `ReadsRequest`.
 pub const READS_PATH: &str = "/relay/reads";
 /// Age from which reads are not passed on. By then the gateway cannot reach the store, and
@@ -93,6 +93,9 @@
     pub gateways: Option<roster::Listing>,
     /// Digest of the listing of gateways.
     pub gateways_digest: u64,
+    /// Evacuated failure domains; `None` if the gateway does not follow them.
+    #[serde(default)]
+    pub evacuated: Option<collections::BTreeSet<id::DomainId>>,
 }
 
 /// Newest routing table that is known, and how it was read.
@@ -142,6 +145,8 @@
     pub fleet: sync::Arc<Vec<fleet::ListEntry>>,
     /// Listing of gateways.
     pub gateways: roster::Listing,
+    /// Evacuated failure domains, as of these reads or later ones; `None` if they are not followed.
+    pub evacuated: Option<collections::BTreeSet<id::DomainId>>,
     fleet_digest: u64,
     gateways_digest: u64,
     /// Changes between the latest lists of upstreams, the oldest ones first. Each applies to the
@@ -167,6 +172,7 @@
             fleet: sync::Arc::new(fleet),
             gateways_digest: digest(&gateways),
             gateways,
+            evacuated: None,
             changes: collections::VecDeque::new(),
         }
     }
@@ -221,6 +227,7 @@
             gateways: (request.gateways_digest != self.gateways_digest)
                 .then(|| self.gateways.clone()),
             gateways_digest: self.gateways_digest,
+            evacuated: self.evacuated.clone(),
         })
     }
 
@@ -267,7 +274,8 @@
             (None, None) => available?.fleet.to_vec(),
         };
         let gateways = response.gateways.or_else(|| Some(available?.gateways.clone()))?;
-        let reads = Self::new(sent, response.era, table, fleet, gateways);
+        let mut reads = Self::new(sent, response.era, table, fleet, gateways);
+        reads.evacuated = response.evacuated;
         // Another digest means that the lists differ from those of the gateway that responded.
         let is_complete = reads.fleet_digest == response.fleet_digest
             && reads.gateways_digest == response.gateways_digest;
--- a/lib/src/store_era.rs
+++ b/lib/src/store_era.rs
@@ -25,7 +25,7 @@
 pub struct Era(pub u64);
 
 /// Time that operators have to write again what a restore has lost, from the first read of the era on.
-const REWRITE_TIME: time::Duration = time::Duration::from_secs(2);
+pub const REWRITE_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// How the era of a read relates to those before.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/lib/tests/test_gateway_settings.rs
+++ b/lib/tests/test_gateway_settings.rs
@@ -24,6 +24,14 @@
     assert!(small.effective_weight() >= 1);
 }
 
+/// Guards against settings of earlier releases that make gateways read other keys than before.
+#[test]
+fn evacuations_are_followed_only_if_a_bound_is_set() {
+    assert!(settings("{}", "").evacuation_ms.is_none());
+    let set = settings("{}", r#", "evacuation_ms": 5000"#);
+    assert_eq!(set.evacuation_ms.map(|bound| bound.0), Some(5_000));
+}
+
 #[test]
 fn weight_that_is_set_overrides_capacity() {
     let set = settings(r#"{"cpu_share": 0.09}"#, r#", "weight": 7"#);
