--- a/lib/src/gateway_settings.rs
+++ b/lib/src/gateway_settings.rs
@@ -37,6 +37,10 @@
     /// Number of calls to a cold upstream in any second on top of that.
     #[serde(default)]
     pub cold_slack: f64,
+    /// Time after which nothing may be sent to a failure domain that operators evacuate. If `None`,
+    /// evacuations are not followed.
+    #[serde(default)]
+    pub evacuation_ms: Option<unit::Millis>,
     /// Retries allowed, as a share of the requests to a service.
     #[serde(default = "default_retry_share")]
     pub retry_share: unit::Share,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod entry;
 pub mod entry_http;
 pub mod entry_shell;
+pub mod evacuation;
 pub mod event_stream;
 pub mod fleet;
 pub mod gateway;
--- a/lib/tests/test_cold_calls.rs
+++ b/lib/tests/test_cold_calls.rs
@@ -325,6 +325,24 @@
     assert!(calls > 0 && calls < 12, "{calls} of 12 upstreams were called");
 }
 
+/// Guards against a flood of calls to a domain that returns from an evacuation, as its upstreams may
+/// have restarted meanwhile.
+#[test]
+fn upstreams_of_a_returned_domain_count_as_cold() {
+    let mut harness = Harness::alone(Some(RATE));
+    harness.list(&[("u1", "a")], 0);
+    harness.advance(ms(5_000));
+    harness.step(gateway::Event::DomainsEvacuated([name("a")].into()));
+    let (_, effects) = harness.arrive("/last/1");
+    assert!(call_of(&effects).is_none());
+    harness.advance(ms(2_000));
+    harness.step(gateway::Event::DomainsEvacuated(collections::BTreeSet::new()));
+    for _ in 0..20 {
+        harness.arrive("/last/1");
+    }
+    assert_eq!(harness.sent.len(), SHARE);
+}
+
 /// Guards against a restricted request that leaves its region because no cold upstream there may be
 /// called.
 #[test]
