engine_pace: all failure domains know the same speeds

Change: the gateway that collects for a domain passes measurements on to one of the whole fleet, and differences below 22 % count as equal speed.

--- a/lib/src/engine_pace.rs
+++ b/lib/src/engine_pace.rs
@@ -1,8 +1,8 @@
 //! Speeds of engines, learned from the streams that gateways relay.
 //!
 //! Load pattern: engines of one service differ in speed by a factor of two or more, and each
-//! gateway relays too few streams to learn all speeds by itself within seconds. So the gateways of
-//! a failure domain share what they measure.
+//! gateway relays too few streams to learn all speeds by itself within seconds. So gateways share
+//! what they measure, which also lets them prefer the same engines.
 //!
 //! [`Paces`] makes all decisions without input or output. [`exchange`] has the messages between
 //! gateways and the task that sends them. Imported by the gateway's shell and calls; imports none
@@ -34,6 +34,9 @@
 const MAX_SENT: usize = 64;
 /// Change of the logarithm of a pace from which other gateways are told again.
 const REPORTED_CHANGE: f64 = 0.08;
+/// Difference of the logarithm of a pace from the median up to which an engine has the usual speed.
+/// Engines of equal speed differ by that much because of their load.
+const EQUAL_DIFFERENCE: f64 = 0.2;
 /// Largest factor by which an engine counts as slower or faster than the median.
 const MAX_SLOWNESS: f64 = 4.0;
 /// Shortest and longest time between two events that is believed, in seconds.
@@ -82,7 +85,7 @@
     /// Tells the revisions of this process from those of others.
     generation: u64,
     records: collections::BTreeMap<id::InstanceId, Record>,
-    /// Own measurements that were not sent to another gateway yet.
+    /// Measurements, own and relayed ones, that were not sent to another gateway yet.
     unsent: collections::BTreeMap<id::InstanceId, Pace>,
     /// Counts reported changes.
     revision: u64,
@@ -126,16 +129,25 @@
             return;
         }
         self.record(now, engine, pace);
+        self.add_unsent(engine, pace);
+    }
+
+    /// Records a measurement of another gateway, and passes it on with the own ones.
+    pub fn record_relayed(&mut self, now: time::Duration, engine: &id::InstanceId, pace: Pace) {
+        if pace.is_plausible() {
+            self.record(now, engine, pace);
+            self.add_unsent(engine, pace);
+        }
+    }
+
+    fn add_unsent(&mut self, engine: &id::InstanceId, pace: Pace) {
         if self.unsent.len() < MAX_UNSENT || self.unsent.contains_key(engine) {
             self.unsent.entry(engine.clone()).or_default().add(pace);
         }
     }
 
     /// Records a measurement of this gateway or of another one.
-    pub fn record(&mut self, now: time::Duration, engine: &id::InstanceId, pace: Pace) {
-        if !pace.is_plausible() {
-            return;
-        }
+    fn record(&mut self, now: time::Duration, engine: &id::InstanceId, pace: Pace) {
         let empty =
             Record { pace: Pace::default(), updated_at: now, reported_ln: None, revision: 0 };
         let record = self.records.entry(engine.clone()).or_insert(empty);
@@ -164,8 +176,7 @@
         self.records.insert(engine, Record { pace, updated_at: now, reported_ln, revision });
     }
 
-    /// Returns own measurements that were not returned before, at most those of [`MAX_SENT`]
-    /// engines.
+    /// Returns measurements that were not returned before, at most those of [`MAX_SENT`] engines.
     pub fn take_unsent(&mut self) -> Vec<(id::InstanceId, Pace)> {
         let first: Vec<_> = self.unsent.keys().take(MAX_SENT).cloned().collect();
         let taken = first.into_iter().filter_map(|engine| self.unsent.remove_entry(&engine));
@@ -226,7 +237,11 @@
         .iter()
         .map(|pace| {
             let certainty = pace.weight / (pace.weight + 1.0);
-            ((pace.ln_seconds - median) * certainty).exp().clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS)
+            let difference = (pace.ln_seconds - median) * certainty;
+            if difference.abs() < EQUAL_DIFFERENCE {
+                return 1.0;
+            }
+            difference.exp().clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS)
         })
         .collect()
 }
--- a/lib/src/engine_pace/exchange.rs
+++ b/lib/src/engine_pace/exchange.rs
@@ -1,8 +1,9 @@
-//! Exchange of paces within a failure domain: each gateway sends its measurements to the one that
-//! reads the store for the domain, and gets back what has changed there.
+//! Exchange of paces between gateways. Each gateway sends its measurements to the one that reads the
+//! store for its failure domain, which sends them on to one gateway of the whole fleet; the way back
+//! brings what has changed there.
 //!
-//! If that gateway fails, the others go on with what they know and measure, until another one is
-//! chosen. A message that is lost loses some measurements.
+//! If one of these gateways fails, the others go on with what they know and measure, until another
+//! one is chosen. A message that is lost loses some measurements.
 
 use std::time;
 
@@ -24,6 +25,8 @@
 pub const VERSION: u16 = 1;
 /// Path for messages of type `Request`.
 pub const PATH: &str = "/relay/paces";
+/// Seed of the rendezvous hash that chooses the gateway which collects the measurements of all.
+const COLLECTOR_SEED: u64 = 0x7061_6365;
 /// Pause between two exchanges.
 const INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -57,7 +60,7 @@
 ) -> Response {
     paces.with(|paces| {
         for (engine, pace) in &request.measured {
-            paces.record(now, engine, *pace);
+            paces.record_relayed(now, engine, *pace);
         }
         let (changed, known) = paces.changes_since(request.known);
         Response { version: VERSION, known, changed }
@@ -76,6 +79,13 @@
     tokio::spawn(run(me, clock, paces, newest, events));
 }
 
+/// Returns the gateway that collects the measurements of all, unless that is this one.
+fn collector<'a>(me: &roster::Peer, peers: &'a [roster::Peer]) -> Option<&'a roster::Peer> {
+    let score = |peer: &roster::Peer| roster::rendezvous_score(peer, COLLECTOR_SEED);
+    let chosen = peers.iter().max_by(|a, b| score(a).total_cmp(&score(b)))?;
+    (chosen.instance != me.instance).then_some(chosen)
+}
+
 async fn run(
     me: roster::Peer,
     clock: clock::SystemClock,
@@ -84,13 +94,14 @@
     events: mpsc::Sender<gateway::Event>,
 ) {
     let pool = upstream_pool::Pool::default();
-    let readers = relay::ReaderSelector::new(me.instance, me.domain);
+    let readers = relay::ReaderSelector::new(me.instance.clone(), me.domain.clone());
     let mut known = engine_pace::KnownState::default();
     loop {
         tokio::time::sleep(INTERVAL).await;
         let peers =
             newest.borrow().as_ref().map(|reads| reads.gateways.peers.clone()).unwrap_or_default();
-        if let Some(peer) = readers.reader(clock.now().mono, &peers) {
+        let reader = readers.reader(clock.now().mono, &peers);
+        if let Some(peer) = reader.or_else(|| collector(&me, &peers)) {
             let measured = paces.with(engine_pace::Paces::take_unsent);
             let request = Request { version: VERSION, known, measured };
             let response = gateway_peers::exchange_paces(&pool, peer.address, &request).await;
--- a/lib/tests/test_engine_pace.rs
+++ b/lib/tests/test_engine_pace.rs
@@ -113,6 +113,28 @@
     assert!(slowness[1] / slowness[0] < 1.3, "slowness {slowness:?}");
 }
 
+/// Guards against gateways of several failure domains that learn different speeds, so that each domain
+/// prefers other engines: the gateway that collects for a domain passes measurements on.
+#[test]
+fn measurements_of_a_domain_are_passed_on() {
+    let mut member = engine_pace::Paces::new(1);
+    record(&mut member, "slow", 33, 3);
+    let request =
+        engine_pace::exchange::Request { measured: member.take_unsent(), ..Default::default() };
+    let collector = engine_pace::SharedPaces::new(engine_pace::Paces::new(2));
+    engine_pace::exchange::respond(millis(2), &collector, &request);
+    let passed_on = collector.with(engine_pace::Paces::take_unsent);
+    assert_eq!(passed_on, request.measured);
+}
+
+/// Guards against parts that move because engines of equal speed have unequal load.
+#[test]
+fn small_differences_count_as_equal_speed() {
+    let pace = |ln_seconds| engine_pace::Pace { ln_seconds, weight: 50.0 };
+    let slowness = engine_pace::relative_slowness(&[pace(-4.0), pace(-4.15), pace(-3.85)]);
+    assert_eq!(slowness, [1.0, 1.0, 1.0]);
+}
+
 /// Guards against changes that are never sent again after the gateway that collects them restarted.
 #[test]
 fn changes_since_state_of_earlier_process_are_complete() {
@@ -144,7 +166,7 @@
     paces.record_stream(millis(1), &instance("short"), 2, millis(100));
     paces.record_stream(millis(1), &instance("instant"), 10, time::Duration::ZERO);
     for (ln_seconds, weight) in [(f64::NAN, 1.0), (1e9, 1.0), (-3.0, f64::INFINITY), (-3.0, -1.0)] {
-        paces.record(millis(1), &instance("odd"), engine_pace::Pace { ln_seconds, weight });
+        paces.record_relayed(millis(1), &instance("odd"), engine_pace::Pace { ln_seconds, weight });
         paces.adopt(millis(1), instance("odd"), engine_pace::Pace { ln_seconds, weight });
     }
     assert_eq!(paces.known(millis(2)), Vec::new());
