testutils: addresses for processes are no longer probed

Cause: `free_address` bound a listener to find out whether the port was free, and closed it. A program that another thread starts at that moment inherits the listener and keeps the address in use until it has replaced its image.

Change: an address is given out once, on a host that belongs to the process and in a range below the ephemeral ports, and is not probed.

--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -290,21 +290,19 @@
     net::Ipv4Addr::new(127, 64 | high, mid, low)
 }
 
-/// Returns a loopback address on which no process listens.
+/// Returns a loopback address that is given out only once, on a host that only this process uses.
+///
+/// The address is not probed. A program that another thread starts at that moment would hold the
+/// probe's listener until it has replaced its image, and the address would be in use meanwhile.
 ///
 /// # Panics
-/// Panics if the process has no free port.
+/// Panics if the process has used all its ports.
 pub fn free_address() -> net::SocketAddr {
     static NEXT: sync::atomic::AtomicU32 = sync::atomic::AtomicU32::new(0);
-    for _ in 0..PORT_COUNT {
-        let step = NEXT.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let port = u16::try_from(FIRST_PORT + step % PORT_COUNT).expect("the range is below 65536");
-        let address = (own_host(), port).into();
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-    panic!("no free port");
+    let step = NEXT.fetch_add(1, sync::atomic::Ordering::Relaxed);
+    assert!(step < PORT_COUNT, "all ports of the range are used");
+    let port = u16::try_from(FIRST_PORT + step).expect("the range is below 65536");
+    (own_host(), port).into()
 }
 
 fn make_stand_in(kind: config::Kind, options: &Options) -> StandIn {
