gateway: one cancellation signal per request, from its head to its end

Cause: two watches told the event loop that a caller had left: the HTTP handler until the answer began, and the call that relayed the stream while it held it. A call that resumes a stream takes it over with its first event, so nothing watched the caller from the break to that event. The first watch could also lose its report: it used a bounded channel.

Change: the guard of a request (`cancellation`) belongs to its handler and then to the body of its answer, which the server drops when the caller's connection closes. The event loop gets the cancellation through a channel that loses nothing, ahead of its other inputs; a request that arrives after its cancellation is dropped. Calls also end by themselves. The two watches are removed. Batch calls in flight still end as they are: they may hold pieces of other requests, and results of a cancelled one would stay at the upstream under unknown names.

--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt as _;
 use tokio::sync::mpsc;
 
+use crate::cancellation;
 use crate::dialect;
 use crate::event_stream;
 use crate::fleet;
@@ -68,6 +69,8 @@
     pub body: bytes::Bytes,
     /// Where calls take the reply from; shared by all calls of the request.
     pub slot: gateway_http::ReplySlot,
+    /// Whether the caller has disconnected.
+    pub signal: cancellation::Signal,
 }
 
 /// How a call ended, and the load that the upstream reported if its answer had a head.
@@ -80,10 +83,16 @@
         let _ = self.reports.send(CallReport::Event(event)).await;
     }
 
-    /// Sends a request to an upstream, relays a streamed answer, and reports how the call ended.
+    /// Sends a request to an upstream, relays a streamed answer, and reports how the call ended. If the
+    /// caller disconnects, it ends without a report: the event loop gets the cancellation itself.
     pub async fn call(self, request_call: gateway::RequestCall, original: OriginalRequest) {
         let call = request_call.call;
-        let (outcome, load) = self.try_call(&request_call, &original).await;
+        let mut signal = original.signal.clone();
+        let (outcome, load) = tokio::select! {
+            biased;
+            () = signal.cancelled() => return,
+            ended = self.try_call(&request_call, &original) => ended,
+        };
         self.report(gateway::Event::CallEnded { call, outcome, load }).await;
     }
 
@@ -207,10 +216,10 @@
         let mut event_due = time::Instant::now() + first_timeout;
         let outcome = loop {
             let timeout = event_due.saturating_duration_since(time::Instant::now());
-            let step = match &mut stream {
-                _ if timeout.is_zero() => StreamStep::Broken(gateway::BreakCause::Timeout),
-                None => StreamStep::from_frame(http::with_timeout(timeout, body.frame()).await),
-                Some(out) => read_or_caller_gone(out, &mut body, timeout).await,
+            let step = if timeout.is_zero() {
+                StreamStep::Broken(gateway::BreakCause::Timeout)
+            } else {
+                StreamStep::from_frame(http::with_timeout(timeout, body.frame()).await)
             };
             let last = splitter.last_id();
             let broken = |cause| gateway::Outcome::Broken { last, cause };
@@ -224,10 +233,6 @@
                 }
                 StreamStep::End => break gateway::Outcome::Ended,
                 StreamStep::Broken(cause) => break broken(cause),
-                StreamStep::CallerGone => {
-                    self.report(gateway::Event::CallerGone(request_call.request)).await;
-                    break broken(gateway::BreakCause::CallerGone);
-                }
             };
             let Ok(events) = splitter.push(&data) else {
                 break broken(gateway::BreakCause::Invalid);
@@ -241,7 +246,6 @@
             }
             let Some(out) = &mut stream else { break broken(gateway::BreakCause::CallerGone) };
             if !out.send(events).await {
-                self.report(gateway::Event::CallerGone(request_call.request)).await;
                 break broken(gateway::BreakCause::CallerGone);
             }
             event_due = time::Instant::now() + gap_timeout(request_call);
@@ -280,7 +284,7 @@
         if !rest.is_empty() {
             stream.send(rest).await;
         }
-        stream.finish();
+        stream.finish(&original.signal);
         connection.release();
         outcome
     }
@@ -459,8 +463,6 @@
     End,
     /// The stream broke off, or no bytes arrived in time.
     Broken(gateway::BreakCause),
-    /// The caller disconnected.
-    CallerGone,
 }
 
 /// Frame of a body; `None` if it did not arrive in time, `Some(None)` at the end of the body.
@@ -480,19 +482,6 @@
     }
 }
 
-/// Reads the next bytes; returns early if the caller disconnects.
-async fn read_or_caller_gone(
-    out: &mut gateway_http::Stream,
-    body: &mut hyper::body::Incoming,
-    timeout: time::Duration,
-) -> StreamStep {
-    tokio::select! {
-        biased;
-        frame = http::with_timeout(timeout, body.frame()) => StreamStep::from_frame(frame),
-        () = out.closed() => StreamStep::CallerGone,
-    }
-}
-
 /// Reads and discards the short body of an answer that is not relayed, so that its connection can
 /// be reused.
 pub async fn discard_body(
--- a/lib/src/gateway_http.rs
+++ b/lib/src/gateway_http.rs
@@ -6,8 +6,8 @@
 use hyper::header;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::cancellation;
 use crate::dialect;
-use crate::drop_guard;
 use crate::gateway;
 use crate::http;
 use crate::id;
@@ -33,15 +33,8 @@
     pub body: bytes::Bytes,
     /// Receives the response; a streamed body follows through the response.
     pub reply: oneshot::Sender<hyper::Response<http::Body>>,
-}
-
-/// Message from the callers' connections to the event loop.
-#[derive(Debug)]
-pub enum Message {
-    /// A request arrived with its whole body.
-    RequestArrived(Box<IncomingRequest>),
-    /// The caller disconnected before it got its response.
-    CallerGone(id::RequestId),
+    /// Whether the caller has disconnected.
+    pub signal: cancellation::Signal,
 }
 
 /// HTTP handler for callers; cloned for each connection.
@@ -49,8 +42,10 @@
 pub struct CallerHandler<D> {
     /// Headers and bodies of the platform's protocol.
     pub dialect: D,
-    /// Channel to the event loop.
-    pub messages: mpsc::Sender<Message>,
+    /// Channel to the event loop, for requests that have arrived with their whole bodies.
+    pub arrivals: mpsc::Sender<Box<IncomingRequest>>,
+    /// Channel to the event loop, for requests whose callers have disconnected.
+    pub cancellations: mpsc::UnboundedSender<id::RequestId>,
     /// Number of the next request.
     pub serial: sync::Arc<sync::atomic::AtomicU64>,
     /// Limits on what callers send, from the routing table in force.
@@ -104,25 +99,26 @@
         let number = self.serial.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let number = id::RequestId(number.into());
         let (reply, answer) = oneshot::channel();
+        let (guard, signal) = cancellation::channel(number, self.cancellations.clone());
         let incoming = IncomingRequest {
             request: number,
             arrival: Box::new(arrival),
             head: sync::Arc::new(head),
             body,
             reply,
+            signal,
         };
         let shutting_down = || not_run(refusal::Kind::Draining, "this gateway is shutting down");
-        if self.messages.send(Message::RequestArrived(Box::new(incoming))).await.is_err() {
+        if self.arrivals.send(Box::new(incoming)).await.is_err() {
             return Err(shutting_down());
         }
-        let guard = drop_guard::DropGuard::new(self.messages.clone(), Message::CallerGone(number));
         // The event loop had the request and may have sent it to an upstream.
-        let response = answer.await.map_err(|_| {
+        let mut response = answer.await.map_err(|_| {
             let kind = refusal::Kind::UpstreamBroken;
             refusal::Refusal::new(kind, refusal::Ran::Unknown, "this gateway stopped")
-        });
-        guard.disarm();
-        response
+        })?;
+        response.body_mut().take_guard(guard);
+        Ok(response)
     }
 }
 
@@ -190,15 +186,9 @@
         }
     }
 
-    /// Waits until the caller disconnects.
-    pub async fn closed(&mut self) {
-        if let Some(sender) = &mut self.sender {
-            sender.closed().await;
-        }
-    }
-
-    /// Ends a stream that has been sent whole.
-    pub fn finish(mut self) {
+    /// Ends a stream that has been sent whole, and with it the request of `signal`.
+    pub fn finish(mut self, signal: &cancellation::Signal) {
+        signal.end();
         drop(self.sender.take());
     }
 }
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -102,7 +102,8 @@
     let probe_listener = http::listen(settings.probe_listen).await?;
     let metrics_listener = http::listen(settings.metrics_listen).await?;
     let peer_listener = http::listen(settings.peer_listen).await?;
-    let (caller_messages, mut caller_inbox) = mpsc::channel(CHANNEL_CAPACITY);
+    let (arrivals, mut arrival_inbox) = mpsc::channel(CHANNEL_CAPACITY);
+    let (cancellations, mut cancellation_inbox) = mpsc::unbounded_channel();
     let (reports, mut report_inbox) = mpsc::channel(CHANNEL_CAPACITY);
     let (peer_messages, mut peer_inbox) = mpsc::channel(CHANNEL_CAPACITY);
     let (read_events, mut read_inbox) = mpsc::channel(16);
@@ -114,7 +115,8 @@
     let clock = clock::SystemClock::new();
     let caller_handler = gateway_http::CallerHandler {
         dialect: dialect.clone(),
-        messages: caller_messages,
+        arrivals,
+        cancellations,
         serial: sync::Arc::new(sync::atomic::AtomicU64::new(1)),
         limits: limits_receiver,
         stopping: signals.stop.clone(),
@@ -148,10 +150,11 @@
     loop {
         tokio::select! {
             biased;
+            Some(request) = cancellation_inbox.recv() => shell.cancel_request(request),
             Some(event) = read_inbox.recv() => shell.step(event),
             Some(report) = report_inbox.recv() => shell.handle_report(report),
             Some(message) = peer_inbox.recv() => shell.handle_peer_message(message),
-            Some(message) = caller_inbox.recv() => shell.handle_caller_message(message),
+            Some(incoming) = arrival_inbox.recv() => shell.handle_arrival(*incoming),
             _ = tick.tick() => {
                 shell.step(gateway::Event::Tick);
                 shell.publish();
@@ -186,11 +189,7 @@
     }
     log::info!("event=stopped open={}", shell.reducer.request_count());
     // Requests that are on their way to the event loop, and those in progress, get their answers too.
-    caller_inbox.close();
-    while let Ok(message) = caller_inbox.try_recv() {
-        shell.handle_caller_message(message);
-    }
-    shell.step(gateway::Event::Stop);
+    shell.stop(arrival_inbox);
     close.send_replace(true);
     if !caller_server.is_finished() {
         // Connections that do not end in time are cut with the process.
@@ -260,22 +259,33 @@
         }
     }
 
-    fn handle_caller_message(&mut self, message: gateway_http::Message) {
-        match message {
-            gateway_http::Message::RequestArrived(incoming) => {
-                let gateway_http::IncomingRequest { request, arrival, head, body, reply } =
-                    *incoming;
-                let reply = gateway_http::Reply::NotStarted(reply);
-                let slot = sync::Arc::new(sync::Mutex::new(Some(reply)));
-                let original = gateway_calls::OriginalRequest { head, body, slot };
-                self.requests.insert(request, OpenRequest { original });
-                self.step(gateway::Event::RequestArrived(request, arrival));
-            }
-            gateway_http::Message::CallerGone(request) => {
-                self.step(gateway::Event::CallerGone(request));
-                self.requests.remove(&request);
-            }
+    fn handle_arrival(&mut self, incoming: gateway_http::IncomingRequest) {
+        let gateway_http::IncomingRequest { request, arrival, head, body, reply, signal } =
+            incoming;
+        // The cancellation came first, and there was no request yet to drop.
+        if signal.is_cancelled() {
+            return;
         }
+        let reply = gateway_http::Reply::NotStarted(reply);
+        let slot = sync::Arc::new(sync::Mutex::new(Some(reply)));
+        let original = gateway_calls::OriginalRequest { head, body, slot, signal };
+        self.requests.insert(request, OpenRequest { original });
+        self.step(gateway::Event::RequestArrived(request, arrival));
+    }
+
+    /// Ends all requests, also those that have arrived and were not handled yet.
+    fn stop(&mut self, mut arrivals: mpsc::Receiver<Box<gateway_http::IncomingRequest>>) {
+        arrivals.close();
+        while let Ok(incoming) = arrivals.try_recv() {
+            self.handle_arrival(*incoming);
+        }
+        self.step(gateway::Event::Stop);
+    }
+
+    /// Ends all work on a request whose caller has disconnected.
+    fn cancel_request(&mut self, request: id::RequestId) {
+        self.step(gateway::Event::CallerGone(request));
+        self.requests.remove(&request);
     }
 
     fn handle_peer_message(&mut self, message: gateway_peers::Message) {
@@ -311,10 +321,6 @@
                         self.handover_tasks.remove(group);
                         None
                     }
-                    gateway::Event::CallerGone(request) => {
-                        self.requests.remove(request);
-                        None
-                    }
                     _ => None,
                 };
                 self.step(event);
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::caller_socket;
+use crate::cancellation;
 use crate::read_budget;
 
 /// Time within which a client has to send the head of its first request.
@@ -61,8 +62,12 @@
     /// All bytes are in memory.
     Full(http_body_util::Full<bytes::Bytes>),
     /// Bytes arrive through a channel. Dropping the body drops the one-shot sender, which notifies
-    /// the [`BodySender`] that the peer has disconnected.
-    Stream(http_body_util::channel::Channel<bytes::Bytes, StreamAborted>, oneshot::Sender<()>),
+    /// the [`BodySender`] that the peer has disconnected, and the guard of the request, if any.
+    Stream(
+        http_body_util::channel::Channel<bytes::Bytes, StreamAborted>,
+        oneshot::Sender<()>,
+        Option<cancellation::Guard>,
+    ),
 }
 
 /// Sending end of a streamed body.
@@ -100,7 +105,16 @@
     pub fn stream(buffer: usize) -> (BodySender, Self) {
         let (channel, body) = http_body_util::channel::Channel::new(buffer);
         let (guard, dropped) = oneshot::channel();
-        (BodySender { channel, dropped }, Self::Stream(body, guard))
+        (BodySender { channel, dropped }, Self::Stream(body, guard, None))
+    }
+
+    /// Takes over the guard of the request that this body answers. A body in memory is the whole
+    /// answer, so the request has ended.
+    pub fn take_guard(&mut self, guard: cancellation::Guard) {
+        match self {
+            Self::Full(_) => guard.disarm(),
+            Self::Stream(_, _, slot) => *slot = Some(guard),
+        }
     }
 }
 
@@ -114,21 +128,21 @@
     ) -> task::Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, StreamAborted>>> {
         match self.get_mut() {
             Self::Full(body) => pin::Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Self::Stream(body, _) => pin::Pin::new(body).poll_frame(cx),
+            Self::Stream(body, ..) => pin::Pin::new(body).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(body) => body.is_end_stream(),
-            Self::Stream(body, _) => body.is_end_stream(),
+            Self::Stream(body, ..) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
         match self {
             Self::Full(body) => body.size_hint(),
-            Self::Stream(body, _) => body.size_hint(),
+            Self::Stream(body, ..) => body.size_hint(),
         }
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod auth;
 pub mod batch;
 pub mod caller_socket;
+pub mod cancellation;
 pub mod check;
 pub mod claim;
 pub mod clock;
