gateway: a stream moves once its upstream has ended

Cause: a pause between events was taken for the end of the upstream's work, and the next call was made at once. An upstream that notices a closed connection only when it writes notices an ordinary close with its second write.

Change: a stream moves 400 ms after its connection was closed. It moves at once if the upstream itself ended the connection or the body. A connection that is closed while an answer is awaited is reset, so that the first write fails. Requests without a stream do not wait: their rule speaks of model runners.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 mod groups;
 mod holds;
 mod messages;
+mod moves;
 mod request;
 mod stages;
 
@@ -86,6 +87,8 @@
     /// Current deadline of each request, the next one first.
     deadlines: collections::BTreeSet<(time::Duration, id::RequestId)>,
     calls: collections::BTreeMap<CallId, calls::PendingCall>,
+    /// Requests whose next call has to wait, with the time of the call, the next one first.
+    moves: collections::BTreeSet<(time::Duration, id::RequestId)>,
     groups: collections::BTreeMap<batch::GroupId, groups::Group>,
     /// Groups that were handed over by other gateways.
     handovers: collections::BTreeMap<HandoverId, batch::GroupId>,
@@ -156,6 +159,7 @@
             requests: collections::BTreeMap::new(),
             deadlines: collections::BTreeSet::new(),
             calls: collections::BTreeMap::new(),
+            moves: collections::BTreeSet::new(),
             groups: collections::BTreeMap::new(),
             handovers: collections::BTreeMap::new(),
             batches: collections::BTreeMap::new(),
@@ -360,7 +364,7 @@
         self.table_lease.is_valid(self.now) && self.table.team(credential).is_some()
     }
 
-    /// Refuses requests whose deadline has passed, probes silent gateways and frees results.
+    /// Refuses requests whose deadline has passed, moves streams, probes silent gateways and frees results.
     fn tick(&mut self, effects: &mut Vec<Effect>) {
         let now = self.now.mono;
         while let Some((deadline, request)) = self.deadlines.first().copied() {
@@ -375,6 +379,7 @@
                 effects,
             );
         }
+        self.make_moves(effects);
         self.probe_holders(effects);
         self.free_unneeded_results(effects);
         self.record_sound_calls();
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -53,6 +53,9 @@
     /// no time is left.
     pub(super) fn call_upstream(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
         use refusal::Kind;
+        if self.must_wait(id) {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else { return };
         let budget = request.deadline.saturating_sub(self.now.mono);
         if !self.has_valid_credential(request) {
@@ -337,8 +340,9 @@
                 self.fleet.record_success(self.now.mono, &call.instance, None);
                 self.finish_request(call.request, took, effects);
             }
-            gateway::Outcome::Broken { last, .. } => {
+            gateway::Outcome::Broken { last, cause } => {
                 self.record_upstream_failure(&call.instance, effects);
+                self.delay_move(call.request, cause);
                 self.call_broken(call.request, last, effects);
             }
         }
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -90,6 +90,8 @@
     pub recomputations: u32,
     /// Call in flight that is to answer, if any.
     pub call: Option<gateway::CallId>,
+    /// Time before which no call is made: the upstream before may still be at work.
+    pub next_call: time::Duration,
     /// Upstreams that were called for the answer.
     pub tried: collections::BTreeSet<id::InstanceId>,
     /// Number of calls that may have run the request.
@@ -138,6 +140,7 @@
             stages,
             recomputations: 0,
             call: None,
+            next_call: time::Duration::ZERO,
             tried: collections::BTreeSet::new(),
             possible_runs: 0,
             call_count: 0,
--- a/lib/src/upstream_pool.rs
+++ b/lib/src/upstream_pool.rs
@@ -15,6 +15,8 @@
 
 use crate::http;
 
+mod socket;
+
 /// Time within which a connection has to be established. A lost SYN packet is retransmitted only
 /// after a second.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
@@ -59,6 +61,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: http1::SendRequest<http::Body>,
+    in_use: socket::InUse,
     idle_since: time::Instant,
     idle_timeout: time::Duration,
     /// Hash of the last body that was checked for duplicates.
@@ -78,7 +81,7 @@
     upstreams: sync::Arc<sync::Mutex<collections::BTreeMap<net::SocketAddr, Upstream>>>,
 }
 
-/// A connection in use. It is closed when dropped unless it is released to the pool.
+/// A connection in use. It is reset when dropped unless it is released to the pool.
 #[derive(Debug)]
 pub struct PooledConnection {
     pool: Pool,
@@ -165,6 +168,8 @@
             http::with_timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address)).await;
         let stream = stream?.ok()?;
         set_socket_options(&stream).ok()?;
+        let in_use = socket::InUse::default();
+        let stream = socket::UpstreamSocket::new(stream, in_use.clone());
         let (sender, driver) = http1::handshake(rt::TokioIo::new(stream)).await.ok()?;
         tokio::spawn(async move {
             if let Err(e) = driver.await {
@@ -175,6 +180,7 @@
         let idle_since = time::Instant::now();
         pooled.connection = Some(Connection {
             sender,
+            in_use,
             idle_since,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             body_hash: 0,
@@ -212,6 +218,7 @@
         if !matches!(ready, Some(Ok(()))) {
             return Err(TrySendError::Unsent(Box::new(request)));
         }
+        connection.in_use.set(true);
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 if let Some(timeout) = keep_alive_timeout(response.headers()) {
@@ -238,6 +245,7 @@
     /// Returns the connection to the pool. Its answer must have been read whole.
     pub fn release(mut self) {
         let Some(mut connection) = self.connection.take() else { return };
+        connection.in_use.set(false);
         connection.idle_since = time::Instant::now();
         self.is_returned = true;
         self.pool.upstreams().entry(self.address).or_default().idle.push(connection);
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -277,6 +277,57 @@
     }
 }
 
+/// Ends the only call of a request to a route with this path.
+fn break_call(harness: &mut Harness, path: &str, cause: gateway::BreakCause) -> id::RequestId {
+    let (request, effects) = harness.arrive(path);
+    let call = request_call(&effects).expect("it is sent").call;
+    let effects = harness.end_call(call, gateway::Outcome::Broken { last: Some(3), cause });
+    assert!(request_call(&effects).is_none(), "{path} {cause}: it waits");
+    assert!(refusal_of(&effects).is_none(), "{path} {cause}");
+    request
+}
+
+/// Guards against a stream that goes on at another upstream while the one before is still at work.
+#[test]
+fn stream_moves_once_its_upstream_has_ended() {
+    for cause in [gateway::BreakCause::Timeout, gateway::BreakCause::Invalid] {
+        let mut harness = Harness::new();
+        break_call(&mut harness, "/again/1", cause);
+        assert!(request_call(&harness.advance(ms(399))).is_none(), "{cause}");
+        let effects = harness.advance(ms(1));
+        let next = request_call(&effects).expect("it moves after 400 ms");
+        assert_eq!(next.last_event, Some(3), "{cause}");
+        assert!(request_call(&harness.advance(ms(400))).is_none(), "it moves once");
+    }
+}
+
+/// Guards against a wait that delays requests whose upstream is known to have ended, or that no
+/// stream is moved for.
+#[test]
+fn only_moves_of_streams_at_work_wait() {
+    use gateway::BreakCause;
+    let cases = [
+        ("/again/1", BreakCause::ConnectionLost),
+        ("/again/1", BreakCause::InsideEvent),
+        ("/stock/1", BreakCause::Timeout),
+    ];
+    for (path, cause) in cases {
+        let mut harness = Harness::new();
+        let (_, effects) = harness.arrive(path);
+        let call = request_call(&effects).expect("it is sent").call;
+        let effects = harness.end_call(call, gateway::Outcome::Broken { last: None, cause });
+        assert!(request_call(&effects).is_some(), "{path} {cause}");
+    }
+}
+
+#[test]
+fn stream_does_not_move_for_a_caller_that_has_left() {
+    let mut harness = Harness::new();
+    let request = break_call(&mut harness, "/again/1", gateway::BreakCause::Timeout);
+    harness.step(gateway::Event::CallerGone(request));
+    assert!(request_call(&harness.advance(ms(400))).is_none());
+}
+
 #[test]
 fn request_runs_on_max_attempts_upstreams_at_most() {
     let mut harness = Harness::new();
