config: revisions are numbers in the value, so one apply after a restore is enough

Seen: after a restore of the key-value service, a configuration that was applied again did not come into force at entries and sidecars until it had been applied often enough (`configuration_applied_after_a_restore_comes_into_force`, known red).

Cause: configurations were ordered by the store's revision of the write, which goes back with a restore.

Change: the value has a number, which `apply`, `drain` and `undrain` raise above those of the value that they read and of all registered processes, and not below the present time. Processes, peers, deltas and hints carry it as the revision. Values without a number keep the store's revision, which is below any number.

--- a/lib/src/config_sync.rs
+++ b/lib/src/config_sync.rs
@@ -145,10 +145,10 @@
 }
 
 fn activate_entry(active: &ActiveSender, entry: &store::Entry) {
-    match serde_json::from_slice(&entry.value) {
-        Ok(stored) => {
-            let revision = id::Revision(entry.mod_revision);
-            activate_if_newer(active, revision, stored, revision::Source::Store);
+    match serde_json::from_slice::<revision::StoredValue>(&entry.value) {
+        Ok(value) => {
+            let revision = value.revision(entry.mod_revision);
+            activate_if_newer(active, revision, value.config, revision::Source::Store);
         }
         Err(e) => log::error!("event=config_unreadable error={:?}", e.to_string()),
     }
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -180,8 +180,9 @@
     Incarnation, u64, "16"
 }
 
-/// Revision of the configuration: the store's revision of the write; 0 stands for none. Higher
-/// ones are newer.
+/// Revision of the configuration: a number in the stored value, which operators' commands raise; 0
+/// stands for none. Higher ones are newer. In values without a number it is the store's revision of
+/// the write.
 #[derive(
     Clone,
     Copy,
--- a/lib/src/operator.rs
+++ b/lib/src/operator.rs
@@ -19,6 +19,8 @@
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(500);
 /// Time within which a process has to answer a request for its status.
 const STATUS_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Time within which the processes have to answer before a configuration is written.
+const REPORTS_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Number of processes that are queried concurrently.
 const STATUS_BATCH: usize = 32;
 /// Largest configuration text that is accepted; the store limits the size of a value.
@@ -106,6 +108,8 @@
 pub struct CurrentConfig {
     /// Its revision; zero if the store has no configuration.
     pub revision: id::Revision,
+    /// The store's revision of the write, on which the next one is based; zero if there is none.
+    pub mod_revision: u64,
     /// Value in the store; empty if there is none.
     pub stored: revision::StoredConfig,
 }
@@ -119,9 +123,10 @@
     let Some(entry) = snapshot.entries.first() else {
         return Ok(CurrentConfig::default());
     };
-    let stored = serde_json::from_slice(&entry.value)
+    let value: revision::StoredValue = serde_json::from_slice(&entry.value)
         .map_err(|e| OperatorError::Unreadable { message: e.to_string() })?;
-    Ok(CurrentConfig { revision: id::Revision(entry.mod_revision), stored })
+    let revision = value.revision(entry.mod_revision);
+    Ok(CurrentConfig { revision, mod_revision: entry.mod_revision, stored: value.config })
 }
 
 /// Writes a new configuration text and returns its revision; draining instances are kept.
@@ -148,7 +153,7 @@
         draining: current.stored.draining.clone(),
         text: text.to_owned(),
     };
-    write(store, &current, &next).await
+    publish(store, current, next).await
 }
 
 /// Returns the error for a configuration that is not at the expected revision; `base_text` is the
@@ -159,21 +164,72 @@
     OperatorError::Conflict { expected, found: found.revision, changes }
 }
 
-/// Replaces the configuration that was read.
+/// Replaces the configuration that was read, with a revision above those of all processes.
+///
+/// After the write the processes are asked again. If the store was restored between the read and the
+/// write, they may have configurations that the read did not show, and the write is repeated with a
+/// higher revision.
+async fn publish<S: store::Store>(
+    store: &S,
+    mut current: CurrentConfig,
+    next: revision::StoredConfig,
+) -> Result<id::Revision, OperatorError> {
+    let mut highest = highest_revision(store).await?;
+    let mut result = Err(OperatorError::UnconfirmedWrite);
+    for _ in 0..MAX_ATTEMPTS {
+        let revision = revision::next_revision([current.revision, highest], since_epoch());
+        let written = write(store, &current, revision, &next).await?;
+        result = Ok(written);
+        // The configuration is in the store; what fails from here on is not a failed write.
+        highest = highest_revision(store).await.unwrap_or_default();
+        if highest <= written {
+            break;
+        }
+        let found = read_config(store).await?;
+        if found.stored.nonce != next.nonce {
+            // A later configuration has replaced it, or a restore has removed it.
+            if found.revision < written {
+                return Err(conflict(written, &found, &next.text));
+            }
+            break;
+        }
+        log::warn!("event=revision_raised written={written} in_force={highest}");
+        current = found;
+    }
+    result
+}
+
+/// Returns the highest revision that a registered process has in force; zero if none answers.
+async fn highest_revision<S: store::Store>(store: &S) -> Result<id::Revision, OperatorError> {
+    let Some(reports) = http::with_timeout(REPORTS_TIMEOUT, process_reports(store)).await else {
+        log::warn!("event=reports_incomplete effect=\"the clock alone decides the revision\"");
+        return Ok(id::Revision(0));
+    };
+    let revisions = reports?.into_iter().filter_map(|report| Some(report.status?.revision));
+    Ok(revisions.max().unwrap_or_default())
+}
+
+fn since_epoch() -> time::Duration {
+    time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default()
+}
+
+/// Replaces the configuration that was read, and returns the revision of the new one.
 ///
 /// The write is repeated if its response is lost. That is safe: the store applies it only on top of
 /// the revision that was read, and the nonce shows whether an earlier attempt took effect.
 async fn write<S: store::Store>(
     store: &S,
     current: &CurrentConfig,
+    revision: id::Revision,
     next: &revision::StoredConfig,
 ) -> Result<id::Revision, OperatorError> {
-    let value: bytes::Bytes = serde_json::json!(next).to_string().into();
-    let compare = store::Compare::ModRevision(store::CONFIG_KEY.to_owned(), current.revision.0);
+    let value = revision::StoredValue { number: Some(revision), config: next.clone() };
+    let value: bytes::Bytes = serde_json::json!(value).to_string().into();
+    let compare = store::Compare::ModRevision(store::CONFIG_KEY.to_owned(), current.mod_revision);
     let put = store::Write::Put(store::CONFIG_KEY.to_owned(), value, None);
     for attempt in 0..MAX_ATTEMPTS {
         match store.commit(std::slice::from_ref(&compare), std::slice::from_ref(&put)).await {
-            Ok(outcome) if outcome.is_applied => return Ok(id::Revision(outcome.revision)),
+            Ok(outcome) if outcome.is_applied => return Ok(revision),
             Ok(_) => return resolve_rejected(store, current, next, attempt > 0).await,
             Err(e) => {
                 log::warn!("event=write_unanswered try={attempt} error={:?}", e.to_string());
@@ -236,7 +292,7 @@
         } else {
             next.draining.remove(instance);
         }
-        match write(store, &current, &next).await {
+        match publish(store, current, next).await {
             // Another change came first: read it and check again.
             Err(e @ OperatorError::Conflict { .. }) => last_conflict = Some(e),
             other => return other,
--- a/lib/src/revision.rs
+++ b/lib/src/revision.rs
@@ -4,6 +4,7 @@
 
 use std::collections;
 use std::sync;
+use std::time;
 
 use crate::check;
 use crate::config;
@@ -15,6 +16,38 @@
 
 /// Value under the configuration's key in the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct StoredValue {
+    /// Revision of the configuration. The store's own revision goes back when the store is restored
+    /// from a backup, so it does not order configurations. `None` in values of releases that had no
+    /// number.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<id::Revision>,
+    /// The configuration.
+    #[serde(flatten)]
+    pub config: StoredConfig,
+}
+
+impl StoredValue {
+    /// Returns the revision of the configuration. `mod_revision` is the store's revision of the write;
+    /// numbers are times in milliseconds or higher, so they are above it.
+    pub fn revision(&self, mod_revision: u64) -> id::Revision {
+        self.number.unwrap_or(id::Revision(mod_revision))
+    }
+}
+
+/// Returns the revision of a new configuration: above all known ones, and not below the time since the
+/// epoch in milliseconds. The time puts it above those of processes that cannot be asked.
+pub fn next_revision(
+    known: impl IntoIterator<Item = id::Revision>,
+    since_epoch: time::Duration,
+) -> id::Revision {
+    let highest = known.into_iter().max().unwrap_or_default();
+    let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+    id::Revision(highest.0.saturating_add(1).max(millis))
+}
+
+/// Configuration of the operators, as processes pass it on.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct StoredConfig {
     /// New for each write, so that a writer whose response was lost can recognise its own write.
     pub nonce: String,
