--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -53,6 +53,9 @@
     /// no time is left.
     pub(super) fn call_upstream(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
         use refusal::Kind;
+        if self.must_wait(id) {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else { return };
         let budget = request.deadline.saturating_sub(self.now.mono);
         if !self.has_valid_credential(request) {
@@ -358,6 +361,7 @@
                 if cause == gateway::BreakCause::ConnectionLost {
                     self.assume_restarted(&call.instance, effects);
                 }
+                self.delay_move(call.request, cause);
                 self.call_broken(call.request, last, effects);
             }
         }
