settings: capacity of entries and sidecars

Entries and sidecars accept the fields of `capacity` that gateways have, with the same defaults. They are not used yet. Tests can set them through the options of the cluster.

--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -7,7 +7,8 @@
 
 use bpaf::Parser;
 use bramleyshelf_lib::{
-    check, config, entry_shell, http, id, operator, settings, sidecar_shell, store, unit,
+    check, config, entry_shell, gateway_settings, http, id, operator, settings, sidecar_shell,
+    store, unit,
 };
 use bramleyshelf_testutils::{engine, instances, kv, model, plain, server};
 use tokio::sync::watch;
@@ -94,6 +95,7 @@
                 store: stand_ins.store_url(),
                 peers: vec![peer_address],
                 stop_ms: unit::Millis(2_000),
+                capacity: gateway_settings::Capacity::default(),
             };
             let run = sidecar_shell::run_on(listener, settings, store.clone(), stopping.clone());
             sidecars.push(tokio::spawn(run));
@@ -112,6 +114,7 @@
         instances: stand_ins.list_url(),
         peers: Vec::new(),
         notice_ms: unit::Millis(0),
+        capacity: gateway_settings::Capacity::default(),
     };
     let listeners = entry_shell::Listeners { callers, peers };
     let entry = tokio::spawn(entry_shell::run_on(listeners, settings, store, stopping));
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -8,6 +8,7 @@
 use std::path;
 
 use crate::diagnostic;
+use crate::gateway_settings;
 use crate::id;
 
 /// Prefix of the environment variables that override settings, for example `BRAMLEYSHELF_STORE`.
@@ -35,6 +36,9 @@
     /// balancers stop sending requests first.
     #[serde(default = "default_notice")]
     pub notice_ms: crate::unit::Millis,
+    /// What the instance gives the process.
+    #[serde(default)]
+    pub capacity: gateway_settings::Capacity,
 }
 
 /// Settings of a sidecar.
@@ -58,6 +62,9 @@
     /// Longest time that a stop waits for attempts in progress.
     #[serde(default = "default_stop")]
     pub stop_ms: crate::unit::Millis,
+    /// What the instance gives the process.
+    #[serde(default)]
+    pub capacity: gateway_settings::Capacity,
 }
 
 fn default_notice() -> crate::unit::Millis {
--- a/lib/testutils/src/bench.rs
+++ b/lib/testutils/src/bench.rs
@@ -117,6 +117,7 @@
         engines: Some(deployment.engines),
         prefill_ms: 60,
         link: Some(link.clone()),
+        capacity: None,
     };
     let system = cluster::Cluster::start(program, deployment.name, text, options).await;
     let measurements = SharedMeasurements::default();
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -10,7 +10,7 @@
 use std::sync;
 use std::time;
 
-use bramleyshelf_lib::{check, config, http, operator, store};
+use bramleyshelf_lib::{check, config, gateway_settings, http, operator, store};
 
 use crate::engine;
 use crate::instances;
@@ -221,6 +221,8 @@
     pub prefill_ms: u64,
     /// Simulated link between the first region and the others; `None` connects them directly.
     pub link: Option<link::Link>,
+    /// What the settings say that instances give their processes; `None` for the defaults.
+    pub capacity: Option<gateway_settings::Capacity>,
 }
 
 impl Default for Options {
@@ -233,6 +235,7 @@
             engines: None,
             prefill_ms: 0,
             link: None,
+            capacity: None,
         }
     }
 }
@@ -539,6 +542,10 @@
         name: &str,
         settings: &serde_json::Value,
     ) -> Child {
+        let mut settings = settings.clone();
+        if let Some(capacity) = self.options.capacity {
+            settings["capacity"] = serde_json::json!(capacity);
+        }
         let file = self.directory.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("a writable directory");
         let log = self.directory.join(format!("{name}.log"));
