--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -13,12 +13,14 @@
 use crate::http;
 use crate::id;
 use crate::key;
+use crate::memory_budget;
 use crate::plan;
 use crate::probe;
 use crate::refusal;
 use crate::registry;
 use crate::request;
 use crate::revision;
+use crate::server_connection;
 use crate::sidecar_http;
 use crate::wire;
 
@@ -59,8 +61,8 @@
     pub arrival: request::Arrival,
     /// Body that the caller sent.
     pub body: bytes::Bytes,
-    /// The body as JSON.
-    pub value: serde_json::Value,
+    /// Whether the caller asks for a stream.
+    pub wants_stream: bool,
     /// Receives the parts of the response.
     pub replies: ReplySender,
 }
@@ -116,6 +118,8 @@
     pub credentials: watch::Receiver<sync::Arc<auth::Credentials>>,
     /// State of the process, for health probes.
     pub status: watch::Receiver<registry::Status>,
+    /// Memory for bodies.
+    pub budget: memory_budget::Budget,
 }
 
 /// Request head after authentication and parsing.
@@ -177,11 +181,12 @@
     ) -> Result<hyper::Response<http::Body>, refusal::Refusal> {
         let config = self.active_config.borrow().config.clone();
         let head = self.read_head(&config, &request)?;
-        let body = read_body(&config, request.into_body()).await?;
-        let value: serde_json::Value = serde_json::from_slice(&body).map_err(|e| {
+        let (parts, body) = request.into_parts();
+        let connection = parts.extensions.get::<server_connection::Handle>();
+        let body = read_body(&config, body, &self.budget, connection).await?;
+        let streaming = wants_stream(&body).map_err(|e| {
             not_run(refusal::Kind::BadRequest, &format!("the body is not JSON: {e}"))
         })?;
-        let streaming = value.get("stream").and_then(serde_json::Value::as_bool).unwrap_or(false);
         let prefix_hash = prefix_hash(&config, &head.team, &body);
         let arrival = request::Arrival {
             request: number,
@@ -194,7 +199,8 @@
         };
         let (replies, inbox) = ReplySender::channel(REPLY_BUFFER);
         let guard = drop_guard::DropGuard::new(self.messages.clone(), Message::CallerGone(number));
-        let incoming = Box::new(IncomingRequest { arrival, body, value, replies });
+        let incoming =
+            Box::new(IncomingRequest { arrival, body, wants_stream: streaming, replies });
         self.messages
             .try_send(Message::RequestArrived(incoming))
             .map_err(|_| not_run(refusal::Kind::Overloaded, "this entry is overloaded"))?;
@@ -283,8 +289,12 @@
 async fn read_body(
     config: &config::Config,
     body: hyper::body::Incoming,
+    budget: &memory_budget::Budget,
+    connection: Option<&server_connection::Handle>,
 ) -> Result<bytes::Bytes, refusal::Refusal> {
-    http::read_body(body, config.limits.body_bytes.0, BODY_TIMEOUT).await.map_err(|e| {
+    let limit = config.limits.body_bytes.0;
+    let body = http::receive_body(body, limit, BODY_TIMEOUT, budget, connection);
+    body.await.map_err(|e| {
         let kind = match e {
             http::ReadError::TooLarge => refusal::Kind::BodyTooLarge,
             http::ReadError::OverBudget => refusal::Kind::Overloaded,
@@ -294,6 +304,20 @@
     })
 }
 
+/// Checks that a body is JSON and returns whether it asks for a stream. The values of the body are not
+/// kept, as they may take many times its length.
+fn wants_stream(body: &[u8]) -> Result<bool, serde_json::Error> {
+    #[derive(serde::Deserialize)]
+    struct Fields<'a> {
+        #[serde(borrow, default)]
+        stream: Option<&'a serde_json::value::RawValue>,
+    }
+    serde_json::from_slice::<serde::de::IgnoredAny>(body)?;
+    // A body that is no object has no such field.
+    let fields = serde_json::from_slice::<Fields<'_>>(body).ok();
+    Ok(fields.and_then(|fields| fields.stream).is_some_and(|stream| stream.get() == "true"))
+}
+
 /// Returns the hash of the body's first `policy.prefix_bytes` bytes, by which requests are routed
 /// to engines that have cached the prefix; `None` if that is switched off. The hash is seeded with
 /// the team, so that equal prefixes of two teams differ.
--- a/lib/src/entry_shell.rs
+++ b/lib/src/entry_shell.rs
@@ -20,6 +20,8 @@
 use crate::id;
 use crate::instance_list;
 use crate::membership;
+use crate::memory_budget;
+use crate::memory_budget::ledger;
 use crate::plan;
 use crate::refusal;
 use crate::registry;
@@ -122,17 +124,27 @@
         tokio::spawn(instance_list::follow_list(settings.instances.clone(), lists, rng.fork())),
         tokio::spawn(instance_list::count_entries(store, counts)),
     ];
+    let budget = memory_budget::Budget::new(settings.capacity);
     let caller_handler = entry_http::CallerHandler {
         messages: caller_messages,
         active_config: active_config.subscribe(),
         credentials: credential_reader,
         status: status_reader.clone(),
+        budget: budget.clone(),
     };
     let peer_handler =
         entry_http::PeerHandler { active_config: active_config.subscribe(), status: status_reader };
     let servers = Servers {
-        callers: http::RunningServer::spawn(listeners.callers, caller_handler),
-        peers: http::RunningServer::spawn(listeners.peers, peer_handler),
+        callers: http::RunningServer::spawn(
+            listeners.callers,
+            caller_handler,
+            http::ServerLimits::for_callers(&budget),
+        ),
+        peers: http::RunningServer::spawn(
+            listeners.peers,
+            peer_handler,
+            http::ServerLimits::for_peers(&budget),
+        ),
     };
     let shell = Shell {
         reducer,
@@ -144,6 +156,7 @@
         requests: collections::BTreeMap::new(),
         attempts: attempt_client::AttemptClient::new(attempt_messages),
         chunk: bytes::Bytes::new(),
+        budget,
         stopping: false,
         settings,
     };
@@ -169,8 +182,8 @@
 struct RequestData {
     /// Body that the caller sent.
     body: bytes::Bytes,
-    /// The body as JSON.
-    value: serde_json::Value,
+    /// Whether the caller asks for a stream.
+    wants_stream: bool,
     /// Answers of finished stages by name, from which later bodies are built.
     results: serde_json::Map<String, serde_json::Value>,
     /// Channel to the caller's connection.
@@ -202,11 +215,27 @@
     attempts: attempt_client::AttemptClient,
     /// Bytes of the chunk that the reducer is processing.
     chunk: bytes::Bytes,
+    /// Memory for bodies and for answers that callers have not read.
+    budget: memory_budget::Budget,
     /// Whether the process was asked to stop.
     stopping: bool,
     settings: settings::EntrySettings,
 }
 
+/// Part of the budget that the values of a body may take while the input of a stage is built from them.
+const VALUES_DIVISOR: usize = 2;
+/// Memory of a value of a body, with the gaps of the lists that hold it.
+const VALUE_BYTES: usize = 64;
+
+/// Parses a body whose values take at most about `limit` bytes.
+fn parse_values(body: &[u8], limit: usize) -> Result<serde_json::Value, String> {
+    let values = body.iter().filter(|byte| matches!(byte, b',' | b'[' | b'{' | b':')).count();
+    if values * VALUE_BYTES > limit.max(body.len()) {
+        return Err("the body has too many values for this instance; send fewer".to_owned());
+    }
+    serde_json::from_slice(body).map_err(|e| e.to_string())
+}
+
 impl Shell {
     async fn run(
         mut self,
@@ -277,6 +306,7 @@
             drained: draining && open == 0,
             in_progress: open,
         };
+        self.budget.publish();
         metrics::gauge!("open_requests").set(open as f64);
         metrics::gauge!("open_attempts").set(self.reducer.attempt_count() as f64);
         self.status.send_if_modified(|status| {
@@ -300,7 +330,7 @@
             entry_http::Message::RequestArrived(incoming) => {
                 let data = RequestData {
                     body: incoming.body,
-                    value: incoming.value,
+                    wants_stream: incoming.wants_stream,
                     results: serde_json::Map::new(),
                     replies: incoming.replies,
                     target: incoming.arrival.target.to_string(),
@@ -367,7 +397,11 @@
                 }
             }
             entry::Effect::RelayChunk { request, skip } => {
-                let data = self.chunk.slice(skip as usize..);
+                // Copied, so that it keeps no message of the sidecar alive.
+                let data = bytes::Bytes::copy_from_slice(&self.chunk[skip as usize..]);
+                let Ok(data) = self.budget.hold(data, ledger::Purpose::Answer) else {
+                    return self.drop_slow_caller(request);
+                };
                 return self.send_reply(request, entry_http::Reply::Data(data));
             }
             entry::Effect::BufferChunk { attempt, skip } => {
@@ -381,6 +415,15 @@
             }
             entry::Effect::SendAnswer(request, attempt) => {
                 if let Some((head, body)) = self.attempts.take_answer(attempt) {
+                    // The share lasts until the caller has read the answer.
+                    let Ok(body) = self.budget.hold(body, ledger::Purpose::Answer) else {
+                        let message = "the entry has no memory for the answer";
+                        let kind = refusal::Kind::AnswerDropped;
+                        let refusal = refusal::Refusal::new(kind, refusal::Ran::Yes, message);
+                        let reply = entry_http::Reply::Refuse(refusal);
+                        self.end_request(request, "answer_dropped", reply);
+                        return None;
+                    };
                     self.end_request(request, "answered", entry_http::Reply::Whole(head, body));
                 }
             }
@@ -412,8 +455,13 @@
         if data.replies.try_send(reply) {
             return None;
         }
+        self.drop_slow_caller(request)
+    }
+
+    /// Drops a request whose caller does not read its answer.
+    fn drop_slow_caller(&mut self, request: id::RequestId) -> Option<entry::Event> {
+        self.requests.remove(&request)?;
         log::warn!("event=caller_too_slow request={request}");
-        self.requests.remove(&request);
         Some(entry::Event::CallerGone(request))
     }
 
@@ -439,11 +487,11 @@
         let Some(input) = &plan.steps[stage].input_template else {
             return Ok(data.body.clone());
         };
-        let context = serde_json::json!({ "request": data.value, "stages": data.results });
+        let value = parse_values(&data.body, self.budget.limits().bytes / VALUES_DIVISOR)?;
+        let context = serde_json::json!({ "request": value, "stages": data.results });
         let mut body = template::fill(input, &context).map_err(|e| e.to_string())?;
-        let wants_stream = data.value.get("stream").is_some_and(|stream| *stream == true);
         if stage == plan.answer_stage
-            && wants_stream
+            && data.wants_stream
             && let Some(fields) = body.as_object_mut()
         {
             fields.insert("stream".to_owned(), true.into());
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -13,14 +13,13 @@
 use crate::gateway;
 use crate::gateway_http;
 use crate::http;
-use crate::read_budget;
+use crate::memory_budget;
+use crate::memory_budget::ledger;
 use crate::upstream_notice;
 use crate::upstream_pool;
 
 /// Largest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: u64 = 8 << 20;
-/// Memory for all answers that are being received from upstreams, in bytes.
-pub const ANSWERS_BUDGET: usize = 32 << 20;
 /// Time within which an upstream has to acknowledge that it freed results.
 const FREE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -54,7 +53,7 @@
     /// Connections to other gateways, apart from those to upstreams.
     pub peers: upstream_pool::Pool,
     /// Memory for the answers of upstreams.
-    pub budget: read_budget::ReadBudget,
+    pub budget: memory_budget::Budget,
     /// Channel to the event loop.
     pub reports: mpsc::Sender<CallReport>,
 }
@@ -64,12 +63,32 @@
 pub struct OriginalRequest {
     /// Method, path and headers that the caller sent.
     pub head: sync::Arc<hyper::http::request::Parts>,
-    /// Body that the caller sent.
-    pub body: bytes::Bytes,
+    /// Body that the caller sent; shared by all calls of the request.
+    body: sync::Arc<sync::Mutex<bytes::Bytes>>,
     /// Where calls take the reply from; shared by all calls of the request.
     pub slot: gateway_http::ReplySlot,
 }
 
+impl OriginalRequest {
+    /// Makes a request from its parts.
+    pub fn new(
+        head: sync::Arc<hyper::http::request::Parts>,
+        body: bytes::Bytes,
+        slot: gateway_http::ReplySlot,
+    ) -> Self {
+        Self { head, body: sync::Arc::new(sync::Mutex::new(body)), slot }
+    }
+
+    fn body(&self) -> bytes::Bytes {
+        self.body.lock().expect("no holder panics").clone()
+    }
+
+    /// Frees the body of a request that is not sent again.
+    fn release_body(&self) {
+        self.body.lock().expect("no holder panics").clear();
+    }
+}
+
 /// How a call ended, and the load that the upstream reported if its answer had a head.
 type CallResult = (gateway::Outcome, Option<fleet::Load>);
 
@@ -133,6 +152,10 @@
         if status < 300 && !head.is_sealed {
             return broken(gateway::BreakCause::Invalid);
         }
+        // The request has run, so only kinds that may run again are sent again.
+        if !request_call.kind.is_repeatable() {
+            original.release_body();
+        }
         if request_call.kind.is_stream() && status == 200 {
             let left = request_call.timeout.saturating_sub(started.elapsed());
             let outcome = self.relay(request_call, original, response, connection, left).await;
@@ -182,7 +205,7 @@
         request_call: &gateway::RequestCall,
         original: &OriginalRequest,
     ) -> hyper::Request<http::Body> {
-        let mut request = hyper::Request::new(http::Body::full(original.body.clone()));
+        let mut request = hyper::Request::new(http::Body::full(original.body()));
         *request.method_mut() = original.head.method.clone();
         *request.uri_mut() = original.head.uri.clone();
         *request.headers_mut() = self.dialect.request_headers(&original.head, request_call);
@@ -200,7 +223,7 @@
         first_timeout: time::Duration,
     ) -> gateway::Outcome {
         let mut splitter = event_stream::Splitter::resume_after(request_call.last_event);
-        let mut share = self.budget.share();
+        let mut share = self.budget.share(ledger::Purpose::Receiving, None);
         let (parts, mut body) = response.into_parts();
         let mut stream = None;
         // Bytes that complete no event are no progress, so only whole events extend the time.
@@ -232,7 +255,8 @@
             let Ok(events) = splitter.push(&data) else {
                 break broken(gateway::BreakCause::Invalid);
             };
-            if !share.resize(splitter.held_bytes()) {
+            let held = splitter.held_bytes() + events.as_ref().map_or(0, bytes::Bytes::len);
+            if share.resize(held).is_err() {
                 break broken(gateway::BreakCause::Invalid);
             }
             let Some(events) = events else { continue };
--- a/lib/src/gateway_http.rs
+++ b/lib/src/gateway_http.rs
@@ -11,14 +11,18 @@
 use crate::gateway;
 use crate::http;
 use crate::id;
+use crate::memory_budget;
 use crate::refusal;
+use crate::server_connection;
 use crate::table;
 use crate::telemetry;
 
 /// Time within which a caller has to send its whole body.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-/// Chunks of a stream that are buffered for a slow caller before reading from the upstream stops.
-const STREAM_BUFFER: usize = 16;
+/// Chunks of a stream that are buffered for a slow caller before reading from the upstream stops, and their
+/// largest size in bytes.
+const STREAM_BUFFER: usize = 2;
+const STREAM_CHUNK: usize = 16 << 10;
 
 /// A caller's request, as sent to the event loop.
 #[derive(Debug)]
@@ -55,6 +59,8 @@
     pub serial: sync::Arc<sync::atomic::AtomicU64>,
     /// Limits on what callers send, from the routing table in force.
     pub limits: watch::Receiver<table::Limits>,
+    /// Memory for bodies.
+    pub budget: memory_budget::Budget,
     /// Whether the process is stopping; responses then ask callers to close their connections.
     pub stopping: watch::Receiver<bool>,
 }
@@ -90,9 +96,12 @@
         let mut arrival =
             self.dialect.read_request(&head).map_err(|m| not_run(refusal::Kind::BadRequest, m))?;
         let limit = self.limits.borrow().max_body.0;
-        let body = http::read_body(body, limit, BODY_TIMEOUT).await.map_err(|e| {
+        let connection = head.extensions.get::<server_connection::Handle>();
+        let body = http::receive_body(body, limit, BODY_TIMEOUT, &self.budget, connection);
+        let body = body.await.map_err(|e| {
             let kind = match e {
                 http::ReadError::TooLarge => refusal::Kind::BodyTooLarge,
+                http::ReadError::OverBudget => refusal::Kind::Overloaded,
                 _ => refusal::Kind::BodyIncomplete,
             };
             log_unread_body(&arrival.external_id, kind);
@@ -184,10 +193,14 @@
 
     /// Sends bytes; returns whether the caller is still connected.
     pub async fn send(&mut self, data: bytes::Bytes) -> bool {
-        match &mut self.sender {
-            Some(sender) => sender.send(data).await,
-            None => false,
+        let Some(sender) = &mut self.sender else { return false };
+        for chunk in data.chunks(STREAM_CHUNK) {
+            // Copied, so that no chunk keeps the whole block alive.
+            if !sender.send(bytes::Bytes::copy_from_slice(chunk)).await {
+                return false;
+            }
         }
+        true
     }
 
     /// Waits until the caller disconnects.
--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -17,7 +17,9 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::memory_budget;
 use crate::relay;
+use crate::server_connection;
 use crate::upstream_pool;
 
 /// Path of liveness probes; answered without the event loop.
@@ -63,6 +65,8 @@
     pub reads: watch::Receiver<Option<relay::Snapshot>>,
     /// Clock by which the age of the reads is computed.
     pub clock: clock::SystemClock,
+    /// Memory for messages.
+    pub budget: memory_budget::Budget,
 }
 
 fn text_response(status: u16, text: &'static str) -> hyper::Response<http::Body> {
@@ -121,8 +125,12 @@
         if path == ALIVE_PATH {
             return text_response(200, "");
         }
-        let Ok(body) = http::read_body(request.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await
-        else {
+        let (head, body) = request.into_parts();
+        let connection = head.extensions.get::<server_connection::Handle>();
+        let budget = &self.budget;
+        let body =
+            http::receive_body(body, MAX_MESSAGE_BYTES, BODY_TIMEOUT, budget, connection).await;
+        let Ok(body) = body else {
             return text_response(400, "the message did not arrive whole; send it again");
         };
         let result = match path.as_str() {
@@ -239,7 +247,9 @@
         if response.status() != 200 {
             return None;
         }
-        let body = http::read_body(response.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await;
+        let body = response.into_body();
+        let body =
+            http::read_body_within(body, MAX_MESSAGE_BYTES, BODY_TIMEOUT, &self.budget).await;
         let outcomes = rmp_serde::from_slice(&body.ok()?).ok()?;
         connection.release();
         Some(outcomes)
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -22,7 +22,7 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
-use crate::read_budget;
+use crate::memory_budget;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -32,6 +32,8 @@
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Capacity of the channels into the event loop; senders wait while one is full.
 const CHANNEL_CAPACITY: usize = 4_096;
+/// Largest number of connections for health probes, and of those for metrics.
+const PROBE_CONNECTIONS: usize = 16;
 /// Path under which Prometheus metrics are served.
 const METRICS_PATH: &str = "/metrics";
 /// Interval at which connections to upstreams that were idle for too long are closed.
@@ -99,8 +101,8 @@
 ) -> io::Result<()> {
     telemetry::install();
     let caller_listener = http::listen(settings.listen).await?;
-    let probe_listener = http::listen(settings.probe_listen).await?;
-    let metrics_listener = http::listen(settings.metrics_listen).await?;
+    let probe_listeners =
+        [http::listen(settings.probe_listen).await?, http::listen(settings.metrics_listen).await?];
     let peer_listener = http::listen(settings.peer_listen).await?;
     let (caller_messages, mut caller_inbox) = mpsc::channel(CHANNEL_CAPACITY);
     let (reports, mut report_inbox) = mpsc::channel(CHANNEL_CAPACITY);
@@ -112,37 +114,36 @@
     let (stopped, stopped_receiver) = watch::channel(false);
     log_start(&settings);
     let clock = clock::SystemClock::new();
+    let budget = memory_budget::Budget::new(settings.capacity);
     let caller_handler = gateway_http::CallerHandler {
         dialect: dialect.clone(),
         messages: caller_messages,
         serial: sync::Arc::new(sync::atomic::AtomicU64::new(1)),
         limits: limits_receiver,
+        budget: budget.clone(),
         stopping: signals.stop.clone(),
     };
-    let mut caller_server =
-        tokio::spawn(http::serve(caller_listener, caller_handler, close_receiver));
-    let probe_handler =
-        gateway_http::ProbeHandler { ready: ready_receiver, metrics_path: METRICS_PATH };
-    tokio::spawn(http::serve(probe_listener, probe_handler.clone(), stopped_receiver.clone()));
-    tokio::spawn(http::serve(metrics_listener, probe_handler, stopped_receiver.clone()));
-    let serial = sync::Arc::new(sync::atomic::AtomicU64::new(1));
+    let caller_limits = http::ServerLimits::for_callers(&budget);
+    let serving =
+        http::serve_within(caller_listener, caller_handler, close_receiver, caller_limits);
+    let mut caller_server = tokio::spawn(serving);
+    serve_probes(probe_listeners, ready_receiver, &stopped_receiver);
     let (newest, newest_receiver) = watch::channel(None);
     let peer_handler = gateway_peers::PeerHandler {
         messages: peer_messages,
-        serial,
+        serial: sync::Arc::new(sync::atomic::AtomicU64::new(1)),
         reads: newest_receiver,
         clock,
+        budget: budget.clone(),
     };
-    tokio::spawn(http::serve(peer_listener, peer_handler, stopped_receiver));
+    let peer_limits = http::ServerLimits::for_peers(&budget);
+    tokio::spawn(http::serve_within(peer_listener, peer_handler, stopped_receiver, peer_limits));
     let (crash_reports, crash_receiver) = watch::channel(crash_report::Report::default());
     let announcer =
         gateway_reads::spawn(&settings, &store, clock, newest, &read_events, crash_receiver);
     let outputs = Outputs { ready, limits, crash_reports };
-    let mut shell = Shell::new(&settings, clock, dialect, reports, outputs);
-    let mut tick = tokio::time::interval(TICK_INTERVAL);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut prune = tokio::time::interval(PRUNE_INTERVAL);
-    prune.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut shell = Shell::new(&settings, clock, dialect, budget, reports, outputs);
+    let (mut tick, mut prune) = (interval(TICK_INTERVAL), interval(PRUNE_INTERVAL));
     let mut stopping_since = None;
     let mut can_reload = true;
     loop {
@@ -156,7 +157,7 @@
                 shell.step(gateway::Event::Tick);
                 shell.publish();
             }
-            _ = prune.tick() => shell.client.pool.prune(),
+            _ = prune.tick() => shell.prune(),
             changed = signals.reload.changed(), if can_reload => {
                 // Once the sender is dropped, `changed` always returns immediately, so it is not
                 // polled any more.
@@ -200,6 +201,27 @@
     Ok(())
 }
 
+/// Returns an interval that does not catch up on ticks that were missed.
+fn interval(period: time::Duration) -> tokio::time::Interval {
+    let mut interval = tokio::time::interval(period);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    interval
+}
+
+/// Starts to serve the listeners for health probes and for metrics.
+fn serve_probes(
+    listeners: [tokio::net::TcpListener; 2],
+    ready: watch::Receiver<bool>,
+    stopped: &watch::Receiver<bool>,
+) {
+    let handler = gateway_http::ProbeHandler { ready, metrics_path: METRICS_PATH };
+    for listener in listeners {
+        let limits =
+            http::ServerLimits { connections: PROBE_CONNECTIONS, ..http::ServerLimits::default() };
+        tokio::spawn(http::serve_within(listener, handler.clone(), stopped.clone(), limits));
+    }
+}
+
 fn log_start(settings: &gateway_settings::Settings) {
     let line = telemetry::Line::new("start")
         .with("role", "gateway")
@@ -240,12 +262,12 @@
         settings: &gateway_settings::Settings,
         clock: clock::SystemClock,
         dialect: D,
+        budget: memory_budget::Budget,
         reports: mpsc::Sender<gateway_calls::CallReport>,
         outputs: Outputs,
     ) -> Self {
         let pool = upstream_pool::Pool::default();
         let peers = upstream_pool::Pool::default();
-        let budget = read_budget::ReadBudget::new(gateway_calls::ANSWERS_BUDGET);
         Self {
             reducer: gateway::Gateway::new(reducer_settings(settings), fastrand::u64(..)),
             clock,
@@ -260,6 +282,12 @@
         }
     }
 
+    /// Closes connections that were idle for too long and publishes the use of memory.
+    fn prune(&self) {
+        self.client.pool.prune();
+        self.client.budget.publish();
+    }
+
     fn handle_caller_message(&mut self, message: gateway_http::Message) {
         match message {
             gateway_http::Message::RequestArrived(incoming) => {
@@ -267,7 +295,7 @@
                     *incoming;
                 let reply = gateway_http::Reply::NotStarted(reply);
                 let slot = sync::Arc::new(sync::Mutex::new(Some(reply)));
-                let original = gateway_calls::OriginalRequest { head, body, slot };
+                let original = gateway_calls::OriginalRequest::new(head, body, slot);
                 self.requests.insert(request, OpenRequest { original });
                 self.step(gateway::Event::RequestArrived(request, arrival));
             }
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP building blocks on `hyper` that all processes share: bodies, bounded reads, clients and a
 //! server with a graceful stop.
 
+use std::cell;
 use std::error;
 use std::future;
 use std::io;
@@ -17,7 +18,9 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::caller_socket;
-use crate::read_budget;
+use crate::memory_budget;
+use crate::memory_budget::ledger;
+use crate::server_connection;
 
 /// Time within which a client has to send the head of its first request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
@@ -26,6 +29,10 @@
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(75);
 /// Interval at which a head that has arrived in part is checked again.
 const HEAD_POLL: time::Duration = time::Duration::from_millis(20);
+/// The longest such interval. It doubles while no more of the head arrives.
+const MAX_HEAD_POLL: time::Duration = time::Duration::from_millis(160);
+/// Time that a connection which makes way for another one has to send its refusal.
+const CLOSE_TIME: time::Duration = time::Duration::from_millis(500);
 /// Time that a connection which was established before the stop has to send its first head.
 const STOP_HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Pause without a new connection after which a stopping server closes its listener.
@@ -42,7 +49,9 @@
 /// Largest number of header fields in a request.
 const MAX_HEADERS: usize = 64;
 /// Largest number of concurrent streams on an HTTP/2 connection.
-const MAX_STREAMS: u32 = 4_096;
+pub const MAX_STREAMS: u32 = 4_096;
+/// The same on the connection of a caller.
+const CALLER_STREAMS: u32 = 256;
 /// Largest number of connections of one listener; further ones are closed at once.
 pub const MAX_CONNECTIONS: usize = 8_192;
 /// Interval at which HTTP/2 peers are pinged.
@@ -150,6 +159,18 @@
     Incomplete,
 }
 
+impl ReadError {
+    /// Returns the label of the metric.
+    fn reason(self) -> &'static str {
+        match self {
+            Self::TooLarge => "too_large",
+            Self::OverBudget => "over_budget",
+            Self::Timeout => "timeout",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
+
 /// Returns whether the network, not the peer, ended a connection: bytes were not acknowledged in
 /// time, or the peer cannot be reached any more.
 pub fn is_timed_out(error: &(dyn error::Error + 'static)) -> bool {
@@ -178,53 +199,114 @@
         return Err(ReadError::TooLarge);
     }
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let collect = http_body_util::Limited::new(body, limit).collect();
-    match tokio::time::timeout(timeout, collect).await {
-        Err(_) => Err(ReadError::Timeout),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
-        Ok(Err(e)) if is_timed_out(&*e) => Err(ReadError::Timeout),
-        Ok(Err(_)) => Err(ReadError::Incomplete),
+    with_timeout(timeout, collect_unaccounted(body, limit)).await.unwrap_or(Err(ReadError::Timeout))
+}
+
+async fn collect_unaccounted(
+    mut body: hyper::body::Incoming,
+    limit: usize,
+) -> Result<bytes::Bytes, ReadError> {
+    let mut collected = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| read_error(&e))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if collected.len() + data.len() > limit {
+            return Err(ReadError::TooLarge);
+        }
+        collected.extend_from_slice(&data);
     }
+    Ok(collected.into())
 }
 
-/// Reads a whole body like [`read_body`], within a budget that other calls share.
+/// Reads a whole body like [`read_body`], within the memory budget of the process.
 ///
 /// # Errors
-/// Fails also if the budget is used up.
+/// Fails also if the budget stays used up for [`MEMORY_WAIT`].
 pub async fn read_body_within(
     body: hyper::body::Incoming,
     limit: u64,
     timeout: time::Duration,
-    budget: &read_budget::ReadBudget,
+    budget: &memory_budget::Budget,
 ) -> Result<bytes::Bytes, ReadError> {
     if body.size_hint().lower() > limit {
         return Err(ReadError::TooLarge);
     }
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    with_timeout(timeout, collect(body, limit, budget)).await.unwrap_or(Err(ReadError::Timeout))
+    let mut share = budget.share(ledger::Purpose::Receiving, None);
+    let read = collect(body, limit, &mut share, MEMORY_WAIT);
+    with_timeout(timeout, read).await.unwrap_or(Err(ReadError::Timeout))?;
+    share.into_bytes(ledger::Purpose::Answer).map_err(|_| ReadError::OverBudget)
 }
 
+/// Reads the whole body of a request within the memory budget of the process. `connection` is that of
+/// the request, `None` if no server of this module received it.
+///
+/// # Errors
+/// Fails if the body has more than `limit` bytes, takes longer than `timeout` or breaks off, or if the
+/// budget is used up or the connection has to make way for another one. The rest of the body is not read,
+/// and the connection is closed after the answer.
+pub async fn receive_body(
+    body: hyper::body::Incoming,
+    limit: u64,
+    timeout: time::Duration,
+    budget: &memory_budget::Budget,
+    connection: Option<&server_connection::Handle>,
+) -> Result<bytes::Bytes, ReadError> {
+    let result = if body.size_hint().lower() > limit {
+        Err(ReadError::TooLarge)
+    } else {
+        let caller = connection.map(server_connection::Handle::caller);
+        let mut share = budget.share(ledger::Purpose::Arriving, caller);
+        let evicted = share.evicted();
+        let read = collect(body, limit, &mut share, time::Duration::ZERO);
+        let read = tokio::select! {
+            read = with_timeout(timeout, read) => read.unwrap_or(Err(ReadError::Timeout)),
+            () = evicted => Err(ReadError::OverBudget),
+            () = server_connection::closing(connection) => Err(ReadError::OverBudget),
+        };
+        read.and_then(|()| {
+            share.into_bytes(ledger::Purpose::Kept).map_err(|_| ReadError::OverBudget)
+        })
+    };
+    if let Some(connection) = connection {
+        connection.end_body(result.is_ok());
+    }
+    if let Err(e) = &result {
+        metrics::counter!("bodies_refused_total", "reason" => e.reason()).increment(1);
+    }
+    result
+}
+
+/// Time for which an answer waits for memory before it is given up.
+const MEMORY_WAIT: time::Duration = time::Duration::from_millis(300);
+/// Interval at which an answer that waits asks for memory again.
+const MEMORY_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Copies the chunks of a body into the buffer of a share, so that no chunk keeps a read buffer alive.
 async fn collect(
     mut body: hyper::body::Incoming,
-    limit: usize,
-    budget: &read_budget::ReadBudget,
-) -> Result<bytes::Bytes, ReadError> {
-    let mut share = budget.share();
-    let mut collected = bytes::BytesMut::new();
+    limit: u64,
+    share: &mut memory_budget::Share,
+    memory_wait: time::Duration,
+) -> Result<(), ReadError> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let declared = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| read_error(&e))?;
         let Ok(data) = frame.into_data() else { continue };
-        let length = collected.len() + data.len();
+        length += data.len();
         if length > limit {
             return Err(ReadError::TooLarge);
         }
-        if !share.resize(length) {
-            return Err(ReadError::OverBudget);
+        let until = time::Instant::now() + memory_wait;
+        while share.append(&data, declared.unwrap_or(limit)).is_err() {
+            if time::Instant::now() >= until {
+                return Err(ReadError::OverBudget);
+            }
+            tokio::time::sleep(MEMORY_POLL).await;
         }
-        collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    Ok(())
 }
 
 fn read_error(error: &hyper::Error) -> ReadError {
@@ -333,10 +415,14 @@
 }
 
 impl RunningServer {
-    /// Starts to serve a listener; see [`serve`].
-    pub fn spawn<H: Handler>(listener: tokio::net::TcpListener, handler: H) -> Self {
+    /// Starts to serve a listener; see [`serve_within`].
+    pub fn spawn<H: Handler>(
+        listener: tokio::net::TcpListener,
+        handler: H,
+        limits: ServerLimits,
+    ) -> Self {
         let (stop, stopping) = watch::channel(false);
-        Self { task: tokio::spawn(serve(listener, handler, stopping)), stop }
+        Self { task: tokio::spawn(serve_within(listener, handler, stopping, limits)), stop }
     }
 
     /// Stops to accept connections; requests in progress continue.
@@ -352,19 +438,60 @@
     }
 }
 
+/// Limits of a server.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// Largest number of connections.
+    pub connections: usize,
+    /// Largest number of concurrent requests on an HTTP/2 connection.
+    pub streams: u32,
+    /// Budget by whose use the server decides how long it waits for callers that do not read. If `None`,
+    /// it does not depend on the use of memory.
+    pub budget: Option<memory_budget::Budget>,
+}
+
+impl ServerLimits {
+    /// Returns the limits of a listener for callers.
+    pub fn for_callers(budget: &memory_budget::Budget) -> Self {
+        let connections = budget.limits().callers;
+        let budget = Some(budget.clone());
+        Self { connections, streams: CALLER_STREAMS, budget }
+    }
+
+    /// Returns the limits of a listener for other processes of the system.
+    pub fn for_peers(budget: &memory_budget::Budget) -> Self {
+        let connections = budget.limits().peers;
+        Self { connections, streams: MAX_STREAMS, budget: Some(budget.clone()) }
+    }
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self { connections: MAX_CONNECTIONS, streams: MAX_STREAMS, budget: None }
+    }
+}
+
+/// Serves a listener with the default limits; see [`serve_within`].
+pub async fn serve<H: Handler>(
+    listener: tokio::net::TcpListener,
+    handler: H,
+    stop: watch::Receiver<bool>,
+) {
+    serve_within(listener, handler, stop, ServerLimits::default()).await;
+}
+
 /// Serves a listener until `stop` turns true, and then lets requests in progress finish.
 ///
 /// Connections that were established before the stop are served too, as their clients may have sent
 /// a request. Returns when the last connection has ended.
-///
-/// # Panics
-/// Never: the number of connections fits the semaphore.
-pub async fn serve<H: Handler>(
+pub async fn serve_within<H: Handler>(
     listener: tokio::net::TcpListener,
     handler: H,
     mut stop: watch::Receiver<bool>,
+    limits: ServerLimits,
 ) {
-    let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    let register = server_connection::Register::new(limits.connections);
+    let server = Server { handler, limits, register, stop: stop.clone() };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -375,55 +502,79 @@
             tokio::time::sleep(time::Duration::from_millis(50)).await;
             continue;
         }
-        spawn_connection(accepted, &slots, &handler, &stop);
+        server.spawn_connection(accepted);
     }
     let end = tokio::time::Instant::now() + STOP_ACCEPT_LIMIT;
     while tokio::time::Instant::now() < end
         && let Ok(accepted) = tokio::time::timeout(STOP_ACCEPT_PAUSE, listener.accept()).await
     {
-        spawn_connection(accepted, &slots, &handler, &stop);
+        server.spawn_connection(accepted);
     }
     drop(listener);
-    let all = u32::try_from(MAX_CONNECTIONS).expect("the limit fits");
-    // Fails only when the semaphore is closed, which never happens.
-    let _ = slots.acquire_many(all).await;
+    server.register.all_ended().await;
 }
 
-/// Serves an accepted connection in a task that holds one of the slots. Closes it if none is free.
-fn spawn_connection<H: Handler>(
-    accepted: io::Result<(tokio::net::TcpStream, net::SocketAddr)>,
-    slots: &std::sync::Arc<tokio::sync::Semaphore>,
-    handler: &H,
-    stop: &watch::Receiver<bool>,
-) {
-    // The connection was reset before it was accepted.
-    let Ok((stream, _)) = accepted else { return };
-    let Ok(slot) = slots.clone().try_acquire_owned() else {
-        log::warn!("event=connection_refused reason=too_many_connections");
-        return;
-    };
-    let (handler, stop) = (handler.clone(), stop.clone());
-    tokio::spawn(async move {
-        serve_connection(stream, handler, stop).await;
-        drop(slot);
-    });
+/// What the connections of a listener share.
+struct Server<H> {
+    handler: H,
+    limits: ServerLimits,
+    register: server_connection::Register,
+    stop: watch::Receiver<bool>,
+}
+
+impl<H: Handler> Server<H> {
+    /// Serves an accepted connection in a task of its own. Closes it if there is no room for it.
+    fn spawn_connection(&self, accepted: io::Result<(tokio::net::TcpStream, net::SocketAddr)>) {
+        // The connection was reset before it was accepted.
+        let Ok((stream, address)) = accepted else { return };
+        let Some(connection) = self.register.admit(address.ip()) else { return };
+        let (handler, stop, limits) =
+            (self.handler.clone(), self.stop.clone(), self.limits.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, handler, stop, limits, connection.handle()).await;
+            drop(connection);
+        });
+    }
+}
+
+thread_local! {
+    /// Buffer into which all connections of a thread peek, one after the other, so that a head that has
+    /// arrived in part holds no memory of the process.
+    static PEEKED: cell::RefCell<Vec<u8>> = cell::RefCell::new(vec![0; MAX_HEAD_BYTES]);
+}
+
+/// Looks at the received bytes of a socket without consuming them. Returns their number, and whether a
+/// head ends among them. Bytes before `seen` were examined before.
+async fn peek_head(stream: &tokio::net::TcpStream, seen: usize) -> io::Result<(usize, bool)> {
+    future::poll_fn(|cx| {
+        PEEKED.with_borrow_mut(|buffer| {
+            let mut peeked = tokio::io::ReadBuf::new(buffer);
+            let bytes = std::task::ready!(stream.poll_peek(cx, &mut peeked))?;
+            // The end of the head may begin in the last three bytes examined before.
+            let new = &peeked.filled()[seen.saturating_sub(3).min(bytes)..];
+            let is_whole = new.windows(4).any(|window| window == b"\r\n\r\n");
+            task::Poll::Ready(Ok((bytes, is_whole)))
+        })
+    })
+    .await
 }
 
 /// Waits until the socket has received a whole head, without consuming it. Returns false if the
 /// peer disconnects first.
 async fn wait_for_head(stream: &tokio::net::TcpStream) -> bool {
-    let mut peeked = vec![0; MAX_HEAD_BYTES];
+    let (mut seen, mut pause) = (0, HEAD_POLL);
     loop {
-        let Ok(bytes) = stream.peek(&mut peeked).await else { return false };
-        let is_whole = peeked[..bytes].windows(4).any(|window| window == b"\r\n\r\n");
+        let Ok((bytes, is_whole)) = peek_head(stream, seen).await else { return false };
         // The HTTP server refuses a head that exceeds its limit.
-        if is_whole || bytes == peeked.len() {
+        if is_whole || bytes == MAX_HEAD_BYTES {
             return true;
         }
         if bytes == 0 {
             return false;
         }
-        tokio::time::sleep(HEAD_POLL).await;
+        pause = if bytes == seen { (pause * 2).min(MAX_HEAD_POLL) } else { HEAD_POLL };
+        seen = bytes;
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -446,11 +597,17 @@
     stream: tokio::net::TcpStream,
     handler: H,
     mut stop: watch::Receiver<bool>,
+    limits: ServerLimits,
+    handle: server_connection::Handle,
 ) {
-    match wait_for_first_head(&stream, &mut stop).await {
-        Ok(true) => {}
-        Ok(false) => return,
-        Err(_) => {
+    let head = tokio::select! {
+        head = wait_for_first_head(&stream, &mut stop) => head.ok(),
+        () = handle.closing() => None,
+    };
+    match head {
+        Some(true) => {}
+        Some(false) => return,
+        None => {
             // A failure is ignored, because the connection is closed anyway.
             let _ = stream.try_write(HEAD_TIMEOUT_RESPONSE);
             return;
@@ -471,18 +628,29 @@
         .timer(rt::TokioTimer::new())
         .adaptive_window(true)
         .max_header_list_size(MAX_HEAD_BYTES as u32)
-        .max_concurrent_streams(MAX_STREAMS);
+        .max_concurrent_streams(limits.streams);
     let unframed = caller_socket::Unframed::default();
-    let socket = caller_socket::CallerSocket::new(stream, unframed.clone());
-    let service = hyper::service::service_fn(move |request: hyper::Request<_>| {
+    let socket =
+        caller_socket::CallerSocket::new(stream, unframed.clone(), handle.clone(), limits.budget);
+    let served = handle.clone();
+    let service = hyper::service::service_fn(move |mut request: hyper::Request<_>| {
         unframed.note(request.version());
         let handler = handler.clone();
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
+        let running = served.begin_request(hyper::body::Body::is_end_stream(request.body()));
+        request.extensions_mut().insert(served.clone());
+        async move {
+            let response = handler.handle(request).await;
+            running.answer_begins();
+            let response = response.map(|body| server_connection::AnswerBody::new(body, running));
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = builder.serve_connection(rt::TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut stopping = false;
+    let mut close_at = None;
     loop {
+        let close_time = close_at.unwrap_or_else(tokio::time::Instant::now);
         tokio::select! {
             // The connection goes first, so that it reads a request that has arrived before it is
             // told to accept no more.
@@ -497,6 +665,17 @@
                 stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = handle.closing(), if close_at.is_none() => {
+                close_at = Some(tokio::time::Instant::now() + CLOSE_TIME);
+                connection.as_mut().graceful_shutdown();
+            }
+            // A request that arrived whole just before the decision still gets its answer.
+            () = tokio::time::sleep_until(close_time), if close_at.is_some() => {
+                if !handle.is_running() {
+                    return;
+                }
+                close_at = Some(tokio::time::Instant::now() + CLOSE_TIME);
+            }
         }
     }
 }
--- /dev/null
+++ b/lib/src/server_connection.rs
@@ -0,0 +1,294 @@
+//! State of the connections of a listener, which the server, the handlers and the sockets share: what
+//! each of them waits for, and which one has to make way for a new one.
+//!
+//! [`crate::memory_budget::connections`] decides; this module carries the decisions out.
+
+use std::net;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+use std::time;
+
+use tokio::sync::{Notify, watch};
+
+use crate::http;
+use crate::memory_budget::connections;
+
+/// Interval within which connections that are closed or refused for lack of room are logged once.
+const LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Connections of one listener; clones share it.
+#[derive(Clone, Debug)]
+pub struct Register {
+    start: time::Instant,
+    shared: sync::Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: sync::Mutex<State>,
+    /// Notified when a connection has ended.
+    ended: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    connections: connections::Connections,
+    closers: std::collections::BTreeMap<connections::ConnectionId, watch::Sender<bool>>,
+    next: u64,
+    /// When a line was last logged, and the connections closed and refused since then.
+    logged: Option<time::Instant>,
+    closed: u64,
+    refused: u64,
+}
+
+impl Register {
+    /// Makes a register for at most so many connections.
+    pub fn new(limit: usize) -> Self {
+        let state = State {
+            connections: connections::Connections::new(limit),
+            closers: std::collections::BTreeMap::new(),
+            next: 0,
+            logged: None,
+            closed: 0,
+            refused: 0,
+        };
+        let shared = Shared { state: sync::Mutex::new(state), ended: Notify::new() };
+        Self { start: time::Instant::now(), shared: sync::Arc::new(shared) }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.shared.state.lock().expect("no holder panics")
+    }
+
+    /// Adds a connection, closing another one if there is no room; `None` if it cannot be served.
+    pub fn admit(&self, caller: net::IpAddr) -> Option<Connection> {
+        let mut state = self.lock();
+        let id = connections::ConnectionId(state.next);
+        state.next += 1;
+        let admission = state.connections.admit(self.start.elapsed(), id);
+        match admission {
+            connections::Admission::Admitted => {}
+            connections::Admission::InPlaceOf(other) => {
+                if let Some(closer) = state.closers.get(&other) {
+                    closer.send_replace(true);
+                }
+                state.closed += 1;
+                metrics::counter!("connections_closed_total", "reason" => "make_way").increment(1);
+            }
+            connections::Admission::Refused => {
+                state.refused += 1;
+                metrics::counter!("connections_closed_total", "reason" => "no_room").increment(1);
+            }
+        }
+        if admission != connections::Admission::Admitted {
+            state.log();
+        }
+        if admission == connections::Admission::Refused {
+            return None;
+        }
+        let (closer, closing) = watch::channel(false);
+        state.closers.insert(id, closer);
+        drop(state);
+        let requests = sync::Arc::new(Requests::default());
+        Some(Connection(Handle { register: self.clone(), id, caller, closing, requests }))
+    }
+
+    /// Waits until no connection is left.
+    pub async fn all_ended(&self) {
+        loop {
+            let ended = self.shared.ended.notified();
+            if self.lock().connections.count() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+}
+
+impl State {
+    /// Logs how many connections were closed or refused, at most once in [`LOG_INTERVAL`].
+    fn log(&mut self) {
+        if self.logged.is_some_and(|at| at.elapsed() < LOG_INTERVAL) {
+            return;
+        }
+        let open = self.connections.count();
+        log::warn!(
+            "event=connections_limited open={open} closed={} refused={}",
+            self.closed,
+            self.refused
+        );
+        self.logged = Some(time::Instant::now());
+        (self.closed, self.refused) = (0, 0);
+    }
+}
+
+/// Place of a connection in the register. It is given back when this is dropped.
+#[derive(Debug)]
+pub struct Connection(Handle);
+
+impl Connection {
+    /// Returns a handle of the connection.
+    pub fn handle(&self) -> Handle {
+        self.0.clone()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let mut state = self.0.register.lock();
+        state.connections.remove(self.0.id);
+        state.closers.remove(&self.0.id);
+        drop(state);
+        self.0.register.shared.ended.notify_waiters();
+    }
+}
+
+/// Requests on a connection.
+#[derive(Debug, Default)]
+struct Requests {
+    /// Requests whose answers have not been sent whole.
+    open: atomic::AtomicUsize,
+    /// Whether a request has arrived whole and its answer has not been sent whole.
+    is_running: atomic::AtomicBool,
+    /// Whether the body of a request was refused before its end.
+    has_unread_body: atomic::AtomicBool,
+}
+
+/// Handle of a connection; clones belong to the same one.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    register: Register,
+    id: connections::ConnectionId,
+    caller: net::IpAddr,
+    closing: watch::Receiver<bool>,
+    requests: sync::Arc<Requests>,
+}
+
+impl Handle {
+    /// Returns the address of the peer.
+    pub fn caller(&self) -> net::IpAddr {
+        self.caller
+    }
+
+    /// Waits until the connection has to make way for another one.
+    pub async fn closing(&self) {
+        let mut closing = self.closing.clone();
+        if closing.wait_for(|closing| *closing).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    fn set_state(&self, state: connections::State) {
+        let now = self.register.start.elapsed();
+        self.register.lock().connections.set_state(now, self.id, state);
+    }
+
+    /// Records that bytes arrived: on an idle connection, they begin a head.
+    pub fn received(&self) {
+        if self.requests.open.load(atomic::Ordering::Relaxed) == 0 {
+            self.set_state(connections::State::Receiving);
+        }
+    }
+
+    /// Records whether the peer takes no more bytes of an answer, which may have left its body already.
+    pub fn write_blocked(&self, is_blocked: bool) {
+        if is_blocked {
+            self.set_state(connections::State::Running);
+        } else if self.requests.open.load(atomic::Ordering::Relaxed) == 0 {
+            self.set_state(connections::State::Idle);
+        }
+    }
+
+    /// Records that a request has begun.
+    pub fn begin_request(&self, is_whole: bool) -> OpenRequest {
+        let others = self.requests.open.fetch_add(1, atomic::Ordering::Relaxed);
+        if is_whole || others > 0 {
+            self.requests.is_running.store(true, atomic::Ordering::Relaxed);
+            self.set_state(connections::State::Running);
+        }
+        OpenRequest(self.clone())
+    }
+
+    /// Records that a body arrived whole, or that its rest is not read.
+    pub fn end_body(&self, is_whole: bool) {
+        if !is_whole {
+            self.requests.has_unread_body.store(true, atomic::Ordering::Relaxed);
+        }
+        self.requests.is_running.fetch_or(is_whole, atomic::Ordering::Relaxed);
+        self.set_state(connections::State::Running);
+    }
+
+    /// Returns whether a request has arrived whole and its answer has not been sent whole.
+    pub fn is_running(&self) -> bool {
+        self.requests.is_running.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns whether the body of a request was refused before its end.
+    pub fn has_unread_body(&self) -> bool {
+        self.requests.has_unread_body.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// Waits until a connection has to make way for another one; forever if there is none.
+pub async fn closing(connection: Option<&Handle>) {
+    match connection {
+        Some(connection) => connection.closing().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// A request whose answer has not been sent whole. The connection is idle when the last one is dropped.
+#[derive(Debug)]
+pub struct OpenRequest(Handle);
+
+impl OpenRequest {
+    /// Records that the answer begins.
+    pub fn answer_begins(&self) {
+        self.0.set_state(connections::State::Running);
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        if self.0.requests.open.fetch_sub(1, atomic::Ordering::Relaxed) == 1 {
+            self.0.requests.is_running.store(false, atomic::Ordering::Relaxed);
+            self.0.set_state(connections::State::Idle);
+        }
+    }
+}
+
+/// Body of an answer with the request that it belongs to.
+#[derive(Debug)]
+pub struct AnswerBody {
+    body: http::Body,
+    _request: OpenRequest,
+}
+
+impl AnswerBody {
+    /// Makes the body of the answer to a request.
+    pub fn new(body: http::Body, request: OpenRequest) -> Self {
+        Self { body, _request: request }
+    }
+}
+
+impl hyper::body::Body for AnswerBody {
+    type Data = bytes::Bytes;
+    type Error = http::StreamAborted;
+
+    fn poll_frame(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, http::StreamAborted>>> {
+        pin::Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/lib/src/sidecar_http.rs
+++ b/lib/src/sidecar_http.rs
@@ -12,17 +12,22 @@
 use crate::config_sync;
 use crate::http;
 use crate::id;
+use crate::memory_budget;
+use crate::memory_budget::ledger;
 use crate::order;
 use crate::peer;
 use crate::probe;
 use crate::registry;
 use crate::revision;
+use crate::server_connection;
 use crate::wire;
 
 /// Frames that are buffered for a slow entry before the forwarding task waits.
 const BODY_BUFFER: usize = 64;
 /// Largest message of another process, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 64 << 20;
+/// Largest part of the memory budget that one message may take.
+const MESSAGE_DIVISOR: u64 = 4;
 /// Time within which a message of another process has to arrive whole.
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
@@ -79,6 +84,8 @@
     pub status: watch::Receiver<registry::Status>,
     /// Number of the next connection.
     pub conns: sync::Arc<atomic::AtomicU64>,
+    /// Memory for messages.
+    pub budget: memory_budget::Budget,
 }
 
 impl http::Handler for SidecarHandler {
@@ -90,7 +97,10 @@
         if let Some(response) = probe::respond(&path, &self.status.borrow()) {
             return response;
         }
-        let body = http::read_body(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await;
+        let (head, body) = request.into_parts();
+        let connection = head.extensions.get::<server_connection::Handle>();
+        let limit = MAX_MESSAGE_BYTES.min(self.budget.limits().bytes as u64 / MESSAGE_DIVISOR);
+        let body = http::receive_body(body, limit, MESSAGE_TIMEOUT, &self.budget, connection).await;
         let Ok(body) = body else {
             return http::respond(400, "text/plain", "incomplete message");
         };
@@ -113,6 +123,9 @@
             wire::ATTEMPT_PATH => {
                 let open = read_message(&mut decoder)?;
                 let body = decoder.rest();
+                let Ok(body) = self.budget.hold(body, ledger::Purpose::Kept) else {
+                    return Ok(http::respond(503, "text/plain", "no memory for the body"));
+                };
                 let make = |conn, frames| Message::Open { conn, open, body, frames };
                 Ok(self.stream(make).await)
             }
--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -18,6 +18,7 @@
 use crate::config_sync;
 use crate::http;
 use crate::id;
+use crate::memory_budget;
 use crate::order;
 use crate::owner_calls;
 use crate::peer;
@@ -89,11 +90,13 @@
     let clock = clock::SystemClock::new();
     let reducer = sidecar::Sidecar::new(identity.clone());
     let (status, status_reader) = watch::channel(status_of(&settings.instance, &reducer, "none"));
+    let budget = memory_budget::Budget::new(settings.capacity);
     let handler = sidecar_http::SidecarHandler {
         messages: messages.clone(),
         active_config: active_config.clone(),
         status: status_reader,
         conns: sync::Arc::default(),
+        budget: budget.clone(),
     };
     let process = registry::Process {
         role: registry::Role::Sidecar,
@@ -115,7 +118,14 @@
         tokio::spawn(registry::register(store.clone(), settings.instance.clone(), process))
             .abort_handle(),
     ];
-    let server = http::RunningServer::spawn(listener, handler);
+    let server = http::RunningServer::spawn(
+        listener,
+        handler,
+        http::ServerLimits {
+            streams: http::MAX_STREAMS,
+            ..http::ServerLimits::for_callers(&budget)
+        },
+    );
     let shell = Shell {
         reducer,
         clock,
@@ -127,6 +137,7 @@
         parts,
         hints,
         status,
+        budget,
         active_config: active_config.subscribe(),
         pending: collections::BTreeMap::new(),
         answers: collections::BTreeMap::new(),
@@ -185,6 +196,8 @@
     /// Hints that another process has a newer configuration.
     hints: mpsc::Sender<config_sync::Hint>,
     status: watch::Sender<registry::Status>,
+    /// Memory for messages.
+    budget: memory_budget::Budget,
     active_config: watch::Receiver<revision::ActiveConfig>,
     /// Attempts whose call has not been started.
     pending: collections::BTreeMap<id::AttemptId, PendingCall>,
@@ -260,8 +273,9 @@
         self.step(sidecar::Event::Drain(sidecar::DrainCause::Configuration, draining));
     }
 
-    /// Publishes the status to the HTTP handler.
+    /// Publishes the status to the HTTP handler and records the use of memory.
     fn publish_status(&self) {
+        self.budget.publish();
         let source = self.active_config.borrow().source.to_string();
         let next = status_of(&self.settings.instance, &self.reducer, &source);
         self.status.send_if_modified(|status| {
--- a/lib/src/upstream_pool.rs
+++ b/lib/src/upstream_pool.rs
@@ -28,6 +28,8 @@
 /// Share of the upstream's stated idle timeout after which this side closes the connection, so that
 /// a request does not meet a connection that the upstream is closing.
 const IDLE_TIMEOUT_SHARE: f64 = 0.6;
+/// Largest read buffer of a connection, in bytes, which also limits the head of an answer.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// Divisor of an upstream's connection limit: one gateway may use one eighth of its connections.
 const CONNECTION_DIVISOR: u32 = 8;
 /// Connections that a gateway may always open to an upstream, however low its limit.
@@ -165,7 +167,11 @@
             http::with_timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address)).await;
         let stream = stream?.ok()?;
         set_socket_options(&stream).ok()?;
-        let (sender, driver) = http1::handshake(rt::TokioIo::new(stream)).await.ok()?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(rt::TokioIo::new(stream))
+            .await
+            .ok()?;
         tokio::spawn(async move {
             if let Err(e) = driver.await {
                 log::debug!("event=upstream_connection_ended address={address} error={e:?}");
--- a/lib/tests/test_units.rs
+++ b/lib/tests/test_units.rs
@@ -5,8 +5,8 @@
 use std::time;
 
 use bramleyshelf_lib::{
-    check, claim, clock, config, id, limit, membership, outlier, ownership, queue, read_budget,
-    retry, revision, routing, template, unit, wire,
+    check, claim, clock, config, id, limit, membership, outlier, ownership, queue, retry, revision,
+    routing, template, unit, wire,
 };
 use bramleyshelf_testutils::values::name;
 
@@ -674,17 +674,3 @@
         assert_eq!(names(&slices), ["i-1", "i-2"]);
     }
 }
-
-/// Guards against small answers that fail because large ones take all memory for answers.
-#[test]
-fn read_budget_leaves_small_answers_alone() {
-    let budget = read_budget::ReadBudget::new(1_000_000);
-    let (mut large, mut other, mut small) = (budget.share(), budget.share(), budget.share());
-    assert!(large.resize(900_000));
-    assert!(!other.resize(900_000), "the budget is shared");
-    assert!(other.resize(100_000) && small.resize(60_000));
-    assert!(large.resize(100_000) && other.resize(900_000), "what is not needed is given back");
-    drop(other);
-    assert!(large.resize(1_000_000));
-    assert!(!large.resize(2_000_000) && large.resize(1_000_000), "a refusal changes nothing");
-}
