memory: heads of unfinished requests count against the budget

Cause: a caller may have 256 requests on an HTTP/2 connection, each with a head of up to 32 KiB that is held until its body has arrived; the limit on connections does not cover them.

Change: the share of a body that arrives includes the memory of its head.

--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -257,7 +257,11 @@
         let caller = connection.map(server_connection::Handle::caller);
         let mut share = budget.share(ledger::Purpose::Arriving, caller);
         let evicted = share.evicted();
-        let read = collect(body, limit, &mut share, time::Duration::ZERO);
+        let head = share.add_extra(connection.map_or(0, server_connection::Handle::head_bytes));
+        let read = async {
+            head.map_err(|_| ReadError::OverBudget)?;
+            collect(body, limit, &mut share, time::Duration::ZERO).await
+        };
         let read = tokio::select! {
             read = with_timeout(timeout, read) => read.unwrap_or(Err(ReadError::Timeout)),
             () = evicted => Err(ReadError::OverBudget),
@@ -593,6 +597,17 @@
     tokio::time::timeout(STOP_HEAD_TIMEOUT, head).await.unwrap_or(Ok(false))
 }
 
+/// Memory of a header besides its name and its value.
+const HEADER_BYTES: usize = 96;
+
+/// Returns about how much memory the head of a request takes.
+fn head_size<B>(request: &hyper::Request<B>) -> usize {
+    let headers = request.headers().iter();
+    let size = |name: &str, value: &hyper::header::HeaderValue| name.len() + value.len();
+    let bytes: usize = headers.map(|(name, value)| size(name.as_str(), value) + HEADER_BYTES).sum();
+    bytes + request.uri().path().len()
+}
+
 async fn serve_connection<H: Handler>(
     stream: tokio::net::TcpStream,
     handler: H,
@@ -637,7 +652,8 @@
         unframed.note(request.version());
         let handler = handler.clone();
         let running = served.begin_request(hyper::body::Body::is_end_stream(request.body()));
-        request.extensions_mut().insert(served.clone());
+        let head_bytes = head_size(&request);
+        request.extensions_mut().insert(served.clone().with_head(head_bytes));
         async move {
             let response = handler.handle(request).await;
             running.answer_begins();
--- a/lib/src/memory_budget.rs
+++ b/lib/src/memory_budget.rs
@@ -144,7 +144,7 @@
         let id = inner.ledger.open(self.start.elapsed(), purpose, caller);
         let evicted = sync::Arc::new(Notify::new());
         inner.holders.insert(id, Slot { buffer: Vec::new(), evicted: evicted.clone() });
-        Share { budget: self.clone(), id, evicted }
+        Share { budget: self.clone(), id, evicted, extra: 0 }
     }
 
     /// Accounts for bytes until the last reference to them is dropped.
@@ -191,9 +191,21 @@
     budget: Budget,
     id: ledger::HolderId,
     evicted: sync::Arc<Notify>,
+    /// Bytes that are held besides the buffer.
+    extra: usize,
 }
 
 impl Share {
+    /// Accounts for bytes that are held besides the buffer, such as the head of a request.
+    ///
+    /// # Errors
+    /// Fails if the budget does not have the memory.
+    pub fn add_extra(&mut self, bytes: usize) -> Result<(), NoMemory> {
+        self.resize(bytes)?;
+        self.extra = bytes;
+        Ok(())
+    }
+
     /// Adapts the share to the number of bytes that are held now.
     ///
     /// # Errors
@@ -219,7 +231,7 @@
         let needed = length + data.len();
         if needed > capacity {
             let capacity = ledger::next_capacity(capacity, needed, expected);
-            resize(&mut inner, now, self.id, capacity)?;
+            resize(&mut inner, now, self.id, capacity + self.extra)?;
             let slot = inner.holders.get_mut(&self.id).ok_or(NoMemory)?;
             slot.buffer.reserve_exact(capacity - length);
         }
@@ -248,7 +260,7 @@
             data.shrink_to_fit();
             inner.ledger.set_purpose(now, self.id, purpose);
             // Cannot fail: the share does not grow.
-            let _ = resize(&mut inner, now, self.id, data.len());
+            let _ = resize(&mut inner, now, self.id, data.len() + self.extra);
             data
         };
         if data.is_empty() {
--- a/lib/src/server_connection.rs
+++ b/lib/src/server_connection.rs
@@ -92,7 +92,14 @@
         state.closers.insert(id, closer);
         drop(state);
         let requests = sync::Arc::new(Requests::default());
-        Some(Connection(Handle { register: self.clone(), id, caller, closing, requests }))
+        Some(Connection(Handle {
+            register: self.clone(),
+            id,
+            caller,
+            closing,
+            requests,
+            head_bytes: 0,
+        }))
     }
 
     /// Waits until no connection is left.
@@ -164,9 +171,23 @@
     caller: net::IpAddr,
     closing: watch::Receiver<bool>,
     requests: sync::Arc<Requests>,
+    /// Memory of the head of the request that has this handle.
+    head_bytes: usize,
 }
 
 impl Handle {
+    /// Returns a handle for a request whose head has so many bytes.
+    #[must_use]
+    pub fn with_head(mut self, bytes: usize) -> Self {
+        self.head_bytes = bytes;
+        self
+    }
+
+    /// Returns the memory of the head of the request that has this handle.
+    pub fn head_bytes(&self) -> usize {
+        self.head_bytes
+    }
+
     /// Returns the address of the peer.
     pub fn caller(&self) -> net::IpAddr {
         self.caller
--- a/lib/tests/test_request_bodies.rs
+++ b/lib/tests/test_request_bodies.rs
@@ -168,3 +168,39 @@
     third.read_exact(&mut answer).await.expect("an answer");
     assert_eq!(&answer, b"HTTP/1.1 200");
 }
+
+/// Requests on one HTTP/2 connection, and the bytes of each of their heads: together twice the memory.
+const STREAMS: usize = 200;
+const HEAD_BYTES: usize = 10_000;
+
+/// Guards against the heads of unfinished requests on one connection, of which each takes as much memory as
+/// a connection of its own.
+#[tokio::test]
+async fn heads_of_unfinished_requests_count() {
+    let (address, _) = serve(limits(LIMIT, 10)).await;
+    let client = http::peer_client();
+    let mut requests = tokio::task::JoinSet::new();
+    for _ in 0..STREAMS {
+        let (sender, body) = http::Body::stream(1);
+        let request = hyper::Request::post(format!("http://{address}/"))
+            .header("x-long", "x".repeat(HEAD_BYTES))
+            .body(body)
+            .expect("a request");
+        let client = client.clone();
+        requests.spawn(async move {
+            let response = http::with_timeout(2 * ANSWER_LIMIT, client.request(request)).await;
+            drop(sender);
+            response.map(|response| response.map(|response| response.status().as_u16()))
+        });
+    }
+    let answers: Vec<_> = requests.join_all().await;
+    let count = |expected: u16| {
+        let has =
+            |status: &&Option<Result<u16, _>>| matches!(status, Some(Ok(s)) if *s == expected);
+        answers.iter().filter(has).count()
+    };
+    // A request that is held until its time is over gets 408.
+    let (refused, held) = (count(503), count(408));
+    assert!(held * HEAD_BYTES <= LIMIT, "{held} heads were held");
+    assert_eq!(refused + held, STREAMS, "{answers:?}");
+}
