sidecar: kept answers fit the memory of the instance

Cause: `limits.kept_bytes` is 64 MB by default, more than half of the smallest instance, beside the memory budget.

--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -29,6 +29,7 @@
 use crate::sidecar_http;
 use crate::store;
 use crate::telemetry;
+use crate::unit;
 use crate::upstream;
 use crate::wire;
 
@@ -268,7 +269,13 @@
 
     /// Passes a new configuration to the reducer, and whether it drains this instance.
     fn configure(&mut self, active: &revision::ActiveConfig) {
-        self.step(sidecar::Event::Configured(active.config.clone(), active.revision));
+        let mut config = active.config.clone();
+        // The answers that are kept must fit the instance as well.
+        let most = self.budget.limits().bytes as u64;
+        if config.limits.kept_bytes.0 > most {
+            sync::Arc::make_mut(&mut config).limits.kept_bytes = unit::ByteSize(most);
+        }
+        self.step(sidecar::Event::Configured(config, active.revision));
         let draining = active.stored.draining.contains(&self.settings.instance);
         self.step(sidecar::Event::Drain(sidecar::DrainCause::Configuration, draining));
     }
