entry: a body that is not UTF-8 is refused again

Cause: since an entry no longer keeps the values of a body, it skips them when it checks the JSON, and skipped texts are not checked for UTF-8. Change: the body is checked first. The new case of malformed_requests_are_refused got 200 on the code before and gets 400 now.

--- a/cli/tests/test_callers.rs
+++ b/cli/tests/test_callers.rs
@@ -69,6 +69,8 @@
         let status = send_raw(address, bytes.as_bytes(), false).await;
         assert!(expected.contains(&status), "{name}: {status}");
     }
+    let not_text = [head("POST", path, "", 3).as_bytes(), b"\"\xff\""].concat();
+    assert_eq!(send_raw(address, &not_text, false).await, 400, "not UTF-8");
     let truncated = format!("{}{{}}", head("POST", path, "", 50));
     let status = send_raw(address, truncated.as_bytes(), true).await;
     assert!([0, 400, 408].contains(&status), "a truncated body: {status}");
--- a/lib/src/entry_http.rs
+++ b/lib/src/entry_http.rs
@@ -306,15 +306,17 @@
 
 /// Checks that a body is JSON and returns whether it asks for a stream. The values of the body are not
 /// kept, as they may take many times its length.
-fn wants_stream(body: &[u8]) -> Result<bool, serde_json::Error> {
+fn wants_stream(body: &[u8]) -> Result<bool, String> {
     #[derive(serde::Deserialize)]
     struct Fields<'a> {
         #[serde(borrow, default)]
         stream: Option<&'a serde_json::value::RawValue>,
     }
-    serde_json::from_slice::<serde::de::IgnoredAny>(body)?;
+    // Values that are skipped are not checked for this.
+    let body = std::str::from_utf8(body).map_err(|e| e.to_string())?;
+    serde_json::from_str::<serde::de::IgnoredAny>(body).map_err(|e| e.to_string())?;
     // A body that is no object has no such field.
-    let fields = serde_json::from_slice::<Fields<'_>>(body).ok();
+    let fields = serde_json::from_str::<Fields<'_>>(body).ok();
     Ok(fields.and_then(|fields| fields.stream).is_some_and(|stream| stream.get() == "true"))
 }
 
