--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -19,7 +19,9 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::memory_budget;
 use crate::relay;
+use crate::server_connection;
 use crate::upstream_pool;
 
 /// Path of liveness probes; answered without the event loop.
@@ -67,6 +69,8 @@
     pub clock: clock::SystemClock,
     /// Paces of engines.
     pub paces: engine_pace::SharedPaces,
+    /// Memory for messages.
+    pub budget: memory_budget::Budget,
 }
 
 fn text_response(status: u16, text: &'static str) -> hyper::Response<http::Body> {
@@ -125,8 +129,12 @@
         if path == ALIVE_PATH {
             return text_response(200, "");
         }
-        let Ok(body) = http::read_body(request.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await
-        else {
+        let (head, body) = request.into_parts();
+        let connection = head.extensions.get::<server_connection::Handle>();
+        let budget = &self.budget;
+        let body =
+            http::receive_body(body, MAX_MESSAGE_BYTES, BODY_TIMEOUT, budget, connection).await;
+        let Ok(body) = body else {
             return text_response(400, "the message did not arrive whole; send it again");
         };
         let result = match path.as_str() {
@@ -271,7 +279,9 @@
         if response.status() != 200 {
             return None;
         }
-        let body = http::read_body(response.into_body(), MAX_MESSAGE_BYTES, BODY_TIMEOUT).await;
+        let body = response.into_body();
+        let body =
+            http::read_body_within(body, MAX_MESSAGE_BYTES, BODY_TIMEOUT, &self.budget).await;
         let outcomes = rmp_serde::from_slice(&body.ok()?).ok()?;
         connection.release();
         Some(outcomes)
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -25,6 +25,7 @@
 use crate::handoff;
 use crate::http;
 use crate::id;
+use crate::memory_budget;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -33,6 +34,8 @@
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Capacity of the channels into the event loop; senders wait while one is full.
 const CHANNEL_CAPACITY: usize = 4_096;
+/// Largest number of connections for health probes, and of those for metrics.
+const PROBE_CONNECTIONS: usize = 16;
 /// Path under which Prometheus metrics are served.
 const METRICS_PATH: &str = "/metrics";
 /// Interval at which connections to upstreams that were idle for too long are closed.
@@ -100,8 +103,8 @@
 ) -> io::Result<()> {
     telemetry::install();
     let caller_listener = http::listen(settings.listen).await?;
-    let probe_listener = http::listen(settings.probe_listen).await?;
-    let metrics_listener = http::listen(settings.metrics_listen).await?;
+    let probe_listeners =
+        [http::listen(settings.probe_listen).await?, http::listen(settings.metrics_listen).await?];
     let peer_listener = http::listen(settings.peer_listen).await?;
     let (arrivals, mut arrival_inbox) = mpsc::channel(CHANNEL_CAPACITY);
     let (cancellations, mut cancellation_inbox) = mpsc::unbounded_channel();
@@ -114,20 +117,21 @@
     let (stopped, stopped_receiver) = watch::channel(false);
     log_start(&settings);
     let clock = clock::SystemClock::new();
+    let budget = memory_budget::Budget::new(settings.capacity);
     let caller_handler = gateway_http::CallerHandler {
         dialect: dialect.clone(),
         arrivals,
         cancellations,
         serial: sync::Arc::new(sync::atomic::AtomicU64::new(1)),
         limits: limits_receiver,
+        budget: budget.clone(),
         stopping: signals.stop.clone(),
     };
-    let mut caller_server =
-        tokio::spawn(http::serve(caller_listener, caller_handler, close_receiver));
-    let probe_handler =
-        gateway_http::ProbeHandler { ready: ready_receiver, metrics_path: METRICS_PATH };
-    tokio::spawn(http::serve(probe_listener, probe_handler.clone(), stopped_receiver.clone()));
-    tokio::spawn(http::serve(metrics_listener, probe_handler, stopped_receiver.clone()));
+    let caller_limits = http::ServerLimits::for_callers(&budget);
+    let serving =
+        http::serve_within(caller_listener, caller_handler, close_receiver, caller_limits);
+    let mut caller_server = tokio::spawn(serving);
+    serve_probes(probe_listeners, ready_receiver, &stopped_receiver);
     let (newest, newest_receiver) = watch::channel(None);
     let paces = engine_pace::SharedPaces::new(engine_pace::Paces::new(fastrand::u64(..)));
     let peer_handler = gateway_peers::PeerHandler {
@@ -136,17 +140,18 @@
         reads: newest_receiver.clone(),
         clock,
         paces: paces.clone(),
+        budget: budget.clone(),
     };
-    tokio::spawn(http::serve(peer_listener, peer_handler, stopped_receiver));
+    let peer_limits = http::ServerLimits::for_peers(&budget);
+    tokio::spawn(http::serve_within(peer_listener, peer_handler, stopped_receiver, peer_limits));
     let (crash_reports, crash_receiver) = watch::channel(crash_report::Report::default());
     let announcer =
         gateway_reads::spawn(&settings, &store, clock, newest, &read_events, crash_receiver);
     exchange::spawn(&settings, clock, paces.clone(), newest_receiver, read_events);
     let outputs = Outputs { ready, limits, crash_reports };
-    let client = gateway_calls::UpstreamClient::new(dialect, paces, clock, reports);
+    let client = gateway_calls::UpstreamClient::new(dialect, budget, paces, clock, reports);
     let mut shell = Shell::new(&settings, clock, client, outputs);
-    let mut tick = delaying_interval(TICK_INTERVAL);
-    let mut prune = delaying_interval(PRUNE_INTERVAL);
+    let (mut tick, mut prune) = (interval(TICK_INTERVAL), interval(PRUNE_INTERVAL));
     let mut stopping_since = None;
     let mut can_reload = true;
     loop {
@@ -161,7 +166,7 @@
                 shell.step(gateway::Event::Tick);
                 shell.publish();
             }
-            _ = prune.tick() => shell.client.pool.prune(),
+            _ = prune.tick() => shell.prune(),
             changed = signals.reload.changed(), if can_reload => {
                 // Once the sender is dropped, `changed` always returns immediately, so it is not
                 // polled any more.
@@ -193,21 +198,40 @@
     // Requests that are on their way to the event loop, and those in progress, get their answers too.
     shell.stop(arrival_inbox);
     close.send_replace(true);
-    if !caller_server.is_finished() {
-        // Connections that do not end in time are cut with the process.
-        let _ = http::with_timeout(FLUSH_TIME, &mut caller_server).await;
-    }
+    flush_answers(&mut caller_server).await;
     stopped.send_replace(true);
     Ok(())
 }
 
-/// Makes an interval that does not catch up on ticks that a busy loop has missed.
-fn delaying_interval(period: time::Duration) -> tokio::time::Interval {
+/// Waits until the last answers are written. Connections that do not end in time are cut with the
+/// process.
+async fn flush_answers(caller_server: &mut tokio::task::JoinHandle<()>) {
+    if !caller_server.is_finished() {
+        let _ = http::with_timeout(FLUSH_TIME, caller_server).await;
+    }
+}
+
+/// Returns an interval that does not catch up on ticks that were missed.
+fn interval(period: time::Duration) -> tokio::time::Interval {
     let mut interval = tokio::time::interval(period);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     interval
 }
 
+/// Starts to serve the listeners for health probes and for metrics.
+fn serve_probes(
+    listeners: [tokio::net::TcpListener; 2],
+    ready: watch::Receiver<bool>,
+    stopped: &watch::Receiver<bool>,
+) {
+    let handler = gateway_http::ProbeHandler { ready, metrics_path: METRICS_PATH };
+    for listener in listeners {
+        let limits =
+            http::ServerLimits { connections: PROBE_CONNECTIONS, ..http::ServerLimits::default() };
+        tokio::spawn(http::serve_within(listener, handler.clone(), stopped.clone(), limits));
+    }
+}
+
 fn log_start(settings: &gateway_settings::Settings) {
     let line = telemetry::Line::new("start")
         .with("role", "gateway")
@@ -269,6 +293,12 @@
         }
     }
 
+    /// Closes connections that were idle for too long and publishes the use of memory.
+    fn prune(&self) {
+        self.client.pool.prune();
+        self.client.budget.publish();
+    }
+
     fn handle_arrival(&mut self, incoming: gateway_http::IncomingRequest) {
         let gateway_http::IncomingRequest { request, arrival, head, body, reply, signal } =
             incoming;
@@ -278,7 +308,7 @@
         }
         let reply = gateway_http::Reply::NotStarted(reply);
         let slot = sync::Arc::new(sync::Mutex::new(Some(reply)));
-        let original = gateway_calls::OriginalRequest { head, body, slot, signal };
+        let original = gateway_calls::OriginalRequest::new(head, body, slot, signal);
         self.requests.insert(request, OpenRequest { original });
         self.step(gateway::Event::RequestArrived(request, arrival));
     }
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -1,6 +1,8 @@
 //! HTTP building blocks on `hyper` that all processes share: bodies, bounded reads, clients and a
 //! server with a graceful stop.
 
+mod server;
+
 use std::error;
 use std::future;
 use std::io;
@@ -13,39 +15,19 @@
 use hyper::body::Body as _;
 use hyper_util::client::legacy;
 use hyper_util::rt;
-use hyper_util::server::conn::auto;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 
-use crate::caller_socket;
 use crate::cancellation;
-use crate::read_budget;
-
-/// Time within which a client has to send the head of its first request.
-const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
-/// Time after which an idle connection is closed. It is longer than the usual idle timeout of
-/// balancers, so that they close idle connections first.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(75);
-/// Interval at which a head that has arrived in part is checked again.
-const HEAD_POLL: time::Duration = time::Duration::from_millis(20);
-/// Time that a connection which was established before the stop has to send its first head.
-const STOP_HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-/// Pause without a new connection after which a stopping server closes its listener.
-const STOP_ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(5);
-/// Longest time that a stopping server continues to accept connections.
-const STOP_ACCEPT_LIMIT: time::Duration = time::Duration::from_millis(200);
-/// Response if the head does not arrive in time.
-const HEAD_TIMEOUT_RESPONSE: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+use crate::memory_budget;
+use crate::memory_budget::ledger;
+use crate::server_connection;
+
+pub use server::{
+    Handler, MAX_CONNECTIONS, MAX_STREAMS, RunningServer, ServerLimits, serve, serve_within,
+};
+
 /// Time within which a TCP connection has to be established.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// Largest request head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Largest number of header fields in a request.
-const MAX_HEADERS: usize = 64;
-/// Largest number of concurrent streams on an HTTP/2 connection.
-const MAX_STREAMS: u32 = 4_096;
-/// Largest number of connections of one listener; further ones are closed at once.
-pub const MAX_CONNECTIONS: usize = 8_192;
 /// Interval at which HTTP/2 peers are pinged.
 const PING_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// Time within which a peer has to answer a ping before its connection is closed.
@@ -164,6 +146,18 @@
     Incomplete,
 }
 
+impl ReadError {
+    /// Returns the label of the metric.
+    fn reason(self) -> &'static str {
+        match self {
+            Self::TooLarge => "too_large",
+            Self::OverBudget => "over_budget",
+            Self::Timeout => "timeout",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
+
 /// Returns whether the network, not the peer, ended a connection: bytes were not acknowledged in
 /// time, or the peer cannot be reached any more.
 pub fn is_timed_out(error: &(dyn error::Error + 'static)) -> bool {
@@ -192,53 +186,118 @@
         return Err(ReadError::TooLarge);
     }
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let collect = http_body_util::Limited::new(body, limit).collect();
-    match tokio::time::timeout(timeout, collect).await {
-        Err(_) => Err(ReadError::Timeout),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
-        Ok(Err(e)) if is_timed_out(&*e) => Err(ReadError::Timeout),
-        Ok(Err(_)) => Err(ReadError::Incomplete),
+    with_timeout(timeout, collect_unaccounted(body, limit)).await.unwrap_or(Err(ReadError::Timeout))
+}
+
+async fn collect_unaccounted(
+    mut body: hyper::body::Incoming,
+    limit: usize,
+) -> Result<bytes::Bytes, ReadError> {
+    let mut collected = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| read_error(&e))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if collected.len() + data.len() > limit {
+            return Err(ReadError::TooLarge);
+        }
+        collected.extend_from_slice(&data);
     }
+    Ok(collected.into())
 }
 
-/// Reads a whole body like [`read_body`], within a budget that other calls share.
+/// Reads a whole body like [`read_body`], within the memory budget of the process.
 ///
 /// # Errors
-/// Fails also if the budget is used up.
+/// Fails also if the budget stays used up for [`MEMORY_WAIT`].
 pub async fn read_body_within(
     body: hyper::body::Incoming,
     limit: u64,
     timeout: time::Duration,
-    budget: &read_budget::ReadBudget,
+    budget: &memory_budget::Budget,
 ) -> Result<bytes::Bytes, ReadError> {
     if body.size_hint().lower() > limit {
         return Err(ReadError::TooLarge);
     }
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    with_timeout(timeout, collect(body, limit, budget)).await.unwrap_or(Err(ReadError::Timeout))
+    let mut share = budget.share(ledger::Purpose::Receiving, None);
+    let read = collect(body, limit, &mut share, MEMORY_WAIT);
+    with_timeout(timeout, read).await.unwrap_or(Err(ReadError::Timeout))?;
+    share.into_bytes(ledger::Purpose::Answer).map_err(|_| ReadError::OverBudget)
+}
+
+/// Reads the whole body of a request within the memory budget of the process. `connection` is that of
+/// the request, `None` if no server of this module received it.
+///
+/// # Errors
+/// Fails if the body has more than `limit` bytes, takes longer than `timeout` or breaks off, or if the
+/// budget is used up or the connection has to make way for another one. The rest of the body is not read,
+/// and the connection is closed after the answer.
+pub async fn receive_body(
+    body: hyper::body::Incoming,
+    limit: u64,
+    timeout: time::Duration,
+    budget: &memory_budget::Budget,
+    connection: Option<&server_connection::Handle>,
+) -> Result<bytes::Bytes, ReadError> {
+    let result = if body.size_hint().lower() > limit {
+        Err(ReadError::TooLarge)
+    } else {
+        let caller = connection.map(server_connection::Handle::caller);
+        let mut share = budget.share(ledger::Purpose::Arriving, caller);
+        let evicted = share.evicted();
+        let head = share.add_extra(connection.map_or(0, server_connection::Handle::head_bytes));
+        let read = async {
+            head.map_err(|_| ReadError::OverBudget)?;
+            collect(body, limit, &mut share, time::Duration::ZERO).await
+        };
+        let read = tokio::select! {
+            read = with_timeout(timeout, read) => read.unwrap_or(Err(ReadError::Timeout)),
+            () = evicted => Err(ReadError::OverBudget),
+            () = server_connection::closing(connection) => Err(ReadError::OverBudget),
+        };
+        read.and_then(|()| {
+            share.into_bytes(ledger::Purpose::Kept).map_err(|_| ReadError::OverBudget)
+        })
+    };
+    if let Some(connection) = connection {
+        connection.end_body(result.is_ok());
+    }
+    if let Err(e) = &result {
+        metrics::counter!("bodies_refused_total", "reason" => e.reason()).increment(1);
+    }
+    result
 }
 
+/// Time for which an answer waits for memory before it is given up.
+const MEMORY_WAIT: time::Duration = time::Duration::from_millis(300);
+/// Interval at which an answer that waits asks for memory again.
+const MEMORY_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Copies the chunks of a body into the buffer of a share, so that no chunk keeps a read buffer alive.
 async fn collect(
     mut body: hyper::body::Incoming,
-    limit: usize,
-    budget: &read_budget::ReadBudget,
-) -> Result<bytes::Bytes, ReadError> {
-    let mut share = budget.share();
-    let mut collected = bytes::BytesMut::new();
+    limit: u64,
+    share: &mut memory_budget::Share,
+    memory_wait: time::Duration,
+) -> Result<(), ReadError> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let declared = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| read_error(&e))?;
         let Ok(data) = frame.into_data() else { continue };
-        let length = collected.len() + data.len();
+        length += data.len();
         if length > limit {
             return Err(ReadError::TooLarge);
         }
-        if !share.resize(length) {
-            return Err(ReadError::OverBudget);
+        let until = time::Instant::now() + memory_wait;
+        while share.append(&data, declared.unwrap_or(limit)).is_err() {
+            if time::Instant::now() >= until {
+                return Err(ReadError::OverBudget);
+            }
+            tokio::time::sleep(MEMORY_POLL).await;
         }
-        collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    Ok(())
 }
 
 fn read_error(error: &hyper::Error) -> ReadError {
@@ -330,191 +389,6 @@
     respond(status, "application/json", value.to_string())
 }
 
-/// Answers the requests of a server.
-pub trait Handler: Clone + Send + 'static {
-    /// Answers one request.
-    fn handle(
-        &self,
-        request: hyper::Request<hyper::body::Incoming>,
-    ) -> impl Future<Output = hyper::Response<Body>> + Send;
-}
-
-/// A server that runs in a task of its own.
-#[derive(Debug)]
-pub struct RunningServer {
-    task: tokio::task::JoinHandle<()>,
-    stop: watch::Sender<bool>,
-}
-
-impl RunningServer {
-    /// Starts to serve a listener; see [`serve`].
-    pub fn spawn<H: Handler>(listener: tokio::net::TcpListener, handler: H) -> Self {
-        let (stop, stopping) = watch::channel(false);
-        Self { task: tokio::spawn(serve(listener, handler, stopping)), stop }
-    }
-
-    /// Stops to accept connections; requests in progress continue.
-    pub fn close(&self) {
-        self.stop.send_replace(true);
-    }
-
-    /// Waits until the last connection has ended after [`close`](Self::close). It can be cancelled
-    /// and called again, but not after it has returned.
-    pub async fn closed(&mut self) {
-        // The task fails only if it panicked, and then it has no connections either.
-        let _ = (&mut self.task).await;
-    }
-}
-
-/// Serves a listener until `stop` turns true, and then lets requests in progress finish.
-///
-/// Connections that were established before the stop are served too, as their clients may have sent
-/// a request. Returns when the last connection has ended.
-///
-/// # Panics
-/// Never: the number of connections fits the semaphore.
-pub async fn serve<H: Handler>(
-    listener: tokio::net::TcpListener,
-    handler: H,
-    mut stop: watch::Receiver<bool>,
-) {
-    let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        if let Err(e) = &accepted {
-            log::warn!("event=accept_failed error={e:?}");
-            tokio::time::sleep(time::Duration::from_millis(50)).await;
-            continue;
-        }
-        spawn_connection(accepted, &slots, &handler, &stop);
-    }
-    let end = tokio::time::Instant::now() + STOP_ACCEPT_LIMIT;
-    while tokio::time::Instant::now() < end
-        && let Ok(accepted) = tokio::time::timeout(STOP_ACCEPT_PAUSE, listener.accept()).await
-    {
-        spawn_connection(accepted, &slots, &handler, &stop);
-    }
-    drop(listener);
-    let all = u32::try_from(MAX_CONNECTIONS).expect("the limit fits");
-    // Fails only when the semaphore is closed, which never happens.
-    let _ = slots.acquire_many(all).await;
-}
-
-/// Serves an accepted connection in a task that holds one of the slots. Closes it if none is free.
-fn spawn_connection<H: Handler>(
-    accepted: io::Result<(tokio::net::TcpStream, net::SocketAddr)>,
-    slots: &std::sync::Arc<tokio::sync::Semaphore>,
-    handler: &H,
-    stop: &watch::Receiver<bool>,
-) {
-    // The connection was reset before it was accepted.
-    let Ok((stream, _)) = accepted else { return };
-    let Ok(slot) = slots.clone().try_acquire_owned() else {
-        log::warn!("event=connection_refused reason=too_many_connections");
-        return;
-    };
-    let (handler, stop) = (handler.clone(), stop.clone());
-    tokio::spawn(async move {
-        serve_connection(stream, handler, stop).await;
-        drop(slot);
-    });
-}
-
-/// Waits until the socket has received a whole head, without consuming it. Returns false if the
-/// peer disconnects first.
-async fn wait_for_head(stream: &tokio::net::TcpStream) -> bool {
-    let mut peeked = vec![0; MAX_HEAD_BYTES];
-    loop {
-        let Ok(bytes) = stream.peek(&mut peeked).await else { return false };
-        let is_whole = peeked[..bytes].windows(4).any(|window| window == b"\r\n\r\n");
-        // The HTTP server refuses a head that exceeds its limit.
-        if is_whole || bytes == peeked.len() {
-            return true;
-        }
-        if bytes == 0 {
-            return false;
-        }
-        tokio::time::sleep(HEAD_POLL).await;
-    }
-}
-
-/// Waits for the head of a connection's first request. A connection on which none arrives must not
-/// hold its slot for long, and even less once the server stops.
-async fn wait_for_first_head(
-    stream: &tokio::net::TcpStream,
-    stop: &mut watch::Receiver<bool>,
-) -> Result<bool, tokio::time::error::Elapsed> {
-    let head = tokio::time::timeout(HEAD_TIMEOUT, wait_for_head(stream));
-    tokio::pin!(head);
-    tokio::select! {
-        head = &mut head => return head,
-        _ = stop.wait_for(|stop| *stop) => {}
-    }
-    tokio::time::timeout(STOP_HEAD_TIMEOUT, head).await.unwrap_or(Ok(false))
-}
-
-async fn serve_connection<H: Handler>(
-    stream: tokio::net::TcpStream,
-    handler: H,
-    mut stop: watch::Receiver<bool>,
-) {
-    match wait_for_first_head(&stream, &mut stop).await {
-        Ok(true) => {}
-        Ok(false) => return,
-        Err(_) => {
-            // A failure is ignored, because the connection is closed anyway.
-            let _ = stream.try_write(HEAD_TIMEOUT_RESPONSE);
-            return;
-        }
-    }
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
-    builder
-        .http1()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(IDLE_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(MAX_HEADERS);
-    builder
-        .http2()
-        .timer(rt::TokioTimer::new())
-        .adaptive_window(true)
-        .max_header_list_size(MAX_HEAD_BYTES as u32)
-        .max_concurrent_streams(MAX_STREAMS);
-    let unframed = caller_socket::Unframed::default();
-    let socket = caller_socket::CallerSocket::new(stream, unframed.clone());
-    let service = hyper::service::service_fn(move |request: hyper::Request<_>| {
-        unframed.note(request.version());
-        let handler = handler.clone();
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
-    });
-    let connection = builder.serve_connection(rt::TokioIo::new(socket), service);
-    tokio::pin!(connection);
-    let mut stopping = false;
-    loop {
-        tokio::select! {
-            // The connection goes first, so that it reads a request that has arrived before it is
-            // told to accept no more.
-            biased;
-            ended = connection.as_mut() => {
-                if let Err(e) = ended {
-                    log::debug!("event=connection_ended error={:?}", e.to_string());
-                }
-                return;
-            }
-            _ = stop.wait_for(|stop| *stop), if !stopping => {
-                stopping = true;
-                connection.as_mut().graceful_shutdown();
-            }
-        }
-    }
-}
-
 /// Listens on an address.
 ///
 /// # Errors
--- a/lib/src/sidecar_shell.rs
+++ b/lib/src/sidecar_shell.rs
@@ -18,6 +18,7 @@
 use crate::config_sync;
 use crate::http;
 use crate::id;
+use crate::memory_budget;
 use crate::order;
 use crate::owner_calls;
 use crate::peer;
@@ -28,6 +29,7 @@
 use crate::sidecar_http;
 use crate::store;
 use crate::telemetry;
+use crate::unit;
 use crate::upstream;
 use crate::wire;
 
@@ -89,11 +91,13 @@
     let clock = clock::SystemClock::new();
     let reducer = sidecar::Sidecar::new(identity.clone());
     let (status, status_reader) = watch::channel(status_of(&settings.instance, &reducer, "none"));
+    let budget = memory_budget::Budget::new(settings.capacity);
     let handler = sidecar_http::SidecarHandler {
         messages: messages.clone(),
         active_config: active_config.clone(),
         status: status_reader,
         conns: sync::Arc::default(),
+        budget: budget.clone(),
     };
     let process = registry::Process {
         role: registry::Role::Sidecar,
@@ -115,7 +119,14 @@
         tokio::spawn(registry::register(store.clone(), settings.instance.clone(), process))
             .abort_handle(),
     ];
-    let server = http::RunningServer::spawn(listener, handler);
+    let server = http::RunningServer::spawn(
+        listener,
+        handler,
+        http::ServerLimits {
+            streams: http::MAX_STREAMS,
+            ..http::ServerLimits::for_callers(&budget)
+        },
+    );
     let shell = Shell {
         reducer,
         clock,
@@ -127,6 +138,7 @@
         parts,
         hints,
         status,
+        budget,
         active_config: active_config.subscribe(),
         pending: collections::BTreeMap::new(),
         answers: collections::BTreeMap::new(),
@@ -185,6 +197,8 @@
     /// Hints that another process has a newer configuration.
     hints: mpsc::Sender<config_sync::Hint>,
     status: watch::Sender<registry::Status>,
+    /// Memory for messages.
+    budget: memory_budget::Budget,
     active_config: watch::Receiver<revision::ActiveConfig>,
     /// Attempts whose call has not been started.
     pending: collections::BTreeMap<id::AttemptId, PendingCall>,
@@ -255,13 +269,20 @@
 
     /// Passes a new configuration to the reducer, and whether it drains this instance.
     fn configure(&mut self, active: &revision::ActiveConfig) {
-        self.step(sidecar::Event::Configured(active.config.clone(), active.revision));
+        let mut config = active.config.clone();
+        // The answers that are kept must fit the instance as well.
+        let most = self.budget.limits().bytes as u64;
+        if config.limits.kept_bytes.0 > most {
+            sync::Arc::make_mut(&mut config).limits.kept_bytes = unit::ByteSize(most);
+        }
+        self.step(sidecar::Event::Configured(config, active.revision));
         let draining = active.stored.draining.contains(&self.settings.instance);
         self.step(sidecar::Event::Drain(sidecar::DrainCause::Configuration, draining));
     }
 
-    /// Publishes the status to the HTTP handler.
+    /// Publishes the status to the HTTP handler and records the use of memory.
     fn publish_status(&self) {
+        self.budget.publish();
         let source = self.active_config.borrow().source.to_string();
         let next = status_of(&self.settings.instance, &self.reducer, &source);
         self.status.send_if_modified(|status| {
