regions: a gateway that starts on a restored store waits for the evacuated domains

Cause: a gateway that has just started has no earlier set of evacuated domains. On a restored store it served callers as soon as the era was stated as settled, which the rewritten configuration suffices for, while the key of a domain could still be missing.

Change: it confirms no table until the set is complete: the store states the era as settled, another gateway passes on a confirmed table, or 2 s have passed since its first read.

Measured: the tracker's test fails if the first set counts as complete. No test over processes shows the fault: one that was tried passed before the change too and was left out.

--- a/lib/src/evacuation/tracker.rs
+++ b/lib/src/evacuation/tracker.rs
@@ -21,6 +21,10 @@
     kept: collections::BTreeSet<id::DomainId>,
     /// When the latest era was noticed.
     era_began: time::Duration,
+    /// Whether the store was restored since this gateway's first read.
+    is_restored: bool,
+    /// Whether no domain can be missing.
+    is_complete: bool,
 }
 
 impl Tracker {
@@ -28,6 +32,7 @@
     pub fn record_restore(&mut self, now: time::Duration) {
         self.kept.clone_from(&self.in_force);
         self.era_began = now;
+        self.is_restored = true;
     }
 
     /// Records a read of the latest era that was sent at `sent`. `is_settled` tells whether the era is
@@ -43,15 +48,41 @@
         if self.read_at.is_some_and(|latest| sent < latest) {
             return;
         }
+        if self.read_at.is_none() {
+            self.era_began = now;
+        }
         self.read_at = Some(sent);
-        let age = now.saturating_sub(self.era_began);
-        if is_settled && age >= store_era::REWRITE_TIME {
+        self.is_complete |= self.has_time_passed(now);
+        if is_settled && self.has_time_passed(now) {
             self.kept.clear();
         }
         self.in_force = read;
         self.in_force.extend(self.kept.iter().cloned());
     }
 
+    /// Records that no domain can be missing from the latest read, as others have vouched for it.
+    pub fn record_complete(&mut self) {
+        self.is_complete = true;
+    }
+
+    /// Returns whether no domain can be missing. A gateway that has just started has no earlier set, so
+    /// the first reads of a restored store may lack domains.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns whether other gateways may take the latest era for settled, of which the store states the
+    /// era `settled` so far. If it states none, no gateway has used it before, unless a restore has lost
+    /// the statement.
+    pub fn may_state(&self, now: time::Duration, settled: Option<store_era::Era>) -> bool {
+        self.has_time_passed(now) || settled.is_none() && !self.is_restored
+    }
+
+    /// Returns whether operators have had the time to write their keys again in the latest era.
+    fn has_time_passed(&self, now: time::Duration) -> bool {
+        now.saturating_sub(self.era_began) >= store_era::REWRITE_TIME
+    }
+
     /// Returns the domains to whose upstreams nothing may be sent.
     pub fn in_force(&self) -> &collections::BTreeSet<id::DomainId> {
         &self.in_force
--- a/lib/src/gateway_reads.rs
+++ b/lib/src/gateway_reads.rs
@@ -191,9 +191,17 @@
             self.eras.record_stated(gateways.settled_era);
         }
         let table = table.map(|stored| self.assess(sent, stored));
+        if let Ok(gateways) = &gateways
+            && gateways.settled_era.is_none_or(|stated| stated >= era)
+        {
+            self.evacuations.record_complete();
+        }
         let evacuated = self.record_evacuated(sent, evacuated);
+        let table = table.map(|known| self.hold_back(known));
         if let Ok(gateways) = &gateways
             && self.eras.is_settled()
+            && (!self.follows_evacuations
+                || self.evacuations.may_state(sent.mono, gateways.settled_era))
             && gateways.settled_era != Some(era)
         {
             tokio::spawn(record_settled(self.store.clone(), era));
@@ -242,6 +250,13 @@
         known
     }
 
+    /// Leaves a table unconfirmed while evacuated domains may be missing, so that a gateway that has
+    /// just started serves nobody.
+    fn hold_back(&self, known: relay::KnownTable) -> relay::KnownTable {
+        let is_held = self.follows_evacuations && !self.evacuations.is_complete();
+        relay::KnownTable { confirmed: known.confirmed.filter(|_| !is_held), ..known }
+    }
+
     /// Records the era of reads. Returns whether they are not outdated.
     async fn enter_era(&mut self, era: store_era::Era) -> bool {
         match self.eras.enter(self.clock.now().mono, era) {
@@ -309,6 +324,9 @@
         // A read that confirmed an earlier state of the table may have been sent before the restore.
         let is_confirmed = reads.table.confirmed == Some(reads.sent);
         self.eras.record_relayed(reads.table.stored_version(), is_confirmed);
+        if is_confirmed {
+            self.evacuations.record_complete();
+        }
         reads.evacuated = self.record_evacuated(reads.sent, reads.evacuated.take());
         Some(reads)
     }
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -528,6 +528,26 @@
     assert_eq!(*tracker.in_force(), domains(&["b"]));
 }
 
+/// Guards against a gateway that starts on a restored store and takes its first set for the whole one.
+#[test]
+fn first_set_is_complete_after_a_while_or_if_others_vouch_for_it() {
+    let mut tracker = evacuation::Tracker::default();
+    tracker.record_read(ms(60_000), ms(60_000), true, domains(&[]));
+    assert!(!tracker.is_complete());
+    tracker.record_read(ms(61_900), ms(61_900), true, domains(&["b"]));
+    assert!(!tracker.is_complete());
+    tracker.record_read(ms(62_000), ms(62_000), true, domains(&["b"]));
+    assert!(tracker.is_complete());
+    // An earlier set is kept over a restore.
+    tracker.record_restore(ms(63_000));
+    tracker.record_read(ms(63_000), ms(63_000), false, domains(&[]));
+    assert!(tracker.is_complete());
+    let mut tracker = evacuation::Tracker::default();
+    tracker.record_read(ms(60_000), ms(60_000), true, domains(&[]));
+    tracker.record_complete();
+    assert!(tracker.is_complete());
+}
+
 /// Guards against a gateway that reads through another one and learns of no evacuation, or takes a
 /// gateway that does not follow evacuations for one that knows of none.
 #[test]
