deploy: settings that not every platform states are environment variables

Change: capacity, evacuation and the allowance for cold upstreams are passed as environment variables; an empty one counts as absent. A reload compares the settings file with what it contained, as overrides made it look changed.

--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -9,7 +9,17 @@
 use crate::process;
 
 /// Settings that an environment variable can override.
-const FIELDS: [&str; 5] = ["instance", "listen", "probe_listen", "metrics_listen", "store"];
+const FIELDS: [&str; 9] = [
+    "instance",
+    "listen",
+    "probe_listen",
+    "metrics_listen",
+    "store",
+    "capacity",
+    "evacuation_ms",
+    "cold_excess",
+    "cold_slack",
+];
 
 /// Runs a gateway until a stop signal arrives; SIGHUP makes it read its settings file again.
 pub async fn run(args: settings_args::SettingsArgs) -> Result<(), failure::Failure> {
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -102,6 +102,7 @@
     file: Option<path::PathBuf>,
 ) -> io::Result<()> {
     telemetry::install();
+    let file = SettingsFile::new(file);
     let caller_listener = http::listen(settings.listen).await?;
     let probe_listeners =
         [http::listen(settings.probe_listen).await?, http::listen(settings.metrics_listen).await?];
@@ -172,7 +173,7 @@
                 // polled any more.
                 can_reload = changed.is_ok();
                 if can_reload {
-                    reload(&settings, file.as_deref());
+                    file.reload();
                 }
             }
             _ = signals.stop.wait_for(|stop| *stop), if stopping_since.is_none() => {
@@ -242,16 +243,33 @@
     log::info!("{line}");
 }
 
-/// Reads the settings file and logs whether it differs from the settings in use. Nothing is
-/// applied: addresses cannot change while the process runs, and the log line shows operators that a
-/// restart is needed.
-fn reload(settings: &gateway_settings::Settings, file: Option<&path::Path>) {
-    let Some(file) = file else { return };
-    match crate::settings::read::<gateway_settings::Settings>(file, &[]) {
-        Err(e) => log::warn!("event=reload_failed error={:?}", e.to_string()),
-        Ok(new) => {
-            let is_same = serde_json::to_value(&new).ok() == serde_json::to_value(settings).ok();
-            log::info!("event=reloaded changed={}", !is_same);
+/// The settings file, and what it contained when the process started.
+struct SettingsFile {
+    path: Option<path::PathBuf>,
+    content: Option<serde_json::Value>,
+}
+
+impl SettingsFile {
+    fn new(path: Option<path::PathBuf>) -> Self {
+        let content = path.as_deref().and_then(|path| Self::read(path).ok());
+        Self { path, content }
+    }
+
+    fn read(path: &path::Path) -> Result<serde_json::Value, crate::settings::SettingsError> {
+        crate::settings::read(path, &[])
+    }
+
+    /// Reads the file and logs whether it differs from before. Nothing is applied: addresses cannot
+    /// change while the process runs, and the log line shows operators that a restart is needed.
+    /// The file is compared with the file, as flags and environment variables override it.
+    fn reload(&self) {
+        let Some(path) = &self.path else { return };
+        match Self::read(path) {
+            Err(e) => log::warn!("event=reload_failed error={:?}", e.to_string()),
+            Ok(content) => {
+                let is_same = self.content.as_ref() == Some(&content);
+                log::info!("event=reloaded changed={}", !is_same);
+            }
         }
     }
 }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -105,13 +105,15 @@
     pub value: String,
 }
 
-/// Returns the overrides that environment variables define for the given fields.
+/// Returns the overrides that environment variables define for the given fields. An empty variable
+/// counts as absent, as platforms that fill in a template leave it empty without a value.
 pub fn env_overrides(fields: &[&str]) -> Vec<Override> {
     fields
         .iter()
         .filter_map(|field| {
             let name = format!("{ENV_PREFIX}{}", field.to_uppercase());
-            Some(Override { field: (*field).to_owned(), value: env::var(name).ok()? })
+            let value = env::var(name).ok().filter(|value| !value.is_empty())?;
+            Some(Override { field: (*field).to_owned(), value })
         })
         .collect()
 }
