placement: learned speeds decide between the two preferred engines only

Change: the estimate leaves the speed out; it only decides which of two engines is preferred for a prompt part.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -225,15 +225,16 @@
     /// Returns the ratio of the observed to the expected time of its calls. Without new samples it
     /// returns to 1, so that a slow upstream is tried again.
     pub fn slowness(&self, now: time::Duration) -> f64 {
-        self.relative_pace * self.recent_slowness(now)
-    }
-
-    /// Returns the ratio of the observed to the expected time of this gateway's latest calls.
-    fn recent_slowness(&self, now: time::Duration) -> f64 {
         let age = now.saturating_sub(self.slowness_at).as_secs_f64();
         1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_DECAY.as_secs_f64()).exp()
     }
 
+    /// Returns the time between the events of its streams relative to the other engines of its
+    /// service, as the gateways have measured it together.
+    pub fn relative_pace(&self) -> f64 {
+        self.relative_pace
+    }
+
     /// Returns the time that work takes at the upstream, in per cent of the usual, according to its
     /// latest report; [`USUAL_PACE`] if the report is outdated or does not say.
     pub fn pace(&self, now: time::Duration) -> u32 {
@@ -582,7 +583,7 @@
         let Some(up) = self.upstreams.get_mut(instance) else { return };
         up.health.record_success();
         if let Some(ratio) = ratio {
-            up.slowness = up.recent_slowness(now);
+            up.slowness = up.slowness(now);
             up.slowness += (ratio - up.slowness) * SLOWNESS_SMOOTHING;
             up.slowness_at = now;
         }
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -155,7 +155,7 @@
             let region = self.fleet.region(&up.entry.domain);
             up.is_usable(now) && region.is_some_and(|region| regions.contains(region))
         });
-        let engines = usable.map(|(instance, up)| (instance, up.slowness(now)));
+        let engines = usable.map(|(instance, up)| (instance, up.relative_pace()));
         let engine = placement::preferred_engine(parts, engines)?;
         self.fleet.region(&self.fleet.get(engine)?.entry.domain).cloned()
     }
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -180,7 +180,7 @@
     /// region of its stages.
     pub(super) fn preferred_engine(&self, request: &request::Request) -> Option<id::InstanceId> {
         let candidates = self.candidates(request, &[]);
-        let engines = candidates.iter().map(|candidate| (&candidate.instance, candidate.slowness));
+        let engines = candidates.iter().map(|candidate| (&candidate.instance, candidate.pace));
         placement::preferred_engine(&request.prompt_parts, engines).cloned()
     }
 
@@ -250,6 +250,7 @@
             in_flight: up.in_flight,
             unread_tokens: up.unread_tokens,
             slowness: up.slowness(self.now.mono),
+            pace: up.relative_pace(),
             region_bytes,
             remote_bytes,
         }
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -88,6 +88,10 @@
     pub unread_tokens: u64,
     /// Ratio of the observed to the expected time of its calls.
     pub slowness: f64,
+    /// Time between the events of its streams relative to other engines. Estimates leave it out: all
+    /// gateways know the same paces and would send what exceeds their preferred engines to the
+    /// fastest one.
+    pub pace: f64,
     /// Size of the inputs that are stored in other failure domains of its region.
     pub region_bytes: unit::ByteSize,
     /// Size of the inputs that are stored in other regions.
@@ -128,7 +132,7 @@
         parts: &[PromptPart],
         candidates: &[Candidate],
     ) -> Option<Choice> {
-        let engines = candidates.iter().map(|candidate| (&candidate.instance, candidate.slowness));
+        let engines = candidates.iter().map(|candidate| (&candidate.instance, candidate.pace));
         let preferred = preferred_engine(parts, engines);
         // Other gateways send prompts with the shared parts to the preferred engine, which keeps
         // them in its cache. Every other engine is charged with the time to process them.
@@ -156,7 +160,7 @@
 }
 
 /// Returns the engine that every gateway prefers for the shared parts of a prompt, whatever its load:
-/// the faster one of the two with the highest rendezvous hash. `engines` come with their slowness.
+/// the faster one of the two with the highest rendezvous hash. `engines` come with their paces.
 /// `None` without parts or engines.
 ///
 /// With two engines to choose from, fast engines get more parts than slow ones, and gateways that
@@ -173,9 +177,9 @@
         [.., shared, _] => shared.id,
     };
     let mut best: [Option<(u64, &id::InstanceId, f64)>; 2] = [None, None];
-    for (engine, slowness) in engines {
+    for (engine, pace) in engines {
         let hash = xxhash_rust::xxh3::xxh3_64_with_seed(engine.as_str().as_bytes(), key);
-        let entry = Some((hash, engine, slowness));
+        let entry = Some((hash, engine, pace));
         let rank = best.iter().position(|other| other.is_none_or(|(other, ..)| hash > other));
         match rank {
             Some(0) => best = [entry, best[0]],
@@ -183,9 +187,9 @@
             None => {}
         }
     }
-    let (_, first, first_slowness) = best[0]?;
+    let (_, first, first_pace) = best[0]?;
     match best[1] {
-        Some((_, second, slowness)) if slowness * MIN_SPEED_RATIO < first_slowness => Some(second),
+        Some((_, second, pace)) if pace * MIN_SPEED_RATIO < first_pace => Some(second),
         _ => Some(first),
     }
 }
--- a/lib/tests/test_engine_pace.rs
+++ b/lib/tests/test_engine_pace.rs
@@ -187,7 +187,7 @@
         record(&mut paces, engine, pause_ms, 10);
     }
     fleet.record_paces(paces.known(millis(2)));
-    let slowness = |name| fleet.get(&instance(name)).expect("listed").slowness(millis(2));
+    let slowness = |name| fleet.get(&instance(name)).expect("listed").relative_pace();
     assert!((slowness("x") - 1.0).abs() < 0.01);
     assert!((slowness("a") - 1.0).abs() < 0.01);
     assert!(slowness("c") > 1.7);
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -434,6 +434,7 @@
         instance: name(instance),
         tier: routing::Tier::Domain,
         in_flight,
+        pace: 1.0,
         unread_tokens: 0,
         slowness: 1.0,
         region_bytes: unit::ByteSize(0),
