placement: an engine has to be half as fast again to be preferred

Cause: engines of equal speed differ by up to 1.4 in what gateways measure under load, and each flip of a preferred engine makes its shared parts be read again.

Change: ratio of 1.5 in place of 1.4; engines whose speeds differ by 1.6 or more are told apart as before.

--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -29,7 +29,7 @@
 
 /// Ratio of the speeds of two engines from which the faster one is preferred for a part. Engines of
 /// equal speed differ by less in what gateways measure, and parts must not move between them.
-const MIN_SPEED_RATIO: f64 = 1.4;
+const MIN_SPEED_RATIO: f64 = 1.5;
 
 /// One part of a prompt that engines cache as a unit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
