gateway: a request that moves while it waits for quota is called after its stages

Seen by reading: a request that waits for quota at a cold upstream and then moves to another region, because its domain is evacuated or a newer table excludes its region, was called at the next event without the results of its stages.

Cause: the move reset the stages and left the request in the list of those that wait for a call.

Change: it leaves that list. request_that_moves_while_it_waits_is_called_after_its_stages failed before.

--- a/lib/src/gateway/regions.rs
+++ b/lib/src/gateway/regions.rs
@@ -99,9 +99,9 @@
     /// available now; `None` if no region has the upstreams that it needs.
     pub(super) fn retry_delay(&self, request: &request::Request) -> Option<std::time::Duration> {
         let (route, bound) = (&request.route, &request.bound);
-        let is_hopeless = self.may_lack_regions(request)
+        let lacks_regions = self.may_lack_regions(request)
             && self.find_regions(route, &request.service, bound, |_| true, |_| true).is_empty();
-        (!is_hopeless).then_some(admission::MIN_RETRY_DELAY)
+        (!lacks_regions).then_some(admission::MIN_RETRY_DELAY)
     }
 
     /// Returns whether a request may be refused because no region can serve it. Without a restriction
@@ -232,6 +232,8 @@
         self.drop_groups(&request, effects);
         let Some(request) = self.requests.get_mut(&id) else { return false };
         request.region = region;
+        // It no longer waits for a call, but for its stages.
+        self.cold_waits.remove(&id);
         for result in request.reset_all() {
             self.free_result(result);
         }
--- a/lib/tests/test_cold_calls.rs
+++ b/lib/tests/test_cold_calls.rs
@@ -42,6 +42,11 @@
         stages: vec![stage],
         ..(*route("/guide/", table::RequestKind::Idempotent, 1)).clone()
     };
+    let bound_stages = table::Route {
+        prefix: "/guide-bound/".to_owned(),
+        allowed_regions: table::RegionBound::only([name("east"), name("west")]),
+        ..staged.clone()
+    };
     let bound = table::Route {
         allowed_regions: table::RegionBound::only([name("east")]),
         ..(*route("/bound/", table::RequestKind::Idempotent, 2)).clone()
@@ -66,6 +71,7 @@
             route("/again/", table::RequestKind::Resumable, 2),
             sync::Arc::new(staged),
             sync::Arc::new(bound),
+            sync::Arc::new(bound_stages),
         ],
         services: [(name("app"), app), (name("scan"), scan)].into(),
         ..table::Table::default()
@@ -343,6 +349,43 @@
     assert_eq!(harness.sent.len(), SHARE);
 }
 
+/// Returns the batch that was sent.
+fn batch_of(effects: &[gateway::Effect]) -> Option<&gateway::BatchCall> {
+    effects.iter().find_map(|effect| match effect {
+        gateway::Effect::SendBatch(call) => Some(&**call),
+        _ => None,
+    })
+}
+
+/// Guards against a call without the results of the stages: a request that waits for quota moves to
+/// another region, where its stages run again.
+#[test]
+fn request_that_moves_while_it_waits_is_called_after_its_stages() {
+    let mut harness = Harness::alone(Some(RATE));
+    harness.list(&[("s1", "a"), ("u1", "a"), ("s2", "c"), ("u2", "c")], 3_000);
+    for _ in 0..SHARE {
+        assert!(call_of(&harness.arrive("/bound/1").1).is_some());
+    }
+    harness.advance(ms(800));
+    let (_, effects) = harness.arrive("/guide-bound/1");
+    let batch = batch_of(&effects).expect("the stage runs").batch;
+    let done = || {
+        let handle = gateway::Handle("h".to_owned());
+        gateway::BatchOutcome::Done(vec![gateway::PieceOutcome::Done(handle)])
+    };
+    let outcome = done();
+    let effects = harness.step(gateway::Event::BatchEnded { batch, outcome, load: None });
+    assert!(call_of(&effects).is_none(), "it waits for quota");
+    let effects = harness.step(gateway::Event::DomainsEvacuated([name("a")].into()));
+    let again = batch_of(&effects).expect("the stage runs again in the other region").batch;
+    let effects = harness.advance(ms(20));
+    assert!(call_of(&effects).is_none(), "its stage has not ended");
+    let outcome = done();
+    let effects = harness.step(gateway::Event::BatchEnded { batch: again, outcome, load: None });
+    let call = call_of(&effects).expect("it is called");
+    assert_eq!((call.instance.as_str(), call.inputs.len()), ("u2", 1));
+}
+
 /// Guards against a restricted request that leaves its region because no cold upstream there may be
 /// called.
 #[test]
