engine_pace: measurements are collected once, and paces without them end

Seen by reading: the reader of a failure domain and the collector of all could send to each other, so that the same measurements were recorded again and again; a gateway without a target kept its measurements without end; a steady pace was stated once and forgotten after a minute; an engine that is avoided stayed slow.

Change: the collector sends nothing; measurements without a target are dropped; a pace is stated again after 20 s; an engine without a pace has the usual speed. Tests: targets_lead_to_one_collector, measurements_without_a_collector_are_not_kept, steady_pace_is_stated_again_after_a_while and engine_without_measurements_has_the_usual_speed.

--- a/lib/src/engine_pace.rs
+++ b/lib/src/engine_pace.rs
@@ -4,9 +4,9 @@
 //! gateway relays too few streams to learn all speeds by itself within seconds. So gateways share
 //! what they measure, which also lets them prefer the same engines.
 //!
-//! [`Paces`] makes all decisions without input or output. [`exchange`] has the messages between
-//! gateways and the task that sends them. Imported by the gateway's shell and calls; imports none
-//! of them.
+//! [`Paces`] makes all decisions without input or output and imports none of the gateway's modules.
+//! [`exchange`] has the messages between gateways and the task that sends them, and imports the
+//! modules that send messages and read the store.
 
 pub mod exchange;
 
@@ -76,6 +76,8 @@
     updated_at: time::Duration,
     /// Logarithm as of the revision with which it was last reported; `None` before the first.
     reported_ln: Option<f64>,
+    /// When it was last reported.
+    reported_at: time::Duration,
     revision: u64,
 }
 
@@ -148,8 +150,13 @@
 
     /// Records a measurement of this gateway or of another one.
     fn record(&mut self, now: time::Duration, engine: &id::InstanceId, pace: Pace) {
-        let empty =
-            Record { pace: Pace::default(), updated_at: now, reported_ln: None, revision: 0 };
+        let empty = Record {
+            pace: Pace::default(),
+            updated_at: now,
+            reported_ln: None,
+            reported_at: now,
+            revision: 0,
+        };
         let record = self.records.entry(engine.clone()).or_insert(empty);
         let age = now.saturating_sub(record.updated_at).as_secs_f64();
         record.pace.weight *= (-age / MEMORY.as_secs_f64()).exp();
@@ -158,9 +165,13 @@
         let factor = if is_slower { SLOWER_WEIGHT } else { 1.0 };
         record.pace.add(Pace { weight: pace.weight * factor, ..pace });
         let latest = record.pace.ln_seconds;
-        if record.reported_ln.is_none_or(|reported| (latest - reported).abs() >= REPORTED_CHANGE) {
+        let has_changed =
+            record.reported_ln.is_none_or(|reported| (latest - reported).abs() >= REPORTED_CHANGE);
+        // Others forget a pace that is not stated again.
+        if has_changed || now.saturating_sub(record.reported_at) >= MEMORY {
             self.revision += 1;
             record.reported_ln = Some(latest);
+            record.reported_at = now;
             record.revision = self.revision;
         }
     }
@@ -173,7 +184,13 @@
         self.revision += 1;
         let revision = self.revision;
         let reported_ln = Some(pace.ln_seconds);
-        self.records.insert(engine, Record { pace, updated_at: now, reported_ln, revision });
+        let record = Record { pace, updated_at: now, reported_ln, reported_at: now, revision };
+        self.records.insert(engine, record);
+    }
+
+    /// Forgets the measurements that wait to be sent, as there is no gateway to send them to.
+    pub fn clear_unsent(&mut self) {
+        self.unsent.clear();
     }
 
     /// Returns measurements that were not returned before, at most those of [`MAX_SENT`] engines.
@@ -201,8 +218,9 @@
         (paces.collect(), KnownState { generation: self.generation, revision: last })
     }
 
-    /// Returns all paces and forgets those of engines that no stream was relayed from for long.
-    pub fn known(&mut self, now: time::Duration) -> Vec<(id::InstanceId, Pace)> {
+    /// Forgets paces that were neither measured nor adopted within three times [`MEMORY`], and returns
+    /// the others.
+    pub fn prune_and_list(&mut self, now: time::Duration) -> Vec<(id::InstanceId, Pace)> {
         self.records.retain(|_, record| now.saturating_sub(record.updated_at) < 3 * MEMORY);
         self.records.iter().map(|(engine, record)| (engine.clone(), record.pace)).collect()
     }
--- a/lib/src/engine_pace/exchange.rs
+++ b/lib/src/engine_pace/exchange.rs
@@ -79,11 +79,21 @@
     tokio::spawn(run(me, clock, paces, newest, events));
 }
 
-/// Returns the gateway that collects the measurements of all, unless that is this one.
-fn collector<'a>(me: &roster::Peer, peers: &'a [roster::Peer]) -> Option<&'a roster::Peer> {
+/// Returns the gateway to exchange paces with: the reader of the own failure domain, and for that one
+/// the gateway which collects the measurements of all. The collector has none, as its measurements
+/// would come back to it.
+pub fn target<'a>(
+    now: time::Duration,
+    me: &id::InstanceId,
+    readers: &relay::ReaderSelector,
+    peers: &'a [roster::Peer],
+) -> Option<&'a roster::Peer> {
     let score = |peer: &roster::Peer| roster::rendezvous_score(peer, COLLECTOR_SEED);
-    let chosen = peers.iter().max_by(|a, b| score(a).total_cmp(&score(b)))?;
-    (chosen.instance != me.instance).then_some(chosen)
+    let collector = peers.iter().max_by(|a, b| score(a).total_cmp(&score(b)))?;
+    if collector.instance == *me {
+        return None;
+    }
+    Some(readers.reader(now, peers).unwrap_or(collector))
 }
 
 async fn run(
@@ -94,14 +104,13 @@
     events: mpsc::Sender<gateway::Event>,
 ) {
     let pool = upstream_pool::Pool::default();
-    let readers = relay::ReaderSelector::new(me.instance.clone(), me.domain.clone());
+    let readers = relay::ReaderSelector::new(me.instance.clone(), me.domain);
     let mut known = engine_pace::KnownState::default();
     loop {
         tokio::time::sleep(INTERVAL).await;
         let peers =
             newest.borrow().as_ref().map(|reads| reads.gateways.peers.clone()).unwrap_or_default();
-        let reader = readers.reader(clock.now().mono, &peers);
-        if let Some(peer) = reader.or_else(|| collector(&me, &peers)) {
+        if let Some(peer) = target(clock.now().mono, &me.instance, &readers, &peers) {
             let measured = paces.with(engine_pace::Paces::take_unsent);
             let request = Request { version: VERSION, known, measured };
             let response = gateway_peers::exchange_paces(&pool, peer.address, &request).await;
@@ -113,9 +122,11 @@
                     }
                 });
             }
+        } else {
+            paces.with(engine_pace::Paces::clear_unsent);
         }
-        let known = paces.with(|paces| paces.known(clock.now().mono));
-        if events.send(gateway::Event::EnginesPaced(known)).await.is_err() {
+        let listed = paces.with(|paces| paces.prune_and_list(clock.now().mono));
+        if events.send(gateway::Event::EnginesPaced(listed)).await.is_err() {
             return;
         }
     }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -507,8 +507,8 @@
         self.upstreams.get(instance).is_some_and(|up| self.evacuated.contains(&up.entry.domain))
     }
 
-    /// Returns whether all upstreams of a service are in evacuated failure domains, of which there is
-    /// at least one; if a region is given, those of the region.
+    /// Returns whether all upstreams of a service that are not leaving are in evacuated failure domains,
+    /// of which at least one upstream is; if a region is given, those of the region.
     pub fn is_service_evacuated(
         &self,
         service: &id::ServiceId,
@@ -637,6 +637,9 @@
 
     /// Replaces the relative paces of engines. An engine is compared with those of its service.
     pub fn record_paces(&mut self, paces: Vec<(id::InstanceId, engine_pace::Pace)>) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.relative_pace = 1.0;
+        }
         let mut by_service: collections::BTreeMap<id::ServiceId, Vec<_>> =
             collections::BTreeMap::new();
         for (instance, pace) in paces {
--- a/lib/tests/test_engine_pace.rs
+++ b/lib/tests/test_engine_pace.rs
@@ -4,7 +4,8 @@
 use std::net;
 use std::time;
 
-use bramleyshelf_lib::{engine_pace, fleet, id, placement};
+use bramleyshelf_lib::engine_pace::exchange;
+use bramleyshelf_lib::{engine_pace, fleet, id, placement, relay, roster};
 
 const SERVICE: &str = "models";
 
@@ -92,7 +93,7 @@
     for (engine, pace) in response.changed {
         own.adopt(millis(3), engine, pace);
     }
-    let known: Vec<_> = own.known(millis(4)).into_iter().map(|(_, pace)| pace).collect();
+    let known: Vec<_> = own.prune_and_list(millis(4)).into_iter().map(|(_, pace)| pace).collect();
     let slowness = engine_pace::relative_slowness(&known);
     assert!(slowness[0] / slowness[1] > 1.3, "slowness {slowness:?}");
     assert!(other.take_unsent().is_empty(), "nothing is sent twice");
@@ -108,7 +109,7 @@
         record(&mut paces, "loaded", 20, 1);
         record(&mut paces, "loaded", 60, 1);
     }
-    let known: Vec<_> = paces.known(millis(4)).into_iter().map(|(_, pace)| pace).collect();
+    let known: Vec<_> = paces.prune_and_list(millis(4)).into_iter().map(|(_, pace)| pace).collect();
     let slowness = engine_pace::relative_slowness(&known);
     assert!(slowness[1] / slowness[0] < 1.3, "slowness {slowness:?}");
 }
@@ -127,6 +128,82 @@
     assert_eq!(passed_on, request.measured);
 }
 
+/// Guards against measurements that circulate: following the targets from any gateway ends at the one
+/// that collects for all, also if another one reads the store for its failure domain.
+#[test]
+fn targets_lead_to_one_collector() {
+    for fleet in 0..50 {
+        let peers: Vec<_> = (0..12)
+            .map(|index| roster::Peer {
+                instance: instance(&format!("g{fleet}-{index}")),
+                address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+                domain: ["a", "b", "c"][index % 3].parse().expect("a valid name"),
+                weight: 100,
+            })
+            .collect();
+        let target = |peer: &roster::Peer| {
+            let readers = relay::ReaderSelector::new(peer.instance.clone(), peer.domain.clone());
+            let target = exchange::target(millis(1), &peer.instance, &readers, &peers);
+            target.map(|target| target.instance.clone())
+        };
+        let without_target = peers.iter().filter(|peer| target(peer).is_none()).count();
+        assert_eq!(without_target, 1, "fleet {fleet}");
+        for peer in &peers {
+            let mut at = peer.instance.clone();
+            let mut steps = 0;
+            while let Some(next) = peers.iter().find(|peer| peer.instance == at).and_then(target) {
+                at = next;
+                steps += 1;
+                assert!(steps <= 3, "fleet {fleet}: no end from {}", peer.instance);
+            }
+        }
+    }
+}
+
+/// Guards against a gateway that keeps its measurements while nobody collects them, and later sends them
+/// with a weight that new ones cannot change.
+#[test]
+fn measurements_without_a_collector_are_not_kept() {
+    let mut paces = engine_pace::Paces::new(1);
+    record(&mut paces, "a", 20, 1_000);
+    paces.clear_unsent();
+    record(&mut paces, "a", 20, 1);
+    let sent = paces.take_unsent();
+    assert!(sent[0].1.weight < 2.5, "weight {}", sent[0].1.weight);
+}
+
+/// Guards against a pace that others forget because it does not change.
+#[test]
+fn steady_pace_is_stated_again_after_a_while() {
+    let mut paces = engine_pace::Paces::new(1);
+    let stream = |paces: &mut engine_pace::Paces, at: u64| {
+        paces.record_stream(millis(at), &instance("a"), 11, millis(200));
+    };
+    stream(&mut paces, 1_000);
+    let (_, known) = paces.changes_since(engine_pace::KnownState::default());
+    stream(&mut paces, 2_000);
+    assert_eq!(paces.changes_since(known).0.len(), 0);
+    stream(&mut paces, 22_000);
+    assert_eq!(paces.changes_since(known).0.len(), 1);
+}
+
+/// Guards against an engine that is avoided, so that no stream shows that it is fast again.
+#[test]
+fn engine_without_measurements_has_the_usual_speed() {
+    let mut fleet =
+        fleet::Fleet::new("a".parse().expect("a valid name"), collections::BTreeMap::new());
+    fleet.update(millis(1), vec![entry("a"), entry("b"), entry("c")]);
+    let mut paces = engine_pace::Paces::new(1);
+    for (engine, pause_ms) in [("a", 20), ("b", 20), ("c", 80)] {
+        record(&mut paces, engine, pause_ms, 10);
+    }
+    fleet.record_paces(paces.prune_and_list(millis(2)));
+    let pace = |fleet: &fleet::Fleet| fleet.get(&instance("c")).expect("listed").relative_pace();
+    assert!(pace(&fleet) > 2.0);
+    fleet.record_paces(paces.prune_and_list(millis(100_000)));
+    assert!((pace(&fleet) - 1.0).abs() < 0.01);
+}
+
 /// Guards against parts that move because engines of equal speed have unequal load.
 #[test]
 fn small_differences_count_as_equal_speed() {
@@ -169,7 +246,7 @@
         paces.record_relayed(millis(1), &instance("odd"), engine_pace::Pace { ln_seconds, weight });
         paces.adopt(millis(1), instance("odd"), engine_pace::Pace { ln_seconds, weight });
     }
-    assert_eq!(paces.known(millis(2)), Vec::new());
+    assert_eq!(paces.prune_and_list(millis(2)), Vec::new());
 }
 
 /// Guards against engines that are compared with those of another service.
@@ -186,7 +263,7 @@
     for (engine, pause_ms) in [("a", 20), ("b", 20), ("c", 40), ("x", 200), ("y", 200)] {
         record(&mut paces, engine, pause_ms, 10);
     }
-    fleet.record_paces(paces.known(millis(2)));
+    fleet.record_paces(paces.prune_and_list(millis(2)));
     let slowness = |name| fleet.get(&instance(name)).expect("listed").relative_pace();
     assert!((slowness("x") - 1.0).abs() < 0.01);
     assert!((slowness("a") - 1.0).abs() < 0.01);
