docs in the code: what a newcomer stumbled on

Names and comments after a read-through of the changes by somebody who has not seen the project: quarantine, cold upstreams, memory, cancellation, moves of streams. The size of a request's head counts its query as well.

--- a/lib/src/cancellation.rs
+++ b/lib/src/cancellation.rs
@@ -3,8 +3,8 @@
 //!
 //! A [`Guard`] stands for the caller's connection. The HTTP handler holds it until the response begins,
 //! and the body of a streamed response from then on; the HTTP server drops them when the caller
-//! disconnects. Whoever works on the request holds a [`Signal`]. Only `http`, `gateway_http`,
-//! `gateway_calls` and `gateway_shell` import this module.
+//! disconnects. Whoever works on the request holds a [`Signal`]. Only `http`, `gateway_http`
+//! and `gateway_calls` import this module.
 
 use std::future;
 use std::sync;
--- a/lib/src/cold.rs
+++ b/lib/src/cold.rs
@@ -99,11 +99,9 @@
         let Some(usable_from) = self.quotas.usable_from(upstream) else { return Vec::new() };
         let share = limit.share();
         let window = self.windows.get(upstream);
-        let first = |free| usable_from.max(now).max(free);
-        let times = (1..=share).map(|left| {
-            // With `left` calls of the quota still to be made, as many as this are used up.
-            let used = share + 1 - left;
-            first(window.map(|window| window.next_free(used)).unwrap_or_default())
+        let times = (1..=share).map(|used| {
+            let free = window.map(|window| window.next_free(used));
+            usable_from.max(now).max(free.unwrap_or_default())
         });
         let mut times: Vec<_> = times.filter(|at| *at < end).collect();
         times.sort_unstable();
--- a/lib/src/cold/limit.rs
+++ b/lib/src/cold/limit.rs
@@ -1,10 +1,12 @@
 //! The limit of one upstream, and the part of it that one gateway gets.
 
-/// Number of gateways among which the rate of a cold upstream is divided. With fewer, the loss of one
-/// would leave an upstream without calls; with more, the parts would be less than a few calls.
+/// Number of gateways among which the rate of a cold upstream is divided. With one, its loss
+/// would leave an upstream without calls, and with two, that of both; with more than three, the parts
+/// would be less than a few calls.
 const MAX_HOLDERS: usize = 3;
 
-/// Highest rate that counts as a limit, per second. It bounds the times that a gateway keeps.
+/// Highest rate, per second; a higher one is reduced to it. It bounds the number of send times that a
+/// gateway keeps for each upstream.
 const MAX_RATE: f64 = 1_000.0;
 
 /// By how much the rate of a service may be exceeded, the same for all services.
--- a/lib/src/fleet/cold_upstreams.rs
+++ b/lib/src/fleet/cold_upstreams.rs
@@ -163,9 +163,9 @@
         Some(next.saturating_sub(now)).filter(|wait| !wait.is_zero())
     }
 
-    /// Returns the times until `end` at which eligible upstreams of a service may be called, the earliest
-    /// first: one for each call to a cold one, and one for each call of its quota to one that becomes
-    /// warm.
+    /// Returns the times until `end` at which eligible upstreams of a service may be called, the
+    /// earliest first: one for each call that the quota of this gateway allows to a cold one, and from
+    /// when one is warm, as many as it takes per second while it is cold.
     pub fn call_times(
         &self,
         now: time::Duration,
@@ -204,8 +204,9 @@
         quota.is_none_or(|quota| 2 * self.sent_lately(now, instance) < quota)
     }
 
-    /// Records a call or message at the moment at which it is sent to an upstream.
-    pub fn record_message(&mut self, now: time::Duration, instance: &id::InstanceId) {
+    /// Counts a call or message against the limit for cold upstreams, at the moment at which it is
+    /// sent.
+    pub fn record_limited_send(&mut self, now: time::Duration, instance: &id::InstanceId) {
         let Some(upstream) = self.upstreams.get(instance) else { return };
         if let Some(terms) = self.cold_terms.get(&upstream.entry.service) {
             self.limiter.record_sent(now, instance, &terms.limit);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -415,7 +415,7 @@
                 effects,
             );
         }
-        self.make_moves(effects);
+        self.make_postponed_calls(effects);
         self.probe_holders(effects);
         self.free_unneeded_results(effects);
         self.record_sound_calls();
--- a/lib/src/gateway/batches.rs
+++ b/lib/src/gateway/batches.rs
@@ -77,7 +77,7 @@
         let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
         let (slowness, pace) = (upstream.slowness(now), upstream.pace(now));
         self.fleet.record_sent(&next.instance, 0);
-        self.fleet.record_message(now, &next.instance);
+        self.fleet.record_limited_send(now, &next.instance);
         let timeout = next.expected_time.mul_f64(2.0 * slowness.max(1.0)) + MAX_QUEUE_TIME;
         let line = telemetry::Line::new("batch")
             .with("batch", id)
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -53,7 +53,7 @@
     /// no time is left.
     pub(super) fn call_upstream(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
         use refusal::Kind;
-        if self.must_wait(id) {
+        if self.postpone_call(id) {
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
@@ -145,7 +145,7 @@
             .with("cold_sent", self.fleet.sent_lately(self.now.mono, &choice.instance));
         effects.push(gateway::Effect::Log(line));
         self.cold_waits.remove(&id);
-        self.fleet.record_message(self.now.mono, &choice.instance);
+        self.fleet.record_limited_send(self.now.mono, &choice.instance);
         self.placement.record(self.now.mono, &choice.instance, &request.prompt_parts);
         self.fleet.record_sent(&choice.instance, choice.tokens);
         let state = PendingCall {
--- a/lib/src/gateway/cold_calls.rs
+++ b/lib/src/gateway/cold_calls.rs
@@ -17,8 +17,8 @@
 use crate::table;
 use crate::telemetry;
 
-/// Longest time that a request waits for its turn. A quota renews itself within a second, so that
-/// half of one is spread over this time.
+/// Longest time that a request waits for its turn. A quota renews itself within about a second, so
+/// somewhat less than half of it becomes free in this time.
 const MAX_WAIT: time::Duration = time::Duration::from_millis(400);
 /// Time over which the retries of refused callers are spread: that in which quotas renew themselves.
 const RETRY_SPREAD: time::Duration = time::Duration::from_secs(1);
--- a/lib/src/gateway/groups.rs
+++ b/lib/src/gateway/groups.rs
@@ -432,7 +432,7 @@
                 self.unneeded_results.insert(instance, handles);
             } else {
                 let address = upstream_address;
-                self.fleet.record_message(self.now.mono, &instance);
+                self.fleet.record_limited_send(self.now.mono, &instance);
                 effects.push(gateway::Effect::FreeResults { process, address, handles });
             }
         }
@@ -455,7 +455,7 @@
             self.unneeded_results.entry(instance).or_default().extend(handles);
             return;
         }
-        self.fleet.record_message(now, &instance);
+        self.fleet.record_limited_send(now, &instance);
         effects.push(gateway::Effect::FreeResults { process, address, handles });
     }
 
--- a/lib/src/gateway/moves.rs
+++ b/lib/src/gateway/moves.rs
@@ -9,7 +9,7 @@
 use crate::table;
 
 /// Time after the connection to an upstream was closed in which the upstream ends its work on a
-/// request: within this time two upstreams may work on the same request (rule TWICE).
+/// request: within this time two upstreams may work on the same request.
 const END_TIME: time::Duration = time::Duration::from_millis(400);
 
 impl gateway::Gateway {
@@ -24,8 +24,9 @@
         }
     }
 
-    /// Returns whether the next call of a request has to wait, and notes it for a later tick if so.
-    pub(super) fn must_wait(&mut self, id: id::RequestId) -> bool {
+    /// Notes the next call of a request for a later tick if its time has not come, and returns whether
+    /// that is so.
+    pub(super) fn postpone_call(&mut self, id: id::RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let must_wait = request.next_call > self.now.mono;
         if must_wait {
@@ -35,7 +36,7 @@
     }
 
     /// Makes the calls whose time has come.
-    pub(super) fn make_moves(&mut self, effects: &mut Vec<gateway::Effect>) {
+    pub(super) fn make_postponed_calls(&mut self, effects: &mut Vec<gateway::Effect>) {
         while let Some((at, id)) = self.moves.first().copied()
             && at <= self.now.mono
         {
--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -45,7 +45,7 @@
 pub const MAX_STREAMS: u32 = 4_096;
 /// The same on the connection of a caller.
 const CALLER_STREAMS: u32 = 256;
-/// Largest number of connections of one listener; further ones are closed at once.
+/// Largest number of connections of a listener whose limits do not follow from a memory budget.
 pub const MAX_CONNECTIONS: usize = 8_192;
 
 /// Answers the requests of a server.
@@ -251,7 +251,8 @@
     let headers = request.headers().iter();
     let size = |name: &str, value: &hyper::header::HeaderValue| name.len() + value.len();
     let bytes: usize = headers.map(|(name, value)| size(name.as_str(), value) + HEADER_BYTES).sum();
-    bytes + request.uri().path().len()
+    let target = request.uri().path_and_query().map_or("", |target| target.as_str());
+    bytes + target.len()
 }
 
 async fn serve_connection<H: Handler>(
--- a/lib/src/memory_budget.rs
+++ b/lib/src/memory_budget.rs
@@ -3,8 +3,8 @@
 //! One budget, derived from the capacity of the instance, covers bodies that are being received, bodies
 //! and answers that are kept, and answers that slow callers have not read yet. [`ledger`] decides who gets
 //! memory and whose body is evicted, and [`connections`] which connection is closed for a new one; both
-//! are pure. This module keeps the buffers and carries the decisions out. It may import only
-//! [`crate::gateway_settings`] and the standard tools; the HTTP modules and the shells import it.
+//! are pure. This module keeps the buffers and carries the decisions out. Of the other
+//! modules of this crate, it imports only [`crate::gateway_settings`].
 //!
 //! Bytes that were received are returned as [`bytes::Bytes`] whose share of the budget ends with the last
 //! reference to them, so that no path can forget to give it back.
@@ -67,7 +67,8 @@
 struct Inner {
     ledger: ledger::Ledger,
     holders: collections::BTreeMap<ledger::HolderId, Slot>,
-    /// When a line was last logged, and the bodies refused and evicted since then.
+    /// When a line was last logged, and the requests for memory refused and the bodies evicted since
+    /// then. A holder that asks again is counted again.
     logged: Option<time::Instant>,
     refused: u64,
     evicted: u64,
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -35,7 +35,7 @@
 /// Time after the start of a gateway in which crashes say less, as it does not know yet which parts
 /// are sound.
 const START_MARGIN: time::Duration = time::Duration::from_millis(1_200);
-/// Time for which a part is held back, and for which crashes count.
+/// Time for which a suspect is held back, and for which crashes count.
 const HOLD_TIME: time::Duration = time::Duration::from_mins(10);
 /// Time for which crashes are remembered, so that late reports do not count them again.
 const CRASH_MEMORY: time::Duration = time::Duration::from_mins(30);
@@ -254,8 +254,9 @@
     ) {
         if let Some(hold) = self.held.get_mut(&held.part) {
             hold.is_probed |= held.is_probed;
-            // What an earlier process of this gateway reported stands until this one reports anew. It
-            // would outlast the release of the suspect if this gateway did not report the hold.
+            // The report of an earlier process of this gateway stays in the store until this process
+            // writes one. So this gateway has to report the hold too, as others would otherwise read
+            // the old report after the release.
             hold.is_reported |= is_own;
             return;
         }
@@ -329,7 +330,8 @@
         self.released.retain(|_, at| now.saturating_sub(*at) < RELEASE_MEMORY);
     }
 
-    /// Returns which suspects the settled crashes speak against most.
+    /// Returns the suspects to hold back next according to the settled crashes; `None` if none reaches
+    /// its limit.
     fn judge(&self, now: time::Duration) -> Option<suspicion::Verdict> {
         suspicion::judge(&self.evidence(now), |suspect| self.sound.contains_key(&suspect))
     }
--- a/lib/src/quarantine/suspects.rs
+++ b/lib/src/quarantine/suspects.rs
@@ -35,7 +35,7 @@
     /// Returns the ids of the parts that other prompts may share, and that of the request.
     pub(super) fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
         let parts = placement::shared_parts(self.parts).map(|part| part.id & !REQUEST_BIT);
-        // Requests without a prompt are none of an engine's.
+        // A request without a prompt does not run on an engine.
         let content = self.content.filter(|_| !self.parts.is_empty());
         parts.chain(content.map(request_suspect))
     }
--- a/lib/src/quarantine/suspicion.rs
+++ b/lib/src/quarantine/suspicion.rs
@@ -1,12 +1,12 @@
 //! Decides from crashes which suspects are held back next.
 //!
 //! Load pattern: a request or prompt part crashes engines while others wait at the same engines, and
-//! engines crash by themselves in between. Some suspects stand at several crashes by chance.
+//! engines crash by themselves in between. Some suspects are present at several crashes by chance.
 //!
 //! Requests and parts are weighed in the same way. The strength of a suspect is the number of crashes
-//! that it may have caused. A held suspect explains a crash at which it stood, and so takes the
-//! evidence of the others, but only of those that are no stronger than itself. One that stood at
-//! all of these crashes and at further ones is the likelier cause, and the hold was a mistake.
+//! that it may have caused. A crash at which a held suspect was present is explained by it, and does
+//! not count against suspects that are no stronger. One that was present at all of these crashes
+//! and at further ones is the likelier cause, and the hold was a mistake.
 
 use std::collections;
 
@@ -106,11 +106,11 @@
 
 /// Counts the crashes of each suspect.
 ///
-/// For a part, those count at which nothing held stood, and with one of these also those at which
-/// only weaker suspects are held. A held request explains a crash for all parts that were sound
-/// before, however strong: sound requests share them, so they often wait at the same engines. For a
-/// request, all count: few sound requests stand at several crashes, and its hold refuses no other
-/// request.
+/// For a request, all its crashes count: few sound requests are present at several crashes, and
+/// holding one refuses no other request. For a part, the crashes count at which no held suspect was
+/// present. If there is at least one, those also count at which all held suspects are weaker than the
+/// part; but if a held request was present, only for parts that never were in a sound answer, as
+/// sound requests share them and often wait at the same engines.
 fn count_crashes(evidence: &[Evidence], was_sound: impl Fn(u64) -> bool) -> Counts {
     let mut strengths = Counts::new();
     let mut counts = Counts::new();
--- a/lib/src/shedding/arrival.rs
+++ b/lib/src/shedding/arrival.rs
@@ -1,8 +1,8 @@
 //! Decides which requests are admitted if requests are shed by loss.
 //!
 //! Load pattern: during a burst, the estimate of most requests is a little above what is on time.
-//! Admitted behind all requests that can be on time, they waited until their deadline, because such
-//! requests kept arriving. So a late request is admitted only if its estimate, which includes what
+//! If they were admitted behind all requests that can be on time, they would wait until their
+//! deadline, because such requests keep arriving. So a late request is admitted only if its estimate, which includes what
 //! others will take until then, leaves time; and it keeps its due time, by which the pools decide
 //! again which requests yield.
 
--- a/lib/src/shedding/plan.rs
+++ b/lib/src/shedding/plan.rs
@@ -34,7 +34,8 @@
     pub pool_time: time::Duration,
     /// Work that its request still needs at the bottleneck of its route.
     pub work: time::Duration,
-    /// Whether it yields to no other group, because its kind is served too rarely.
+    /// Whether it yields only after all groups that are not raised, because its kind is served too
+    /// rarely.
     pub is_raised: bool,
 }
 
@@ -103,7 +104,7 @@
             places[index] = Place::Yielding(0);
             continue;
         }
-        taken.push(Taken { loss_per_work: density(now, job), index });
+        taken.push(Taken { loss_per_work: loss_per_work_now(now, job), index });
         queued += job.pool_time;
         let must_yield = |queued: time::Duration| {
             now + queued.saturating_sub(job.pool_time) + job.run_time > job.due
@@ -132,7 +133,7 @@
 ) {
     let mut yielding: Vec<usize> =
         (0..jobs.len()).filter(|index| places[*index] == Place::Yielding(0)).collect();
-    let key = |index: &usize| (density(now, &jobs[*index]), jobs[*index].order);
+    let key = |index: &usize| (loss_per_work_now(now, &jobs[*index]), jobs[*index].order);
     yielding.sort_by(|a, b| {
         let (a, b) = (key(a), key(b));
         b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
@@ -161,7 +162,7 @@
 }
 
 /// Returns the loss per unit of work of a group if it started now.
-fn density(now: time::Duration, job: &Job) -> f64 {
+fn loss_per_work_now(now: time::Duration, job: &Job) -> f64 {
     if job.is_raised {
         return f64::INFINITY;
     }
--- a/lib/tests/test_cold.rs
+++ b/lib/tests/test_cold.rs
@@ -382,7 +382,7 @@
                         fleet.get(&instance).is_some() && fleet.may_send(now, &instance)
                     });
                 if let Some(engine) = engine {
-                    fleet.record_message(now, &name(&format!("e{engine}")));
+                    fleet.record_limited_send(now, &name(&format!("e{engine}")));
                     let is_cold = is_gone(&engine) && now < ms(13_000);
                     if is_cold {
                         arrivals.entry(engine).or_default().0.push(now);
@@ -419,7 +419,7 @@
             for (engine, calls) in calls.iter_mut().enumerate() {
                 let instance = name(&format!("e{engine}"));
                 if fleet.may_send(now, &instance) {
-                    fleet.record_message(now, &instance);
+                    fleet.record_limited_send(now, &instance);
                     if now >= ms(5_000) && now < ms(8_000) {
                         calls.0.push(now);
                     }
