regions, sockets: two checks that stood twice

The test whether a restriction allows an upstream's region stood in may_answer and in the plan of requests that wait for quota, and the reset of a socket on close in both socket wrappers. One function each now; behaviour is as before.

--- a/lib/src/caller_socket.rs
+++ b/lib/src/caller_socket.rs
@@ -11,6 +11,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite};
 
+use crate::http;
 use crate::memory_budget;
 use crate::server_connection;
 
@@ -153,9 +154,7 @@
 impl Drop for CallerSocket {
     fn drop(&mut self) {
         if self.unframed.is_set() && !self.is_shut_down {
-            // Without a linger time, the socket is reset. It fails only for a socket that is
-            // already closed.
-            let _ = socket2::SockRef::from(&self.stream).set_linger(Some(time::Duration::ZERO));
+            http::reset_on_close(&self.stream);
         }
     }
 }
--- a/lib/src/gateway/cold_calls.rs
+++ b/lib/src/gateway/cold_calls.rs
@@ -133,10 +133,7 @@
         let now = self.now.mono;
         let waiting = self.waiting_for(service, bound);
         let horizon = now + MAX_WAIT + RETRY_SPREAD;
-        let is_eligible = |up: &fleet::Upstream| {
-            let region = self.fleet.region(&up.entry.domain);
-            !bound.is_restricted() || region.is_some_and(|region| bound.allows(region))
-        };
+        let is_eligible = |up: &fleet::Upstream| self.allows_upstream(bound, up);
         let call_times = self.fleet.call_times(now, service, horizon, is_eligible);
         let plan = cold::plan(&waiting, &call_times);
         // Without quota here, another gateway that the caller reaches may have some.
--- a/lib/src/gateway/regions.rs
+++ b/lib/src/gateway/regions.rs
@@ -113,11 +113,16 @@
     /// Returns whether an upstream of its service may answer a request. A restricted request that
     /// has stages is answered in their region.
     pub(super) fn may_answer(&self, request: &request::Request, up: &fleet::Upstream) -> bool {
-        if !request.bound.is_restricted() {
-            return true;
-        }
-        let Some(region) = self.fleet.region(&up.entry.domain) else { return false };
-        request.bound.allows(region) && (request.stages.is_empty() || *region == request.region)
+        let is_own_region = || self.fleet.region(&up.entry.domain) == Some(&request.region);
+        let may_leave = !request.bound.is_restricted() || request.stages.is_empty();
+        self.allows_upstream(&request.bound, up) && (may_leave || is_own_region())
+    }
+
+    /// Returns whether a restriction allows the region of an upstream. Without a restriction any
+    /// upstream is allowed, also one in a failure domain without a region.
+    pub(super) fn allows_upstream(&self, bound: &table::RegionBound, up: &fleet::Upstream) -> bool {
+        let region = self.fleet.region(&up.entry.domain);
+        !bound.is_restricted() || region.is_some_and(|region| bound.allows(region))
     }
 
     /// Returns how long all upstreams that may answer a request want no calls; `None` if one takes
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -389,6 +389,12 @@
     respond(status, "application/json", value.to_string())
 }
 
+/// Lets a socket be reset when it is closed, by taking its linger time away.
+pub fn reset_on_close(stream: &tokio::net::TcpStream) {
+    // Fails only for a socket that is already closed.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
+}
+
 /// Listens on an address.
 ///
 /// # Errors
--- a/lib/src/upstream_pool/socket.rs
+++ b/lib/src/upstream_pool/socket.rs
@@ -8,10 +8,11 @@
 use std::sync;
 use std::sync::atomic;
 use std::task;
-use std::time;
 
 use tokio::io::{AsyncRead, AsyncWrite};
 
+use crate::http;
+
 /// Whether a connection carries a request; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct InUse(sync::Arc<atomic::AtomicBool>);
@@ -48,9 +49,7 @@
 impl Drop for UpstreamSocket {
     fn drop(&mut self) {
         if self.in_use.is_set() {
-            // Without a linger time, the socket is reset. It fails only for a socket that is
-            // already closed.
-            let _ = socket2::SockRef::from(&self.stream).set_linger(Some(time::Duration::ZERO));
+            http::reset_on_close(&self.stream);
         }
     }
 }
