gateway: the log tells streams that break off from refusals

Cause: a stream that had begun and could not go on was logged as refused, with a kind and "ran", although its caller got no refusal but a stream without its end. Change: the line "cut" with the kind, the last event and the time left, and the metric gateway_cut_streams_total.

--- a/cli/tests/test_gateway_lines.rs
+++ b/cli/tests/test_gateway_lines.rs
@@ -126,6 +126,12 @@
     assert_eq!(field(&lines, "call_ended", "upstream"), upstream);
     assert_eq!(field(&lines, "call_ended", "outcome").as_deref(), Some("broken"));
     assert!(lines.iter().any(|line| line.contains("last: Some(2)")), "{lines:?}");
+    // The caller got no refusal, but a stream without its end.
+    let lines = wait_for_lines(&system, "stream-1", "cut").await;
+    assert_eq!(field(&lines, "cut", "kind").as_deref(), Some("upstream_broken"), "{lines:?}");
+    assert_eq!(field(&lines, "cut", "events").as_deref(), Some("2"), "{lines:?}");
+    assert!(!lines.iter().any(|line| line.contains("event=refuse ")), "{lines:?}");
+    assert!(has_metric(&system, 0, "gateway_cut_streams_total{kind=\"upstream_broken\"}").await);
 }
 
 #[tokio::test]
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -452,8 +452,10 @@
         let ran = if request.may_have_run { refusal::Ran::Unknown } else { refusal::Ran::No };
         let refusal = refusal::Refusal::new(kind, ran, message);
         let retry_after = delay.into().filter(|_| ran == refusal::Ran::No);
-        log_refusal(&request.external_id, &refusal, retry_after, effects);
-        if !request.has_started {
+        if request.has_started {
+            log_cut(self.now.mono, request, &refusal, effects);
+        } else {
+            log_refusal(&request.external_id, &refusal, retry_after, effects);
             effects.push(Effect::Refuse { request: id, refusal, retry_after });
         }
         self.drop_request(id, effects);
@@ -498,6 +500,24 @@
     }
 }
 
+/// Counts and logs a stream that has begun and breaks off, as it cannot be refused any more.
+fn log_cut(
+    now: time::Duration,
+    request: &request::Request,
+    refusal: &refusal::Refusal,
+    effects: &mut Vec<Effect>,
+) {
+    metrics::counter!("gateway_cut_streams_total", "kind" => refusal.kind.to_string()).increment(1);
+    let line = telemetry::Line::new("cut")
+        .with("request", &request.external_id)
+        .with("kind", refusal.kind)
+        .with("message", &refusal.message)
+        .with("events", request.last_event.unwrap_or_default())
+        .with("after_ms", now.saturating_sub(request.arrived).as_millis())
+        .with("left_ms", request.deadline.saturating_sub(now).as_millis());
+    effects.push(Effect::Log(line));
+}
+
 /// Counts and logs a refusal.
 fn log_refusal(
     external_id: &str,
--- /dev/null
+++ b/lib/src/gateway/silence.rs
@@ -0,0 +1,234 @@
+//! Calls that fall silent, and whether another upstream takes over.
+//!
+//! Load pattern: an upstream, or all of a pool, pauses for a second or so in the middle of many answers and
+//! goes on. A call is ended only once its request can go on elsewhere: another upstream is free and not
+//! silent, a retry is left, and results of stages that the next call needs have been computed again.
+//! Otherwise the call is waited for. An answer that has begun cannot be refused any more, so it waits for
+//! its next call as long as its caller does.
+//!
+//! Part of the reducer of a gateway; only its other parts import this module.
+
+use std::time;
+
+use crate::fleet;
+use crate::gateway;
+use crate::gateway::calls;
+use crate::gateway::moves;
+use crate::gateway::request;
+use crate::id;
+use crate::refusal;
+use crate::table;
+use crate::telemetry;
+
+/// Time without an event after which a stream counts as silent.
+const EVENT_PATIENCE: time::Duration = time::Duration::from_millis(900);
+/// Time without a first event after which a stream counts as silent.
+const FIRST_EVENT_PATIENCE: time::Duration = time::Duration::from_millis(2_500);
+/// Pause before an answer that has begun is tried again to go on.
+const CONTINUE_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// How a call is doing that makes no progress.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Progress {
+    /// It makes progress, or has not been sent for long.
+    #[default]
+    Usual,
+    /// It makes none, and may be ended once its request can go on elsewhere.
+    Silent,
+    /// It makes none, and is waited for: what another call would need cannot be had.
+    Kept,
+    /// It was told to end, and the retry that the next call needs was taken from the budget.
+    Ending,
+}
+
+impl Progress {
+    fn is_silent(self) -> bool {
+        self != Self::Usual
+    }
+}
+
+/// Returns how long a call for a request may make no progress before it counts as silent.
+pub(super) fn patience(request: &request::Request, budget: time::Duration) -> gateway::Patience {
+    let start = match request.route.kind {
+        table::RequestKind::Idempotent => request.route.target,
+        table::RequestKind::Resumable | table::RequestKind::Stream => FIRST_EVENT_PATIENCE,
+        table::RequestKind::Once => budget,
+    };
+    gateway::Patience { start: start.min(budget), gap: EVENT_PATIENCE }
+}
+
+impl gateway::Gateway {
+    /// Handles the report that a call makes no progress.
+    pub(super) fn call_silent(&mut self, id: gateway::CallId, effects: &mut Vec<gateway::Effect>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let (request, instance) = (call.request, call.instance.clone());
+        if call.progress == Progress::Usual {
+            call.progress = Progress::Silent;
+            let line = telemetry::Line::new("call_silent")
+                .with("request", self.external_id(request))
+                .with("call", id)
+                .with("upstream", &instance);
+            effects.push(gateway::Effect::Log(line));
+            self.fleet.record_silent(&instance);
+        }
+        self.consider_move(request, effects);
+    }
+
+    /// Handles the report that a silent call makes progress again.
+    pub(super) fn call_resumed(&mut self, id: gateway::CallId, effects: &mut Vec<gateway::Effect>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if !call.progress.is_silent() || call.progress == Progress::Ending {
+            return;
+        }
+        call.progress = Progress::Usual;
+        let (request, instance) = (call.request, call.instance.clone());
+        let line = telemetry::Line::new("call_resumed")
+            .with("request", self.external_id(request))
+            .with("call", id)
+            .with("upstream", &instance);
+        effects.push(gateway::Effect::Log(line));
+        self.fleet.record_resumed(&instance);
+        self.drop_recomputed(request, effects);
+    }
+
+    /// Removes a call that has ended or is cancelled.
+    pub(super) fn remove_call(&mut self, id: gateway::CallId) -> Option<calls::PendingCall> {
+        let call = self.calls.remove(&id)?;
+        self.fleet.record_ended(&call.instance, call.tokens);
+        if call.progress.is_silent() {
+            self.fleet.record_resumed(&call.instance);
+        }
+        Some(call)
+    }
+
+    /// Ends the silent call of a request if the request can go on elsewhere. If that takes results of
+    /// stages that were freed, they are computed again first.
+    pub(super) fn consider_move(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(call) = request.call else { return };
+        let is_silent = |call: &calls::PendingCall| call.progress == Progress::Silent;
+        if !self.calls.get(&call).is_some_and(is_silent) || !self.can_move(request) {
+            return;
+        }
+        if request.has_freed_results() {
+            self.recompute_final_stages(id, effects);
+            self.advance(id, effects);
+            return;
+        }
+        let service = request.service.clone();
+        if !request.are_stages_done() || !self.withdraw_retry(&service) {
+            return;
+        }
+        if let Some(call) = self.calls.get_mut(&call) {
+            call.progress = Progress::Ending;
+        }
+        effects.push(gateway::Effect::EndCall(call));
+    }
+
+    /// Returns whether a request with a call in flight could be sent to another upstream now.
+    fn can_move(&self, request: &request::Request) -> bool {
+        let earliest = self.now.mono + moves::END_TIME + calls::MIN_BUDGET;
+        earliest < request.deadline
+            && may_run_again(request)
+            && request.call_count < calls::MAX_CALLS
+            && !self.is_suspect(request)
+            && !self.is_held(request)
+            && self.has_valid_credential(request)
+            && self.may_stay(request)
+            && self.has_sound_alternative(request)
+    }
+
+    /// Returns whether an upstream is free that was not tried for a request and is not silent itself.
+    fn has_sound_alternative(&self, request: &request::Request) -> bool {
+        let now = self.now.mono;
+        let is_sound = |(instance, up): (&id::InstanceId, &fleet::Upstream)| {
+            !request.tried.contains(instance)
+                && up.is_usable(now)
+                && !up.is_silent()
+                && self.may_answer(request, up)
+                && self.fleet.may_send(now, instance)
+        };
+        self.fleet.service_upstreams(&request.service).any(is_sound)
+    }
+
+    /// Stops to compute stages again for a request whose call is in flight, and waits for the call.
+    /// Returns whether the request has such a call.
+    pub(super) fn keep_call(
+        &mut self,
+        id: id::RequestId,
+        effects: &mut Vec<gateway::Effect>,
+    ) -> bool {
+        let Some(call) = self.requests.get(&id).and_then(|request| request.call) else {
+            return false;
+        };
+        if let Some(call) = self.calls.get_mut(&call)
+            && call.progress == Progress::Silent
+        {
+            call.progress = Progress::Kept;
+        }
+        self.drop_recomputed(id, effects);
+        true
+    }
+
+    /// Drops the stages that are computed again for a request whose call has begun its answer, as that
+    /// call has read the results that it needs.
+    fn drop_recomputed(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let call = request.call.and_then(|call| self.calls.get(&call));
+        if call.is_none_or(|call| call.begun_at.is_none()) {
+            return;
+        }
+        let request = request.clone();
+        self.drop_groups(&request, effects);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        for result in request.free_all() {
+            self.free_result(result);
+        }
+    }
+
+    /// Ends a request that gets no call at present, unless its answer has begun: then it is tried again
+    /// a little later, until its time is over.
+    pub(super) fn refuse_call(
+        &mut self,
+        id: id::RequestId,
+        kind: refusal::Kind,
+        message: &str,
+        delay: impl Into<Option<time::Duration>>,
+        effects: &mut Vec<gateway::Effect>,
+    ) {
+        if !self.continue_later(id) {
+            self.refuse_for(id, kind, message, delay, effects);
+        }
+    }
+
+    /// Schedules another try to continue an answer that has begun. Returns whether there is one.
+    fn continue_later(&mut self, id: id::RequestId) -> bool {
+        let next_call = self.now.mono + CONTINUE_PAUSE;
+        let can_wait = |request: &&mut request::Request| {
+            request.has_started && may_run_again(request) && next_call < request.deadline
+        };
+        let Some(request) = self.requests.get_mut(&id).filter(can_wait) else { return false };
+        request.next_call = request.next_call.max(next_call);
+        self.moves.insert((request.next_call, id));
+        true
+    }
+
+    /// The same for one that needs a retry, of which none is left at present.
+    pub(super) fn await_retry(&mut self, id: id::RequestId) -> bool {
+        let is_scheduled = self.continue_later(id);
+        if let Some(request) = self.requests.get_mut(&id).filter(|_| is_scheduled) {
+            request.awaits_retry = true;
+        }
+        is_scheduled
+    }
+
+    /// Returns the id that the caller of a request gave it, for logs.
+    fn external_id(&self, id: id::RequestId) -> &str {
+        self.requests.get(&id).map_or("", |request| &request.external_id)
+    }
+}
+
+/// Returns whether a request may run once more, as far as its route is concerned.
+pub(super) fn may_run_again(request: &request::Request) -> bool {
+    request.route.kind.is_repeatable() && request.possible_runs < request.route.max_attempts
+}
