gateway: a silent call ends only if its request can go on elsewhere

What callers saw (LOST): when sound upstreams sent nothing for a second and went on, streams ended without their last event, and requests that had not begun got 502. As each silent call ended at the same moment, ten of them took the ten retries that the budget holds, and the others were lost. Cause: a call that made no progress for a while (0.9 s between events, 2.5 s before the first one, the target time of an idempotent request) was ended first; only then the gateway looked for a retry, another upstream, a connection to it, and stages computed again. The class: work is given up on a guess before a better place for it is sure. Change: a call without progress reports that it is silent and goes on. The reducer ends it only if the route allows another run, a retry is left, the credential holds, the time suffices, and an upstream that is not silent itself has a connection for it besides those of other requests that move. If stages have to be computed again, this comes first, and if they cannot be, the call stays.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -109,6 +109,8 @@
     pub tier: routing::Tier,
     /// Number of calls of this gateway in flight.
     pub in_flight: u32,
+    /// Number of these that make no progress.
+    silent_calls: u32,
     /// Prompt tokens of calls in flight whose answer has not begun; 0 for upstreams without an
     /// engine.
     pub unread_tokens: u64,
@@ -153,6 +155,7 @@
             entry,
             tier,
             in_flight: 0,
+            silent_calls: 0,
             unread_tokens: 0,
             health: outlier::Health::default(),
             cold: cold::Phase::default(),
@@ -253,6 +256,11 @@
         (self.reported_load.running + self.reported_load.waiting).saturating_sub(self.in_flight)
     }
 
+    /// Returns whether calls of this gateway to it make no progress.
+    pub fn is_silent(&self) -> bool {
+        self.silent_calls > 0
+    }
+
     /// Returns whether it wants no calls at all at the moment.
     pub fn is_paused(&self, now: time::Duration) -> bool {
         now < self.pause_end
@@ -572,6 +580,20 @@
         }
     }
 
+    /// Records that a call makes no progress.
+    pub fn record_silent(&mut self, instance: &id::InstanceId) {
+        if let Some(up) = self.upstreams.get_mut(instance) {
+            up.silent_calls += 1;
+        }
+    }
+
+    /// Records that a call that made no progress does so again, or has ended.
+    pub fn record_resumed(&mut self, instance: &id::InstanceId) {
+        if let Some(up) = self.upstreams.get_mut(instance) {
+            up.silent_calls = up.silent_calls.saturating_sub(1);
+        }
+    }
+
     /// Records a successful call. `ratio` is its observed time relative to the expected time, or
     /// `None` if it says nothing about the upstream's speed.
     pub fn record_success(
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -20,11 +20,12 @@
 mod regions;
 mod request;
 mod shed;
+mod silence;
 mod stages;
 
 pub use messages::{
     Arrival, BatchCall, BatchItem, BatchOutcome, BreakCause, CallId, Effect, Event, Handle,
-    HandoverId, Outcome, PieceInput, PieceOutcome, RequestCall,
+    HandoverId, Outcome, Patience, PieceInput, PieceOutcome, RequestCall,
 };
 
 use std::collections;
@@ -212,6 +213,8 @@
             }
             Event::CallerGone(request) => self.caller_gone(request, effects),
             Event::AnswerStarted(call) => self.answer_started(call, effects),
+            Event::CallSilent(call) => self.call_silent(call, effects),
+            Event::CallResumed(call) => self.call_resumed(call, effects),
             Event::CallEnded { call, outcome, load } => {
                 self.call_ended(call, outcome, load, effects);
             }
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -7,21 +7,21 @@
 use crate::gateway;
 use crate::gateway::holds;
 use crate::gateway::request;
+use crate::gateway::silence;
 use crate::id;
 use crate::placement;
 use crate::quarantine;
 use crate::refusal;
 use crate::routing;
-use crate::table;
 use crate::telemetry;
 use crate::unit;
 
 /// Why a request is refused while all upstreams of its service have asked for a pause.
 pub(super) const PAUSED_MESSAGE: &str = "all upstreams of the service have asked for a pause";
 /// Maximum number of calls for one request, whether or not they ran it.
-const MAX_CALLS: u32 = 4;
+pub(super) const MAX_CALLS: u32 = 4;
 /// Minimum remaining time for which a call is made.
-const MIN_BUDGET: time::Duration = time::Duration::from_millis(20);
+pub(super) const MIN_BUDGET: time::Duration = time::Duration::from_millis(20);
 /// Time without calls to an upstream that rejected one because it was full.
 const FULL_BACKOFF: time::Duration = time::Duration::from_millis(100);
 /// Time that a call to an upstream without an engine nominally takes.
@@ -30,8 +30,6 @@
 const REGION_COST_MS: f64 = 4.0;
 /// Additional cost of an upstream in another region.
 const REMOTE_COST_MS: f64 = 90.0;
-/// Time without a first event after which a resumable stream is tried at another upstream.
-const FIRST_EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
 /// A call in flight that is to answer a request.
 #[derive(Debug)]
@@ -45,7 +43,9 @@
     /// When the first event of its answer arrived; `None` before that.
     pub begun_at: Option<time::Duration>,
     /// Prompt tokens that the upstream has yet to read; 0 for upstreams without an engine.
-    tokens: u64,
+    pub(super) tokens: u64,
+    /// Whether it makes progress.
+    pub(super) progress: silence::Progress,
 }
 
 impl gateway::Gateway {
@@ -111,19 +111,16 @@
         request.tried.insert(choice.instance.clone());
         let budget = request.deadline.saturating_sub(self.now.mono);
         let inputs = request.stage_results(request.route.final_stages());
+        let max_connections = self.table.max_connections(&request.service);
         let request_call = gateway::RequestCall {
             call,
             request: id,
             instance: choice.instance.clone(),
             started_ms,
             address,
-            max_connections: self
-                .table
-                .services
-                .get(&request.service)
-                .map_or(u32::MAX, |service| service.max_connections),
+            max_connections,
             budget,
-            timeout: answer_timeout(request, budget),
+            patience: silence::patience(request, budget),
             team: request.team.clone(),
             inputs: inputs.into_iter().map(|result| result.handle).collect(),
             last_event: request.last_event,
@@ -154,6 +151,7 @@
             sent_at: self.now.mono,
             begun_at: None,
             tokens: choice.tokens,
+            progress: silence::Progress::default(),
         };
         self.calls.insert(call, state);
         effects.push(gateway::Effect::SendRequest(Box::new(request_call)));
@@ -184,9 +182,10 @@
         placement::preferred_engine(&request.prompt_parts, engines).cloned()
     }
 
-    /// Returns the upstreams that may answer a request: those that were not tried and are usable;
-    /// otherwise those that were not tried; otherwise all that accept calls at all. For a generation, they are limited to
-    /// the region of its stages if it has any, and otherwise to the nearest one.
+    /// Returns the upstreams that may answer a request: those that were not tried and are usable, without
+    /// the silent ones if it is sent again; otherwise those that were not tried; otherwise all that accept
+    /// calls at all. For a generation, they are limited to the region of its stages if it has any, and
+    /// otherwise to the nearest one.
     fn candidates(
         &self,
         request: &request::Request,
@@ -199,7 +198,11 @@
         let all: Vec<_> = self.fleet.service_upstreams(&request.service).filter(is_open).collect();
         let is_untried = |up: &&(&id::InstanceId, &fleet::Upstream)| !request.tried.contains(up.0);
         let is_usable = |up: &&(&id::InstanceId, &fleet::Upstream)| up.1.is_usable(now);
-        let subsets: [Vec<_>; 3] = [
+        let is_heard = |up: &&(&id::InstanceId, &fleet::Upstream)| {
+            request.tried.is_empty() || !up.1.is_silent()
+        };
+        let subsets: [Vec<_>; 4] = [
+            all.iter().filter(is_untried).filter(is_usable).filter(is_heard).collect(),
             all.iter().filter(is_untried).filter(is_usable).collect(),
             all.iter().filter(is_untried).collect(),
             all.iter().collect(),
@@ -309,8 +312,7 @@
         load: Option<fleet::Load>,
         effects: &mut Vec<gateway::Effect>,
     ) {
-        let Some(call) = self.calls.remove(&id) else { return };
-        self.fleet.record_ended(&call.instance, call.tokens);
+        let Some(call) = self.remove_call(id) else { return };
         if let Some(load) = load {
             self.fleet.record_load(self.now.mono, &call.instance, load);
         }
@@ -363,7 +365,7 @@
                     self.assume_restarted(&call.instance, effects);
                 }
                 self.delay_move(call.request, cause);
-                self.call_broken(call.request, last, effects);
+                self.call_broken(&call, last, effects);
             }
         }
     }
@@ -386,7 +388,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let service = request.service.clone();
         let is_allowed = request.call_count < MAX_CALLS;
-        if is_allowed && self.retry_budgets.entry(service).or_default().try_withdraw() {
+        if is_allowed && self.withdraw_retry(&service) {
             self.call_upstream(id, effects);
         } else {
             self.refuse(id, refusal::Kind::UpstreamUnreachable, message, effects);
@@ -426,29 +428,39 @@
     /// takes one retry from the budget of the service.
     fn try_spend_retry(&mut self, id: id::RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let is_allowed = request.route.kind.is_repeatable()
-            && request.possible_runs < request.route.max_attempts
-            && request.call_count < MAX_CALLS;
+        let is_allowed = silence::may_run_again(request) && request.call_count < MAX_CALLS;
         let service = request.service.clone();
-        is_allowed && self.retry_budgets.entry(service).or_default().try_withdraw()
+        is_allowed && self.withdraw_retry(&service)
+    }
+
+    /// Takes one retry from the budget of a service; returns false if none is left.
+    pub(super) fn withdraw_retry(&mut self, service: &id::ServiceId) -> bool {
+        self.retry_budgets.entry(service.clone()).or_default().try_withdraw()
+    }
+
+    /// Returns whether a request may have crashed engines, so that it is not sent to another one.
+    pub(super) fn is_suspect(&self, request: &request::Request) -> bool {
+        request.probed_part.is_some() || self.quarantine.is_suspect(request.prompt())
     }
 
     /// Handles a call that broke off: retries the request, or refuses it.
     fn call_broken(
         &mut self,
-        id: id::RequestId,
+        call: &PendingCall,
         last: Option<u64>,
         effects: &mut Vec<gateway::Effect>,
     ) {
+        let id = call.request;
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.last_event = last.or(request.last_event);
-        let is_suspect =
-            request.probed_part.is_some() || self.quarantine.is_suspect(request.prompt());
-        if !is_suspect && self.try_spend_retry(id) {
+        let is_suspect = self.requests.get(&id).is_some_and(|request| self.is_suspect(request));
+        let is_paid = call.progress == silence::Progress::Ending;
+        if !is_suspect && (is_paid || self.try_spend_retry(id)) {
             self.resume(id, effects);
-            return;
+        } else {
+            let message = "the upstream's answer broke off";
+            self.refuse(id, refusal::Kind::UpstreamBroken, message, effects);
         }
-        self.refuse(id, refusal::Kind::UpstreamBroken, "the upstream's answer broke off", effects);
     }
 
     /// Calls an upstream again. Results that the request needs and that were already freed are
@@ -482,22 +494,9 @@
 
     /// Cancels a call in flight, for example because its request was dropped.
     pub(super) fn cancel_call(&mut self, id: gateway::CallId, effects: &mut Vec<gateway::Effect>) {
-        let Some(call) = self.calls.remove(&id) else { return };
-        self.fleet.record_ended(&call.instance, call.tokens);
-        effects.push(gateway::Effect::CancelCall(id));
-    }
-}
-
-/// Returns the time limit until an answer without a stream is complete, or until the first event of
-/// a stream. While another upstream may be tried, it is shorter than the budget.
-fn answer_timeout(request: &request::Request, budget: time::Duration) -> time::Duration {
-    if request.possible_runs >= request.route.max_attempts {
-        return budget;
-    }
-    match request.route.kind {
-        table::RequestKind::Idempotent => request.route.target.min(budget),
-        table::RequestKind::Resumable => FIRST_EVENT_TIMEOUT.min(budget),
-        table::RequestKind::Once | table::RequestKind::Stream => budget,
+        if self.remove_call(id).is_some() {
+            effects.push(gateway::Effect::CancelCall(id));
+        }
     }
 }
 
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -66,6 +66,15 @@
     pub content: Option<u64>,
 }
 
+/// How long a call may make no progress before it counts as silent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Patience {
+    /// Until the head of the answer or, for a stream, until its first event.
+    pub start: time::Duration,
+    /// Between two events of a stream.
+    pub gap: time::Duration,
+}
+
 /// A call to the upstream that is to answer a request.
 #[derive(Clone, Debug)]
 pub struct RequestCall {
@@ -84,8 +93,9 @@
     pub max_connections: u32,
     /// Time until the deadline of the request.
     pub budget: time::Duration,
-    /// Time limit until the answer is complete or, for a stream, until its first event.
-    pub timeout: time::Duration,
+    /// Time without progress after which the call counts as silent: until the head of the answer or, for
+    /// a stream, until its first event and between events. A silent call goes on unless it is told to end.
+    pub patience: Patience,
     /// Team of the caller; `None` if the route needs no credential.
     pub team: Option<id::TeamId>,
     /// Results of stages that the upstream needs.
@@ -248,6 +258,10 @@
     CallerGone(id::RequestId),
     /// The first bytes of a stream were sent to the caller.
     AnswerStarted(CallId),
+    /// A call has made no progress for longer than its patience. It is repeated while that lasts.
+    CallSilent(CallId),
+    /// A silent call makes progress again.
+    CallResumed(CallId),
     /// A call that was to answer a request ended.
     CallEnded {
         /// Call that ended.
@@ -312,6 +326,8 @@
     SendRequest(Box<RequestCall>),
     /// Cancel a call and close its connection.
     CancelCall(CallId),
+    /// Have a silent call end, so that another one can take over. It reports its end.
+    EndCall(CallId),
     /// Send a batch call to an upstream.
     SendBatch(Box<BatchCall>),
     /// Hand a group over to another gateway.
--- a/lib/src/gateway/moves.rs
+++ b/lib/src/gateway/moves.rs
@@ -10,7 +10,7 @@
 
 /// Time after the connection to an upstream was closed in which the upstream ends its work on a
 /// request: within this time two upstreams may work on the same request.
-const END_TIME: time::Duration = time::Duration::from_millis(400);
+pub(super) const END_TIME: time::Duration = time::Duration::from_millis(400);
 
 impl gateway::Gateway {
     /// Delays the next call of a request if its last call broke off and the upstream may still be at
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -189,6 +189,11 @@
         self.stages[stage].iter().all(Piece::is_done)
     }
 
+    /// Returns whether all pieces of all stages were computed, including those whose results were freed.
+    pub fn are_stages_done(&self) -> bool {
+        (0..self.stages.len()).all(|stage| self.is_stage_done(stage))
+    }
+
     /// Returns the stages whose pieces can be started now. A final stage with heavy results waits
     /// until all stages that the final stages depend on have been started, so that its results do
     /// not occupy memory for long.
@@ -270,6 +275,15 @@
         results
     }
 
+    /// Marks all pieces as freed and returns the results that are stored, so that the caller frees them.
+    pub fn free_all(&mut self) -> Vec<StoredResult> {
+        let results = self.all_results();
+        for piece in self.stages.iter_mut().flatten() {
+            *piece = Piece::Freed;
+        }
+        results
+    }
+
     /// Marks the results of a stage as freed and returns them, so that the caller frees them.
     pub fn take_results(&mut self, stage: usize) -> Vec<StoredResult> {
         let results = self.stage_results(std::iter::once(stage));
--- a/lib/src/gateway/shed.rs
+++ b/lib/src/gateway/shed.rs
@@ -57,6 +57,9 @@
         effects.push(gateway::Effect::Log(line));
         match group.owner {
             groups::Owner::Request(request) => {
+                if self.keep_call(request, effects) {
+                    return;
+                }
                 metrics::counter!("gateway_given_up_total").increment(1);
                 let kind = refusal::Kind::Overloaded;
                 self.refuse_for(request, kind, GIVEN_UP_MESSAGE, delay, effects);
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -30,13 +30,13 @@
 
 impl gateway::Gateway {
     /// Starts all stages of a request that are ready, or calls the upstream that answers once all
-    /// stages are done.
+    /// stages are done. While a call is in flight, stages are computed again for the next one.
     pub(super) fn advance(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
         let Some(request) = self.requests.get(&id) else { return };
-        if request.call.is_some() {
-            return;
-        }
-        if !self.may_stay(request) && !self.move_request(id, effects) {
+        let has_call = request.call.is_some();
+        if !self.may_stay(request)
+            && (self.keep_call(id, effects) || !self.move_request(id, effects))
+        {
             return;
         }
         self.free_used_results(id);
@@ -51,7 +51,12 @@
             ready = request.ready_stages();
         }
         let Some(request) = self.requests.get(&id) else { return };
-        if (0..request.stages.len()).all(|stage| request.is_stage_done(stage)) {
+        if !request.are_stages_done() {
+            return;
+        }
+        if has_call {
+            self.consider_move(id, effects);
+        } else {
             self.call_upstream(id, effects);
         }
     }
@@ -145,6 +150,9 @@
             };
         }
         if is_input_gone && request.due < self.now.mono {
+            if self.keep_call(id, effects) {
+                return;
+            }
             let message = "results of a stage were gone before the next one had its turn";
             self.refuse(id, refusal::Kind::DeadlineExceeded, message, effects);
             return;
@@ -229,7 +237,7 @@
     fn count_recomputation(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.recomputations += 1;
-        if request.recomputations > MAX_RECOMPUTATIONS {
+        if request.recomputations > MAX_RECOMPUTATIONS && !self.keep_call(id, effects) {
             self.refuse(id, refusal::Kind::StageFailed, "a stage failed too often", effects);
         }
     }
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -1,11 +1,13 @@
 //! Calls of a gateway to upstreams. They transfer the bytes and report to the event loop how each
 //! call ended.
 
+mod silence;
+
 use std::sync;
 use std::time;
 
 use http_body_util::BodyExt as _;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::cancellation;
 use crate::clock;
@@ -124,14 +126,21 @@
     }
 
     /// Sends a request to an upstream, relays a streamed answer, and reports how the call ended. If the
-    /// caller disconnects, it ends without a report: the event loop gets the cancellation itself.
-    pub async fn call(self, request_call: gateway::RequestCall, original: OriginalRequest) {
+    /// caller disconnects, it ends without a report: the event loop gets the cancellation itself. `end` is
+    /// notified when a silent call has to end.
+    pub async fn call(
+        self,
+        request_call: gateway::RequestCall,
+        original: OriginalRequest,
+        end: sync::Arc<Notify>,
+    ) {
         let call = request_call.call;
         let mut signal = original.signal.clone();
+        let mut watch = silence::Watch::new(&request_call, &self.reports, &end);
         let (outcome, load) = tokio::select! {
             biased;
             () = signal.cancelled() => return,
-            ended = self.try_call(&request_call, &original) => ended,
+            ended = self.try_call(&request_call, &original, &mut watch) => ended,
         };
         self.report(gateway::Event::CallEnded { call, outcome, load }).await;
     }
@@ -140,13 +149,13 @@
         &self,
         request_call: &gateway::RequestCall,
         original: &OriginalRequest,
+        watch: &mut silence::Watch<'_>,
     ) -> CallResult {
         let last = request_call.last_event;
         let broken = |cause| (gateway::Outcome::Broken { last, cause }, None);
-        let started = time::Instant::now();
         let request = self.build_request(request_call, original);
         let sent = self.pool.send(request_call.address, request_call.max_connections, request);
-        let (response, connection) = match http::with_timeout(request_call.timeout, sent).await {
+        let (response, connection) = match watch.wait(sent).await {
             None | Some(Err(upstream_pool::SendError::TimedOut)) => {
                 return broken(gateway::BreakCause::Timeout);
             }
@@ -187,10 +196,10 @@
             original.release_body();
         }
         if request_call.kind.is_stream() && status == 200 {
-            let left = request_call.timeout.saturating_sub(started.elapsed());
-            let outcome = self.relay(request_call, original, response, connection, left).await;
+            let outcome = self.relay(request_call, original, response, connection, watch).await;
             return (outcome, head.load);
         }
+        watch.record_progress().await;
         let (parts, body) = response.into_parts();
         let time_left = request_call.budget;
         let read = http::read_body_within(body, MAX_ANSWER_BYTES, time_left, &self.budget).await;
@@ -242,30 +251,22 @@
         request
     }
 
-    /// Relays a stream to the caller, whole events only. `first_timeout` is the time until the
-    /// first event.
+    /// Relays a stream to the caller, whole events only.
     async fn relay(
         &self,
         request_call: &gateway::RequestCall,
         original: &OriginalRequest,
         response: hyper::Response<hyper::body::Incoming>,
         connection: upstream_pool::PooledConnection,
-        first_timeout: time::Duration,
+        watch: &mut silence::Watch<'_>,
     ) -> gateway::Outcome {
         let mut splitter = event_stream::Splitter::resume_after(request_call.last_event);
         let mut share = self.budget.share(ledger::Purpose::Receiving, None);
         let (parts, mut body) = response.into_parts();
         let mut stream = None;
         let mut pace = StreamPace::default();
-        // Bytes that complete no event are no progress, so only whole events extend the time.
-        let mut event_due = time::Instant::now() + first_timeout;
         let outcome = loop {
-            let timeout = event_due.saturating_duration_since(time::Instant::now());
-            let step = if timeout.is_zero() {
-                StreamStep::Broken(gateway::BreakCause::Timeout)
-            } else {
-                StreamStep::from_frame(http::with_timeout(timeout, body.frame()).await)
-            };
+            let step = StreamStep::from_frame(watch.wait(body.frame()).await);
             let last = splitter.last_id();
             let broken = |cause| gateway::Outcome::Broken { last, cause };
             let data = match step {
@@ -295,7 +296,8 @@
             if !out.send(events).await {
                 break broken(gateway::BreakCause::CallerGone);
             }
-            event_due = time::Instant::now() + gap_timeout(request_call);
+            // Bytes that complete no event are no progress.
+            watch.record_progress().await;
         };
         let now = self.clock.now().mono;
         let (events, took) = pace.measured();
@@ -491,20 +493,6 @@
     }
 }
 
-/// Time without an event after which a resumable stream is continued at another upstream.
-const GAP_TIMEOUT: time::Duration = time::Duration::from_millis(900);
-
-/// Returns the time to wait for the next event of a stream that has begun. A call whose timeout is
-/// below its budget may be continued elsewhere.
-fn gap_timeout(request_call: &gateway::RequestCall) -> time::Duration {
-    match request_call.kind {
-        crate::table::RequestKind::Resumable if request_call.timeout < request_call.budget => {
-            GAP_TIMEOUT
-        }
-        _ => request_call.budget,
-    }
-}
-
 /// Times of the first and the latest event of a stream.
 #[derive(Debug, Default)]
 struct StreamPace {
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -7,7 +7,7 @@
 use std::sync;
 use std::time;
 
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::clock;
 use crate::clock::Clock as _;
@@ -55,6 +55,14 @@
     original: gateway_calls::OriginalRequest,
 }
 
+/// A running call.
+struct CallTask {
+    /// Cancels the call.
+    abort: tokio::task::AbortHandle,
+    /// Has the call end if it is silent.
+    end: sync::Arc<Notify>,
+}
+
 /// Event loop of a gateway with the state that the reducer does not hold.
 struct Shell<D> {
     reducer: gateway::Gateway,
@@ -62,8 +70,8 @@
     client: gateway_calls::UpstreamClient<D>,
     /// Requests that have not been answered whole.
     requests: collections::BTreeMap<id::RequestId, OpenRequest>,
-    /// Tasks of running calls, by which the calls are cancelled.
-    call_tasks: collections::BTreeMap<gateway::CallId, tokio::task::AbortHandle>,
+    /// Tasks of running calls.
+    call_tasks: collections::BTreeMap<gateway::CallId, CallTask>,
     /// Tasks that wait for the outcomes of groups that were handed over to other gateways.
     handover_tasks: collections::BTreeMap<crate::batch::GroupId, tokio::task::AbortHandle>,
     /// Where the outcomes of handovers from other gateways go.
@@ -404,12 +412,19 @@
             gateway::Effect::SendRequest(send) => {
                 let Some(open) = self.requests.get(&send.request) else { return };
                 let call = send.call;
-                let work = self.client.clone().call(*send, open.original.clone());
-                self.call_tasks.insert(call, tokio::spawn(work).abort_handle());
+                let end = sync::Arc::<Notify>::default();
+                let work = self.client.clone().call(*send, open.original.clone(), end.clone());
+                let abort = tokio::spawn(work).abort_handle();
+                self.call_tasks.insert(call, CallTask { abort, end });
             }
             gateway::Effect::CancelCall(call) => {
                 if let Some(task) = self.call_tasks.remove(&call) {
-                    task.abort();
+                    task.abort.abort();
+                }
+            }
+            gateway::Effect::EndCall(call) => {
+                if let Some(task) = self.call_tasks.get(&call) {
+                    task.end.notify_one();
                 }
             }
             gateway::Effect::SendBatch(call) => {
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -279,6 +279,11 @@
 }
 
 impl Table {
+    /// Returns how many connections each upstream of a service accepts from all gateways together.
+    pub fn max_connections(&self, service: &id::ServiceId) -> u32 {
+        self.services.get(service).map_or(u32::MAX, |service| service.max_connections)
+    }
+
     /// Returns the route of a request: the one of its host with the longest matching prefix.
     /// A port in `host` is ignored.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
--- a/lib/src/upstream_pool.rs
+++ b/lib/src/upstream_pool.rs
@@ -158,7 +158,7 @@
         {
             let mut upstreams = self.upstreams();
             let upstream = upstreams.entry(address).or_default();
-            if upstream.open >= (max_connections / CONNECTION_DIVISOR).max(MIN_CONNECTIONS) {
+            if upstream.open >= connection_limit(max_connections) {
                 return None;
             }
             upstream.open += 1;
@@ -195,6 +195,12 @@
     }
 }
 
+/// Returns how many connections a gateway may have to an upstream that accepts so many from all gateways
+/// together.
+pub fn connection_limit(max_connections: u32) -> u32 {
+    (max_connections / CONNECTION_DIVISOR).max(MIN_CONNECTIONS)
+}
+
 /// Sets the socket options of a connection: no delay of small packets, and a time-out by which an
 /// unresponsive peer is detected.
 ///
--- a/lib/tests/shedding_replay/mod.rs
+++ b/lib/tests/shedding_replay/mod.rs
@@ -320,7 +320,10 @@
             Effect::CancelCall(call) => {
                 self.calls.remove(&(index, call.0));
             }
-            Effect::DeliverAnswer(..) | Effect::DropRequest(_) | Effect::Log(_) => {}
+            Effect::EndCall(_)
+            | Effect::DeliverAnswer(..)
+            | Effect::DropRequest(_)
+            | Effect::Log(_) => {}
         }
     }
 
--- /dev/null
+++ b/lib/tests/test_silence.rs
@@ -0,0 +1,186 @@
+//! Tests of calls that fall silent: whether the gateway ends them, and what their requests get.
+
+use std::sync;
+
+use bramleyshelf_lib::{gateway, id, table};
+use bramleyshelf_testutils::values::ms;
+use gateway_harness::{Harness, batch_call, request_call, staged_route, table};
+
+mod gateway_harness;
+
+const BROKEN: gateway::Outcome =
+    gateway::Outcome::Broken { last: Some(3), cause: gateway::BreakCause::Timeout };
+
+/// Returns the call that is told to end, if one is.
+fn ended_call(effects: &[gateway::Effect]) -> Option<gateway::CallId> {
+    effects.iter().find_map(|effect| match effect {
+        gateway::Effect::EndCall(call) => Some(*call),
+        _ => None,
+    })
+}
+
+/// Lets a stream arrive and begin. Returns its call.
+fn begin_stream(harness: &mut Harness, path: &str) -> gateway::RequestCall {
+    let (_, effects) = harness.arrive(path);
+    let call = request_call(&effects).expect("it is sent").clone();
+    harness.step(gateway::Event::AnswerStarted(call.call));
+    call
+}
+
+/// Returns a table in which streams with stages may run twice.
+fn table_with_resumable_stages() -> sync::Arc<table::Table> {
+    let mut table = (*table(6, &["key"])).clone();
+    let staged = staged_route();
+    let kind = table::RequestKind::Resumable;
+    *table.routes.last_mut().expect("the staged route") =
+        sync::Arc::new(table::Route { kind, max_attempts: 2, ..(*staged).clone() });
+    sync::Arc::new(table)
+}
+
+/// Lets a stream with two stages arrive and begin, and says that it is silent. Returns its call and the
+/// effects.
+fn silence_staged_stream(harness: &mut Harness) -> (gateway::CallId, Vec<gateway::Effect>) {
+    harness.apply_table(&table_with_resumable_stages());
+    let (_, effects) = harness.arrive("/guide/1");
+    let effects = harness.complete_batch(&batch_call(&effects).clone());
+    let effects = harness.complete_batch(&batch_call(&effects).clone());
+    let call = request_call(&effects).expect("its stages are done").call;
+    harness.step(gateway::Event::AnswerStarted(call));
+    (call, harness.step(gateway::Event::CallSilent(call)))
+}
+
+#[test]
+fn silent_call_ends_if_another_upstream_has_a_place() {
+    for path in ["/again/1", "/stock/1"] {
+        let mut harness = Harness::new();
+        let (_, effects) = harness.arrive(path);
+        let first = request_call(&effects).expect("it is sent").clone();
+        let effects = harness.step(gateway::Event::CallSilent(first.call));
+        assert_eq!(ended_call(&effects), Some(first.call), "{path}");
+        // The decision is made once.
+        let effects = harness.step(gateway::Event::CallSilent(first.call));
+        assert_eq!(ended_call(&effects), None, "{path}");
+        let mut effects = harness.end_call(first.call, BROKEN);
+        effects.extend(harness.advance(ms(401)));
+        let second = request_call(&effects).expect("it goes on elsewhere");
+        assert_ne!(second.instance, first.instance, "{path}");
+        assert_eq!(second.last_event, Some(3), "{path}");
+    }
+}
+
+/// Guards against answers that end in a silence of their upstream although nobody else can go on with them.
+#[test]
+fn silent_call_is_kept_without_a_place_elsewhere() {
+    type Prepare = fn(&mut Harness, &gateway::RequestCall);
+    let cases: [(&str, Prepare); 5] = [
+        ("no other upstream", |harness, call| {
+            harness.advance(ms(2_100));
+            harness.list_upstreams(&[call.instance.as_str()]);
+        }),
+        ("the other one is silent too", |harness, _| {
+            for _ in 0..4 {
+                let call = begin_stream(harness, "/chat/1").call;
+                harness.step(gateway::Event::CallSilent(call));
+            }
+        }),
+        ("no retry is left", |harness, _| {
+            for _ in 0..11 {
+                let (_, effects) = harness.arrive("/stock/1");
+                let call = request_call(&effects).expect("it is sent").call;
+                let effects = harness.end_call(call, gateway::Outcome::Answered { status: 500 });
+                if let Some(retry) = request_call(&effects) {
+                    let call = retry.call;
+                    harness.end_call(call, gateway::Outcome::Answered { status: 200 });
+                }
+            }
+        }),
+        ("the credential was taken away", |harness, _| harness.apply_table(&table(7, &[]))),
+        ("no time is left", |harness, _| drop(harness.advance(ms(3_600)))),
+    ];
+    for (case, prepare) in cases {
+        let mut harness = Harness::new();
+        let call = begin_stream(&mut harness, "/again/1");
+        prepare(&mut harness, &call);
+        let call = call.call;
+        let before = harness.gateway.request_count();
+        let effects = harness.step(gateway::Event::CallSilent(call));
+        assert!(effects.is_empty(), "{case}: {effects:?}");
+        assert_eq!(harness.gateway.request_count(), before, "{case}");
+        harness.step(gateway::Event::CallResumed(call));
+        harness.end_call(call, gateway::Outcome::Ended);
+        assert_eq!(harness.gateway.request_count(), before - 1, "{case}");
+    }
+}
+
+#[test]
+fn silent_stream_ends_once_its_stages_are_computed_again() {
+    let mut harness = Harness::new();
+    let (call, effects) = silence_staged_stream(&mut harness);
+    assert_eq!(ended_call(&effects), None);
+    let effects = harness.complete_batch(&batch_call(&effects).clone());
+    assert_eq!(ended_call(&effects), None);
+    let effects = harness.complete_batch(&batch_call(&effects).clone());
+    assert_eq!(ended_call(&effects), Some(call));
+    let mut effects = harness.end_call(call, BROKEN);
+    effects.extend(harness.advance(ms(401)));
+    assert_eq!(request_call(&effects).expect("it goes on elsewhere").inputs.len(), 3);
+}
+
+/// Guards against a stream that breaks off because stages cannot be computed again for another upstream.
+#[test]
+fn silent_stream_is_kept_if_its_stages_fail() {
+    let mut harness = Harness::new();
+    let (call, mut effects) = silence_staged_stream(&mut harness);
+    for _ in 0..20 {
+        while let Some(batch) = find_batch(&effects) {
+            effects = harness.end_batch(&batch, gateway::BatchOutcome::Broken);
+        }
+        assert_eq!(ended_call(&effects), None);
+        assert_eq!(harness.gateway.request_count(), 1);
+        effects = harness.advance(ms(100));
+    }
+    harness.end_call(call, gateway::Outcome::Ended);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
+#[test]
+fn resumed_stream_drops_stages_that_are_computed_again() {
+    let mut harness = Harness::new();
+    let (call, effects) = silence_staged_stream(&mut harness);
+    let batch = batch_call(&effects).clone();
+    harness.step(gateway::Event::CallResumed(call));
+    let mut effects = harness.complete_batch(&batch);
+    effects.extend(harness.advance(ms(20)));
+    assert!(find_batch(&effects).is_none(), "the next stage is not started");
+    let is_freed = |effect: &gateway::Effect| matches!(effect, gateway::Effect::FreeResults { .. });
+    assert!(effects.iter().any(is_freed), "{effects:?}");
+    harness.end_call(call, gateway::Outcome::Ended);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
+/// Returns the batch call that is sent, if one is.
+fn find_batch(effects: &[gateway::Effect]) -> Option<gateway::BatchCall> {
+    effects.iter().find_map(|effect| match effect {
+        gateway::Effect::SendBatch(call) => Some((**call).clone()),
+        _ => None,
+    })
+}
+
+/// Guards against requests that are sent to an upstream which has no connection for them.
+#[test]
+fn silent_calls_end_only_as_far_as_there_are_places() {
+    let mut harness = Harness::new();
+    // A gateway has eight connections to each upstream.
+    let calls: Vec<_> = (0..12).map(|_| begin_stream(&mut harness, "/again/1")).collect();
+    let at = |instance: &id::InstanceId| calls.iter().filter(|c| c.instance == *instance).count();
+    let silent = calls[0].instance.clone();
+    let other = calls.iter().find(|call| call.instance != silent).expect("both are used");
+    let places = 8 - at(&other.instance);
+    let mut ended = 0;
+    for call in calls.iter().filter(|call| call.instance == silent) {
+        let effects = harness.step(gateway::Event::CallSilent(call.call));
+        ended += usize::from(ended_call(&effects).is_some());
+    }
+    assert_eq!(ended, places.min(at(&silent)));
+    assert!(ended < at(&silent), "not all have a place");
+}
