gateway: a stream that has begun waits for its next call

What callers saw: a stream whose upstream had ended, or had refused to go on with it, broke off at once if no retry was left at that moment or no upstream had a place, however much time its caller had left. Cause: the end of a call was followed by a refusal, as for a request whose caller can be told to come back. A caller whose answer has begun gets no refusal, only a stream without its end. Change: such a stream is tried again every 100 ms until its deadline, each time with a retry from the budget, while its route allows another run and it is not suspected of crashing engines. Result: begun_stream_waits_for_a_retry, begun_stream_waits_for_a_place and begun_stream_breaks_off_at_its_deadline failed on the code before and pass now.

--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -76,15 +76,19 @@
             }
             return;
         }
+        if request.awaits_retry {
+            self.take_awaited_retry(id, effects);
+            return;
+        }
         let Some((choice, reason)) = self.choose_upstream(request) else {
             if let Some(pause) = self.answer_pause(request) {
-                self.refuse_for(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects);
+                self.refuse_call(id, Kind::NoUpstream, PAUSED_MESSAGE, pause, effects);
             } else if self.answer_cold_wait(request).is_some() {
                 let service = request.service.clone();
                 self.wait_for_quota(id, &service, effects);
             } else {
                 let delay = self.retry_delay(request);
-                self.refuse_for(id, Kind::NoUpstream, "no upstream takes work", delay, effects);
+                self.refuse_call(id, Kind::NoUpstream, "no upstream takes work", delay, effects);
             }
             return;
         };
@@ -390,7 +394,7 @@
         let is_allowed = request.call_count < MAX_CALLS;
         if is_allowed && self.withdraw_retry(&service) {
             self.call_upstream(id, effects);
-        } else {
+        } else if !self.await_retry(id) {
             self.refuse(id, refusal::Kind::UpstreamUnreachable, message, effects);
         }
     }
@@ -438,6 +442,21 @@
         self.retry_budgets.entry(service.clone()).or_default().try_withdraw()
     }
 
+    /// Calls an upstream for an answer that has begun and waits for a retry, if there is one now.
+    /// Results that the call needs and that were already freed are computed again first.
+    fn take_awaited_retry(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let service = request.service.clone();
+        if !self.withdraw_retry(&service) {
+            self.await_retry(id);
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.awaits_retry = false;
+        }
+        self.resume(id, effects);
+    }
+
     /// Returns whether a request may have crashed engines, so that it is not sent to another one.
     pub(super) fn is_suspect(&self, request: &request::Request) -> bool {
         request.probed_part.is_some() || self.quarantine.is_suspect(request.prompt())
@@ -457,7 +476,7 @@
         let is_paid = call.progress == silence::Progress::Ending;
         if !is_suspect && (is_paid || self.try_spend_retry(id)) {
             self.resume(id, effects);
-        } else {
+        } else if is_suspect || !self.await_retry(id) {
             let message = "the upstream's answer broke off";
             self.refuse(id, refusal::Kind::UpstreamBroken, message, effects);
         }
--- a/lib/src/gateway/cold_calls.rs
+++ b/lib/src/gateway/cold_calls.rs
@@ -155,7 +155,7 @@
             effects.push(gateway::Effect::Log(line));
             let spread = RETRY_SPREAD.mul_f64(self.rng.f64());
             let delay = wait.max(admission::MIN_RETRY_DELAY) + spread;
-            self.refuse_for(id, refusal::Kind::NoUpstream, COLD_MESSAGE, delay, effects);
+            self.refuse_call(id, refusal::Kind::NoUpstream, COLD_MESSAGE, delay, effects);
         }
     }
 }
--- a/lib/src/gateway/regions.rs
+++ b/lib/src/gateway/regions.rs
@@ -225,7 +225,7 @@
         let Some(region) = regions.into_iter().next() else {
             let delay = self.retry_delay(request);
             let message = no_region_message(request);
-            self.refuse_for(id, refusal::Kind::NoUpstream, message, delay, effects);
+            self.refuse_call(id, refusal::Kind::NoUpstream, message, delay, effects);
             return false;
         };
         let request = request.clone();
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -109,6 +109,8 @@
     pub call_count: u32,
     /// Whether any call may have run the request.
     pub may_have_run: bool,
+    /// Whether its next call waits for a retry, as none was left.
+    pub awaits_retry: bool,
     /// Whether the caller received the beginning of the answer.
     pub has_started: bool,
     /// Whether it yields to no other request, because its kind is served too rarely.
@@ -161,6 +163,7 @@
             possible_runs: 0,
             call_count: 0,
             may_have_run: false,
+            awaits_retry: false,
             has_started: false,
             is_raised: false,
         })
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -83,17 +83,7 @@
                 harness.step(gateway::Event::CallSilent(call));
             }
         }),
-        ("no retry is left", |harness, _| {
-            for _ in 0..11 {
-                let (_, effects) = harness.arrive("/stock/1");
-                let call = request_call(&effects).expect("it is sent").call;
-                let effects = harness.end_call(call, gateway::Outcome::Answered { status: 500 });
-                if let Some(retry) = request_call(&effects) {
-                    let call = retry.call;
-                    harness.end_call(call, gateway::Outcome::Answered { status: 200 });
-                }
-            }
-        }),
+        ("no retry is left", |harness, _| use_up_retries(harness)),
         ("the credential was taken away", |harness, _| harness.apply_table(&table(7, &[]))),
         ("no time is left", |harness, _| drop(harness.advance(ms(3_600)))),
     ];
@@ -184,3 +174,77 @@
     assert_eq!(ended, places.min(at(&silent)));
     assert!(ended < at(&silent), "not all have a place");
 }
+
+const LOST: gateway::Outcome =
+    gateway::Outcome::Broken { last: Some(3), cause: gateway::BreakCause::ConnectionLost };
+const NOT_RUN: gateway::Outcome = gateway::Outcome::NotRun { elsewhere: false, inputs_gone: false };
+
+/// Uses up the retries of the service by requests whose first call fails.
+fn use_up_retries(harness: &mut Harness) {
+    for _ in 0..11 {
+        let (_, effects) = harness.arrive("/stock/1");
+        let call = request_call(&effects).expect("it is sent").call;
+        let effects = harness.end_call(call, gateway::Outcome::Answered { status: 500 });
+        if let Some(retry) = request_call(&effects) {
+            let call = retry.call;
+            harness.end_call(call, gateway::Outcome::Answered { status: 200 });
+        }
+    }
+}
+
+/// Lets time pass tick by tick until a call is sent, for at most two seconds.
+fn wait_for_call(harness: &mut Harness) -> Option<gateway::RequestCall> {
+    (0..100).find_map(|_| request_call(&harness.advance(ms(20))).cloned())
+}
+
+/// Guards against streams that break off because no retry is left at the moment in which their upstream
+/// ends.
+#[test]
+fn begun_stream_waits_for_a_retry() {
+    let mut harness = Harness::new();
+    let call = begin_stream(&mut harness, "/again/1");
+    use_up_retries(&mut harness);
+    let effects = harness.end_call(call.call, LOST);
+    assert!(effects.is_empty(), "{effects:?}");
+    assert!(wait_for_call(&mut harness).is_none(), "no retry is left");
+    // Each request adds a tenth of a retry.
+    for _ in 0..10 {
+        let (_, effects) = harness.arrive("/chat/1");
+        let call = request_call(&effects).expect("it is sent").call;
+        harness.end_call(call, gateway::Outcome::Ended);
+    }
+    let next = wait_for_call(&mut harness).expect("it goes on");
+    assert_eq!((next.request, next.last_event), (call.request, Some(3)));
+    harness.end_call(next.call, gateway::Outcome::Ended);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
+/// Guards against streams that break off because no upstream has a place at the moment.
+#[test]
+fn begun_stream_waits_for_a_place() {
+    let mut harness = Harness::new();
+    let call = begin_stream(&mut harness, "/again/1");
+    let mut effects = harness.end_call(call.call, LOST);
+    let mut calls = 0;
+    // More calls than a request gets whose answer has not begun.
+    while calls < 8 {
+        let next = request_call(&effects).cloned().or_else(|| wait_for_call(&mut harness));
+        effects = harness.end_call(next.expect("it is tried again").call, NOT_RUN);
+        assert_eq!(harness.gateway.request_count(), 1);
+        calls += 1;
+    }
+    let next = request_call(&effects).cloned().or_else(|| wait_for_call(&mut harness));
+    harness.end_call(next.expect("it is tried again").call, gateway::Outcome::Ended);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
+#[test]
+fn begun_stream_breaks_off_at_its_deadline() {
+    let mut harness = Harness::new();
+    let call = begin_stream(&mut harness, "/again/1");
+    use_up_retries(&mut harness);
+    harness.end_call(call.call, LOST);
+    assert_eq!(harness.gateway.request_count(), 1);
+    harness.advance(ms(4_001));
+    assert_eq!(harness.gateway.request_count(), 0);
+}
