gateway: a repeated call that reached no upstream returns its retry

What callers saw: requests were refused for lack of a retry after calls for which no connection was free; these calls add no load, which is what the budget bounds. Cause: the retry is taken before the call is sent and was not returned if no byte was written. Change: the end of a repeated call as unsent returns its retry. Result: unsent_call_returns_its_retry failed on the code before and passes now.

--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -339,6 +339,7 @@
         match outcome {
             gateway::Outcome::Unsent => {
                 self.record_not_run(call.request);
+                self.return_retry(call.request);
                 self.record_upstream_failure(&call.instance, effects);
                 self.assume_restarted(&call.instance, effects);
                 self.retry_not_run(call.request, "the upstream could not be reached", effects);
@@ -442,6 +443,14 @@
         self.retry_budgets.entry(service.clone()).or_default().try_withdraw()
     }
 
+    /// Returns the retry of a repeated call that did not reach its upstream.
+    fn return_retry(&mut self, id: id::RequestId) {
+        let Some(request) = self.requests.get(&id).filter(|request| request.call_count > 1) else {
+            return;
+        };
+        self.retry_budgets.entry(request.service.clone()).or_default().deposit(1.0);
+    }
+
     /// Calls an upstream for an answer that has begun and waits for a retry, if there is one now.
     /// Results that the call needs and that were already freed are computed again first.
     fn take_awaited_retry(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -248,3 +248,24 @@
     harness.advance(ms(4_001));
     assert_eq!(harness.gateway.request_count(), 0);
 }
+
+/// Guards against retries that are used up by calls which never reached an upstream.
+#[test]
+fn unsent_call_returns_its_retry() {
+    let mut harness = Harness::new();
+    for _ in 0..20 {
+        let (_, effects) = harness.arrive("/stock/1");
+        let call = request_call(&effects).expect("it is sent").call;
+        let effects = harness.end_call(call, gateway::Outcome::Answered { status: 500 });
+        let call = request_call(&effects).expect("a retry is left").call;
+        let effects = harness.end_call(call, gateway::Outcome::Unsent);
+        let call = request_call(&effects).expect("the retry is still there").call;
+        harness.end_call(call, gateway::Outcome::Answered { status: 200 });
+        // What the third call took.
+        for _ in 0..10 {
+            let (_, effects) = harness.arrive("/chat/1");
+            let call = request_call(&effects).expect("it is sent").call;
+            harness.end_call(call, gateway::Outcome::Ended);
+        }
+    }
+}
