server: connections that are cut are counted and logged by reason

A connection that ended while a whole request on it was unanswered left only a line at level debug, without the reason. Nothing told a slow reader, a connection that made way, an answer that broke off and the end of a stop from a caller that left.

One line `connections_cut` a second for each listener now has the number by reason, and connections_cut_total counts them. A caller that leaves, or a network that times out, is not counted. What is left when a stop has to end is recorded before the log ends.

The test cuts one connection for each of three reasons and lets two callers leave, one inside an answer: counted are exactly the three.

--- a/lib/src/entry_shell.rs
+++ b/lib/src/entry_shell.rs
@@ -289,6 +289,7 @@
                 break;
             }
         }
+        servers.callers.end().await;
         log::info!("event=entry_stop instance={}", self.settings.instance);
     }
 
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -207,8 +207,13 @@
 /// Waits until the last answers are written. Connections that do not end in time are cut with the
 /// process.
 async fn flush_answers(caller_server: &mut tokio::task::JoinHandle<()>) {
-    if !caller_server.is_finished() {
-        let _ = http::with_timeout(FLUSH_TIME, caller_server).await;
+    if caller_server.is_finished() {
+        return;
+    }
+    if http::with_timeout(FLUSH_TIME, &mut *caller_server).await.is_none() {
+        // The server records the connections that are left before the log ends.
+        caller_server.abort();
+        let _ = caller_server.await;
     }
 }
 
--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -86,6 +86,14 @@
         // The task fails only if it panicked, and then it has no connections either.
         let _ = (&mut self.task).await;
     }
+
+    /// Ends the server, so that it records the connections that are left.
+    pub async fn end(self) {
+        if !self.task.is_finished() {
+            self.task.abort();
+            let _ = self.task.await;
+        }
+    }
 }
 
 /// Limits of a server.
@@ -172,6 +180,12 @@
     stop: watch::Receiver<bool>,
 }
 
+impl<H> Drop for Server<H> {
+    fn drop(&mut self) {
+        self.register.cut_all();
+    }
+}
+
 impl<H: Handler> Server<H> {
     /// Serves an accepted connection in a task of its own. Closes it if there is no room for it.
     fn spawn_connection(&self, accepted: io::Result<(tokio::net::TcpStream, net::SocketAddr)>) {
@@ -320,6 +334,7 @@
             biased;
             ended = connection.as_mut() => {
                 if let Err(e) = ended {
+                    handle.record_error(e.as_ref());
                     log::debug!("event=connection_ended error={:?}", e.to_string());
                 }
                 return;
@@ -335,6 +350,7 @@
             // A request that arrived whole just before the decision still gets its answer.
             () = tokio::time::sleep_until(close_time), if close_at.is_some() => {
                 if !handle.is_running() {
+                    handle.record_cut(server_connection::cut::Reason::MakeWay);
                     return;
                 }
                 close_at = Some(tokio::time::Instant::now() + CLOSE_TIME);
--- a/lib/src/server_connection.rs
+++ b/lib/src/server_connection.rs
@@ -3,6 +3,8 @@
 //!
 //! [`crate::memory_budget::connections`] decides; this module carries the decisions out.
 
+pub mod cut;
+
 use std::net;
 use std::pin;
 use std::sync;
@@ -35,21 +37,30 @@
 #[derive(Debug)]
 struct State {
     connections: connections::Connections,
-    closers: std::collections::BTreeMap<connections::ConnectionId, watch::Sender<bool>>,
+    open: std::collections::BTreeMap<connections::ConnectionId, Open>,
     next: u64,
+    cuts: cut::Cuts,
     /// When a line was last logged, and the connections closed and refused since then.
     logged: Option<time::Instant>,
     closed: u64,
     refused: u64,
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct Open {
+    closer: watch::Sender<bool>,
+    requests: sync::Arc<Requests>,
+}
+
 impl Register {
     /// Makes a register for at most so many connections.
     pub fn new(limit: usize) -> Self {
         let state = State {
             connections: connections::Connections::new(limit),
-            closers: std::collections::BTreeMap::new(),
+            open: std::collections::BTreeMap::new(),
             next: 0,
+            cuts: cut::Cuts::default(),
             logged: None,
             closed: 0,
             refused: 0,
@@ -65,14 +76,15 @@
     /// Adds a connection, closing another one if there is no room; `None` if it cannot be served.
     pub fn admit(&self, caller: net::IpAddr) -> Option<Connection> {
         let mut state = self.lock();
+        state.cuts.log();
         let id = connections::ConnectionId(state.next);
         state.next += 1;
         let admission = state.connections.admit(self.start.elapsed(), id);
         match admission {
             connections::Admission::Admitted => {}
             connections::Admission::InPlaceOf(other) => {
-                if let Some(closer) = state.closers.get(&other) {
-                    closer.send_replace(true);
+                if let Some(open) = state.open.get(&other) {
+                    open.closer.send_replace(true);
                 }
                 state.closed += 1;
                 metrics::counter!("connections_closed_total", "reason" => "make_way").increment(1);
@@ -89,9 +101,9 @@
             return None;
         }
         let (closer, closing) = watch::channel(false);
-        state.closers.insert(id, closer);
-        drop(state);
         let requests = sync::Arc::new(Requests::default());
+        state.open.insert(id, Open { closer, requests: requests.clone() });
+        drop(state);
         Some(Connection(Handle {
             register: self.clone(),
             id,
@@ -102,6 +114,14 @@
         }))
     }
 
+    /// Records the connections that are left when the server is dropped.
+    pub fn cut_all(&self) {
+        let mut state = self.lock();
+        let unfinished = state.open.values().filter(|open| open.requests.is_unfinished()).count();
+        state.cuts.record(cut::Reason::Stop, unfinished);
+        state.cuts.log_now();
+    }
+
     /// Waits until no connection is left.
     pub async fn all_ended(&self) {
         loop {
@@ -146,7 +166,7 @@
     fn drop(&mut self) {
         let mut state = self.0.register.lock();
         state.connections.remove(self.0.id);
-        state.closers.remove(&self.0.id);
+        state.open.remove(&self.0.id);
         drop(state);
         self.0.register.shared.ended.notify_waiters();
     }
@@ -161,6 +181,16 @@
     is_running: atomic::AtomicBool,
     /// Whether the body of a request was refused before its end.
     has_unread_body: atomic::AtomicBool,
+    /// Whether the peer takes no more bytes at present.
+    is_blocked: atomic::AtomicBool,
+}
+
+impl Requests {
+    /// Returns whether a request has arrived whole and the peer has not taken all bytes of its answer.
+    fn is_unfinished(&self) -> bool {
+        self.is_running.load(atomic::Ordering::Relaxed)
+            || self.is_blocked.load(atomic::Ordering::Relaxed)
+    }
 }
 
 /// Handle of a connection; clones belong to the same one.
@@ -215,6 +245,7 @@
 
     /// Records whether the peer takes no more bytes of an answer, which may have left its body already.
     pub fn write_blocked(&self, is_blocked: bool) {
+        self.requests.is_blocked.store(is_blocked, atomic::Ordering::Relaxed);
         if is_blocked {
             self.set_state(connections::State::Running);
         } else if self.requests.open.load(atomic::Ordering::Relaxed) == 0 {
@@ -241,6 +272,25 @@
         self.set_state(connections::State::Running);
     }
 
+    /// Records that this process ends the connection, if an answer on it is unfinished.
+    pub fn record_cut(&self, reason: cut::Reason) {
+        if self.requests.is_unfinished() {
+            self.register.lock().cuts.record(reason, 1);
+        }
+    }
+
+    /// Records that the connection ended with an error.
+    pub fn record_error(&self, error: &(dyn std::error::Error + 'static)) {
+        match cut::Reason::of_error(error) {
+            // Its request ended together with its body.
+            Some(cut::Reason::AbortedBody) => {
+                self.register.lock().cuts.record(cut::Reason::AbortedBody, 1);
+            }
+            Some(reason) => self.record_cut(reason),
+            None => {}
+        }
+    }
+
     /// Returns whether a request has arrived whole and its answer has not been sent whole.
     pub fn is_running(&self) -> bool {
         self.requests.is_running.load(atomic::Ordering::Relaxed)
--- a/lib/tests/test_http.rs
+++ b/lib/tests/test_http.rs
@@ -9,7 +9,8 @@
 use std::task;
 use std::time;
 
-use bramleyshelf_lib::{http, peer, upstream_pool};
+use bramleyshelf_lib::memory_budget::ledger;
+use bramleyshelf_lib::{http, memory_budget, peer, telemetry, upstream_pool};
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::sync::watch;
 
@@ -244,3 +245,85 @@
         assert_eq!(http::is_timed_out(&error), is_timed_out, "{kind:?} {error:?}");
     }
 }
+
+/// Bytes of an answer that no socket buffer holds.
+const LARGE_ANSWER: usize = 64 << 20;
+
+/// Answers by path: never, with a body that is aborted, or with a large one.
+#[derive(Clone)]
+struct Unfinished;
+
+impl http::Handler for Unfinished {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        match request.uri().path() {
+            "/never" => std::future::pending().await,
+            "/aborted" => {
+                let (mut sender, body) = http::Body::stream(1);
+                sender.send("begun".into()).await;
+                sender.abort();
+                hyper::Response::new(body)
+            }
+            _ => http::respond(200, "text/plain", vec![b' '; LARGE_ANSWER]),
+        }
+    }
+}
+
+async fn send_get(address: net::SocketAddr, path: &str) -> tokio::net::TcpStream {
+    let mut stream = tokio::net::TcpStream::connect(address).await.expect("a listener");
+    let head = format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("an open connection");
+    stream
+}
+
+/// Waits until so many connections were cut for a reason.
+async fn wait_for_cuts(reason: &str, expected: u64) {
+    let end = time::Instant::now() + 2 * END_LIMIT;
+    while cuts(reason) != expected {
+        assert!(time::Instant::now() < end, "{reason}: {} cut", cuts(reason));
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns how many connections were cut for a reason.
+fn cuts(reason: &str) -> u64 {
+    let start = format!("connections_cut_total{{reason=\"{reason}\"}} ");
+    let text = telemetry::render();
+    let value = text.lines().find_map(|line| line.strip_prefix(&start));
+    value.map_or(0, |value| value.parse().expect("a number"))
+}
+
+/// Guards against answers that this process breaks off without a trace, and against callers that leave and
+/// are counted as cut.
+#[tokio::test]
+async fn serve_counts_connections_that_it_cuts_by_reason() {
+    telemetry::install();
+    let (listener, address) = listen().await;
+    let (_stop, stopping) = watch::channel(false);
+    let limits = memory_budget::Limits { bytes: 1_000, callers: 10, peers: 1 };
+    let budget = memory_budget::Budget::with_limits(limits);
+    // A slow reader has less time while memory is short.
+    let data = bytes::Bytes::from_static(&[0; 800]);
+    let _held = budget.hold(data, ledger::Purpose::Answer).expect("room");
+    let server_limits = http::ServerLimits::for_callers(&budget);
+    let server = tokio::spawn(http::serve_within(listener, Unfinished, stopping, server_limits));
+    let aborted = send_get(address, "/aborted").await;
+    assert!(!read_answer(aborted).await.ends_with("0\r\n\r\n"), "it looks whole");
+    wait_for_cuts("aborted_body", 1).await;
+    let _slow = send_get(address, "/large").await;
+    wait_for_cuts("slow_reader", 1).await;
+    drop(send_get(address, "/never").await);
+    let mut reset = send_get(address, "/large").await;
+    reset.read_exact(&mut [0; 100]).await.expect("an answer");
+    http::reset_on_close(&reset);
+    drop(reset);
+    let _waiting = send_get(address, "/never").await;
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    server.abort();
+    assert!(server.await.expect_err("it is aborted").is_cancelled());
+    wait_for_cuts("stop", 1).await;
+    let cuts = ["aborted_body", "slow_reader", "server_error", "stop"].map(cuts);
+    assert_eq!(cuts, [1, 1, 0, 1], "callers that left are not counted");
+}
