server: an answer whose last bytes wait keeps its connection

A request counts as open until its body is taken, and the HTTP server takes the end of a body before the peer has taken the bytes. If the peer did not read at that moment, or had begun to send its next request, the connection counted as idle or as receiving. With the listener full, it made way for a new connection, and was dropped half a second later inside its answer.

The state of a connection between requests is now set only once the peer has taken all bytes.

Before: of an answer of 32 MiB whose caller pauses for 1.5 s after the first bytes of its next request, the caller gets an early end when one new connection arrives at a listener with one place. Now it gets the whole answer, and the new connection is refused.

--- a/lib/src/server_connection.rs
+++ b/lib/src/server_connection.rs
@@ -236,11 +236,19 @@
         self.register.lock().connections.set_state(now, self.id, state);
     }
 
+    /// Records what the connection waits for if there is no request on it and the peer has taken all bytes
+    /// of the last answer.
+    fn set_state_between_requests(&self, state: connections::State) {
+        if self.requests.open.load(atomic::Ordering::Relaxed) == 0
+            && !self.requests.is_blocked.load(atomic::Ordering::Relaxed)
+        {
+            self.set_state(state);
+        }
+    }
+
     /// Records that bytes arrived: on an idle connection, they begin a head.
     pub fn received(&self) {
-        if self.requests.open.load(atomic::Ordering::Relaxed) == 0 {
-            self.set_state(connections::State::Receiving);
-        }
+        self.set_state_between_requests(connections::State::Receiving);
     }
 
     /// Records whether the peer takes no more bytes of an answer, which may have left its body already.
@@ -248,8 +256,8 @@
         self.requests.is_blocked.store(is_blocked, atomic::Ordering::Relaxed);
         if is_blocked {
             self.set_state(connections::State::Running);
-        } else if self.requests.open.load(atomic::Ordering::Relaxed) == 0 {
-            self.set_state(connections::State::Idle);
+        } else {
+            self.set_state_between_requests(connections::State::Idle);
         }
     }
 
@@ -325,7 +333,7 @@
     fn drop(&mut self) {
         if self.0.requests.open.fetch_sub(1, atomic::Ordering::Relaxed) == 1 {
             self.0.requests.is_running.store(false, atomic::Ordering::Relaxed);
-            self.0.set_state(connections::State::Idle);
+            self.0.set_state_between_requests(connections::State::Idle);
         }
     }
 }
--- /dev/null
+++ b/lib/tests/test_connections.rs
@@ -0,0 +1,83 @@
+//! Connections that the server ends, over real sockets: no request that arrived whole goes without its
+//! whole answer.
+
+use std::net;
+use std::time;
+
+use bramleyshelf_lib::{http, server_connection};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::sync::watch;
+
+/// Bytes of an answer that no socket buffer holds.
+const LARGE_ANSWER: usize = 32 << 20;
+/// Pause of a caller that reads on: longer than a connection that makes way has.
+const READER_PAUSE: time::Duration = time::Duration::from_millis(1_500);
+/// Time within which an answer arrives.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// Answers with a body of [`LARGE_ANSWER`] bytes, or a small one.
+#[derive(Clone)]
+struct Answers;
+
+impl http::Handler for Answers {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        let body = match request.uri().path() {
+            "/small" => b"small".to_vec(),
+            _ => vec![b' '; LARGE_ANSWER],
+        };
+        http::respond(200, "text/plain", body)
+    }
+}
+
+/// Starts a server for so many connections; returns its address.
+async fn serve(connections: usize) -> (net::SocketAddr, watch::Sender<bool>) {
+    let listener = http::listen(([127, 0, 0, 1], 0).into()).await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let (stop, stopping) = watch::channel(false);
+    let limits = http::ServerLimits { connections, ..http::ServerLimits::default() };
+    tokio::spawn(http::serve_within(listener, Answers, stopping, limits));
+    (address, stop)
+}
+
+fn head(path: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n").into_bytes()
+}
+
+async fn connect(address: net::SocketAddr) -> tokio::net::TcpStream {
+    tokio::net::TcpStream::connect(address).await.expect("a listener")
+}
+
+/// Guards against a connection that counts as idle, and makes way, while the last bytes of an answer wait for
+/// their caller: the end of the body is taken before them.
+#[test]
+fn connection_whose_caller_does_not_read_does_not_make_way() {
+    let caller = net::IpAddr::from([127, 0, 0, 1]);
+    let register = server_connection::Register::new(1);
+    let connection = register.admit(caller).expect("room");
+    let handle = connection.handle();
+    let request = handle.begin_request(true);
+    handle.write_blocked(true);
+    drop(request);
+    assert!(register.admit(caller).is_none(), "the answer is not sent");
+    handle.write_blocked(false);
+    assert!(register.admit(caller).is_some(), "it is idle");
+}
+
+/// Guards against bytes of a next request that make a connection count as waiting while its answer is sent.
+#[tokio::test]
+async fn answer_is_not_cut_because_the_next_request_has_begun() {
+    let (address, _stop) = serve(1).await;
+    let mut caller = connect(address).await;
+    caller.write_all(&head("/")).await.expect("an open connection");
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    caller.write_all(&head("/small")[..10]).await.expect("an open connection");
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    let _other = connect(address).await;
+    tokio::time::sleep(READER_PAUSE).await;
+    let mut answer = vec![0; LARGE_ANSWER];
+    let read = http::with_timeout(ANSWER_LIMIT, caller.read_exact(&mut answer)).await;
+    assert!(matches!(read, Some(Ok(_))), "{read:?}");
+}
