server: a connection that makes way sends its whole answer

A request that arrived whole just when its connection was told to make way is still served. The connection was dropped, though, at the next check after the request's body had been taken by the HTTP server, which is before the peer has read it: a caller that needed over half a second for the rest got an early end.

The check now asks whether the peer has taken all bytes. A peer that does not read at all still loses its connection by the limit on stalled writes. With that, no connection is cut to make way, and the counter needs no such reason.

Before: an answer of 32 MiB whose caller pauses for 1.5 s ends early on a connection that makes way. Now it arrives whole.

--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -349,8 +349,7 @@
             }
             // A request that arrived whole just before the decision still gets its answer.
             () = tokio::time::sleep_until(close_time), if close_at.is_some() => {
-                if !handle.is_running() {
-                    handle.record_cut(server_connection::cut::Reason::MakeWay);
+                if !handle.is_unfinished() {
                     return;
                 }
                 close_at = Some(tokio::time::Instant::now() + CLOSE_TIME);
--- a/lib/src/server_connection.rs
+++ b/lib/src/server_connection.rs
@@ -282,7 +282,7 @@
 
     /// Records that this process ends the connection, if an answer on it is unfinished.
     pub fn record_cut(&self, reason: cut::Reason) {
-        if self.requests.is_unfinished() {
+        if self.is_unfinished() {
             self.register.lock().cuts.record(reason, 1);
         }
     }
@@ -299,9 +299,9 @@
         }
     }
 
-    /// Returns whether a request has arrived whole and its answer has not been sent whole.
-    pub fn is_running(&self) -> bool {
-        self.requests.is_running.load(atomic::Ordering::Relaxed)
+    /// Returns whether a request has arrived whole and the peer has not taken all bytes of its answer.
+    pub fn is_unfinished(&self) -> bool {
+        self.requests.is_unfinished()
     }
 
     /// Returns whether the body of a request was refused before its end.
--- a/lib/src/server_connection/cut.rs
+++ b/lib/src/server_connection/cut.rs
@@ -15,9 +15,6 @@
     /// The answer broke off, as its body was aborted.
     #[display("aborted_body")]
     AbortedBody,
-    /// The connection had to make way for another one.
-    #[display("make_way")]
-    MakeWay,
     /// The HTTP server failed.
     #[display("server_error")]
     ServerError,
--- a/lib/tests/test_connections.rs
+++ b/lib/tests/test_connections.rs
@@ -1,6 +1,7 @@
 //! Connections that the server ends, over real sockets: no request that arrived whole goes without its
 //! whole answer.
 
+use std::io::{Read as _, Write as _};
 use std::net;
 use std::time;
 
@@ -50,6 +51,15 @@
     tokio::net::TcpStream::connect(address).await.expect("a listener")
 }
 
+/// Reads a whole answer to `/small`, so that the connection is idle.
+async fn get_small(stream: &mut tokio::net::TcpStream) {
+    stream.write_all(&head("/small")).await.expect("an open connection");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"small") {
+        assert_ne!(stream.read_buf(&mut answer).await.expect("an answer"), 0);
+    }
+}
+
 /// Guards against a connection that counts as idle, and makes way, while the last bytes of an answer wait for
 /// their caller: the end of the body is taken before them.
 #[test]
@@ -81,3 +91,25 @@
     let read = http::with_timeout(ANSWER_LIMIT, caller.read_exact(&mut answer)).await;
     assert!(matches!(read, Some(Ok(_))), "{read:?}");
 }
+
+/// Guards against an answer that is cut because its request arrived whole just when its connection was told
+/// to make way, and its caller has not read it after the time for a refusal.
+#[tokio::test]
+async fn answer_on_a_connection_that_makes_way_is_not_cut() {
+    let (address, _stop) = serve(1).await;
+    let mut caller = connect(address).await;
+    get_small(&mut caller).await;
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    // The server sees the request and the new connection at the same time.
+    let mut caller = caller.into_std().expect("a socket");
+    caller.set_nonblocking(false).expect("a socket");
+    let _other = net::TcpStream::connect(address).expect("a listener");
+    caller.write_all(&head("/")).expect("an open connection");
+    tokio::time::sleep(READER_PAUSE).await;
+    let read = tokio::task::spawn_blocking(move || {
+        let mut answer = vec![0; LARGE_ANSWER];
+        caller.read_exact(&mut answer)
+    });
+    let read = http::with_timeout(ANSWER_LIMIT, read).await.expect("an end").expect("no panic");
+    assert!(read.is_ok(), "{read:?}");
+}
