server: a request that its socket had received before a close is answered

At a stop, and when a connection has to make way, an idle connection was closed at once. The connection is polled first, so that it reads a request that has arrived; but the runtime tells it what its socket has received only after it has polled the sockets. A request that arrived while other tasks ran, for instance during a long step of the event loop, was thrown away unread, and its caller saw the connection end without an answer.

The connection now goes on to read for 10 ms. The runtime polls the sockets before a timer fires, so everything that was received before the decision is read by then.

Before: a request that is written to a kept connection right before the stop gets 0 bytes and the end of its connection. Now it gets its answer.

--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -28,6 +28,8 @@
 const MAX_HEAD_POLL: time::Duration = time::Duration::from_millis(160);
 /// Time that a connection which makes way for another one has to send its refusal.
 const CLOSE_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time in which a connection reads what its socket had received before it is told to accept no more.
+const LAST_READ_TIME: time::Duration = time::Duration::from_millis(10);
 /// Time that a connection which was established before the stop has to send its first head.
 const STOP_HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Pause without a new connection after which a stopping server closes its listener.
@@ -325,12 +327,14 @@
     let connection = builder.serve_connection(rt::TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut stopping = false;
-    let mut close_at = None;
+    let (mut last_read_at, mut close_at) = (None, None);
     loop {
-        let close_time = close_at.unwrap_or_else(tokio::time::Instant::now);
+        let now = tokio::time::Instant::now();
+        let (last_read_time, close_time) = (last_read_at.unwrap_or(now), close_at.unwrap_or(now));
         tokio::select! {
-            // The connection goes first, so that it reads a request that has arrived before it is
-            // told to accept no more.
+            // The connection goes first, so that it reads a request that has arrived before it is told to
+            // accept no more. What its socket has received is known to it only once the runtime has polled
+            // the sockets, which it does before a timer fires.
             biased;
             ended = connection.as_mut() => {
                 if let Err(e) = ended {
@@ -341,10 +345,14 @@
             }
             _ = stop.wait_for(|stop| *stop), if !stopping => {
                 stopping = true;
-                connection.as_mut().graceful_shutdown();
+                last_read_at = Some(tokio::time::Instant::now() + LAST_READ_TIME);
             }
             () = handle.closing(), if close_at.is_none() => {
-                close_at = Some(tokio::time::Instant::now() + CLOSE_TIME);
+                let now = tokio::time::Instant::now();
+                (last_read_at, close_at) = (Some(now + LAST_READ_TIME), Some(now + CLOSE_TIME));
+            }
+            () = tokio::time::sleep_until(last_read_time), if last_read_at.is_some() => {
+                last_read_at = None;
                 connection.as_mut().graceful_shutdown();
             }
             // A request that arrived whole just before the decision still gets its answer.
--- a/lib/tests/test_connections.rs
+++ b/lib/tests/test_connections.rs
@@ -51,6 +51,13 @@
     tokio::net::TcpStream::connect(address).await.expect("a listener")
 }
 
+/// Reads until the server closes the connection; returns the bytes and whether it was reset.
+async fn read_rest(stream: &mut tokio::net::TcpStream) -> (Vec<u8>, bool) {
+    let mut rest = Vec::new();
+    let read = http::with_timeout(ANSWER_LIMIT, stream.read_to_end(&mut rest)).await;
+    (rest, matches!(read, Some(Err(_))))
+}
+
 /// Reads a whole answer to `/small`, so that the connection is idle.
 async fn get_small(stream: &mut tokio::net::TcpStream) {
     stream.write_all(&head("/small")).await.expect("an open connection");
@@ -113,3 +120,33 @@
     let read = http::with_timeout(ANSWER_LIMIT, read).await.expect("an end").expect("no panic");
     assert!(read.is_ok(), "{read:?}");
 }
+
+/// Guards against a request on a kept connection that arrived before the stop and is thrown away unread.
+#[tokio::test]
+async fn request_sent_before_the_stop_on_a_kept_connection_is_answered() {
+    let (address, stop) = serve(10).await;
+    let mut caller = connect(address).await;
+    get_small(&mut caller).await;
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    let mut caller = caller.into_std().expect("a socket");
+    caller.write_all(&head("/small")).expect("an open connection");
+    stop.send_replace(true);
+    let mut caller = tokio::net::TcpStream::from_std(caller).expect("a socket");
+    let (rest, is_reset) = read_rest(&mut caller).await;
+    assert!(rest.ends_with(b"small"), "{} bytes, reset: {is_reset}", rest.len());
+}
+
+/// Guards against the same for a connection that makes way.
+#[tokio::test]
+async fn request_sent_before_its_connection_makes_way_is_answered() {
+    let (address, _stop) = serve(1).await;
+    let mut caller = connect(address).await;
+    get_small(&mut caller).await;
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    let mut caller = caller.into_std().expect("a socket");
+    let _other = net::TcpStream::connect(address).expect("a listener");
+    caller.write_all(&head("/small")).expect("an open connection");
+    let mut caller = tokio::net::TcpStream::from_std(caller).expect("a socket");
+    let (rest, is_reset) = read_rest(&mut caller).await;
+    assert!(rest.ends_with(b"small"), "{} bytes, reset: {is_reset}", rest.len());
+}
