testutils: stand-ins can fall silent and go on

A sound upstream may send nothing for a second or so and go on. No stand-in of the path through entries and sidecars could do that: each fault ended the answer or delayed only its head.

The injector of a stand-in now holds back all that it sends for a while, in any answer: before the head, between events, in a body. No test changes.

--- a/lib/testutils/src/fault.rs
+++ b/lib/testutils/src/fault.rs
@@ -34,6 +34,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Injector {
     faults: sync::Arc<sync::Mutex<Faults>>,
+    /// Time until which nothing is sent.
+    silent_until: sync::Arc<sync::Mutex<Option<time::Instant>>>,
 }
 
 impl Injector {
@@ -45,6 +47,23 @@
         *self.faults.lock().expect("no holder panics") = faults;
     }
 
+    /// Makes the stand-in send nothing for a while, in any answer; it then goes on.
+    ///
+    /// # Panics
+    /// Panics if another holder of the lock panicked.
+    pub fn fall_silent(&self, length: time::Duration) {
+        let until = time::Instant::now() + length;
+        *self.silent_until.lock().expect("no holder panics") = Some(until);
+    }
+
+    /// Waits until the stand-in may send.
+    pub(crate) async fn wait_while_silent(&self) {
+        let until = *self.silent_until.lock().expect("no holder panics");
+        if let Some(until) = until {
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+
     /// Returns the faults that apply to the next request, and counts it.
     ///
     /// # Panics
--- a/lib/testutils/src/server.rs
+++ b/lib/testutils/src/server.rs
@@ -116,7 +116,8 @@
         if faults.status_after > 0 {
             return http::respond_json(faults.status_after, &serde_json::json!({}));
         }
-        build_response(response, SendLimit::new(&faults))
+        self.faults.wait_while_silent().await;
+        build_response(response, SendLimit::new(&faults), &self.faults)
     }
 }
 
@@ -172,11 +173,21 @@
     }
 }
 
-fn build_response(response: Response, limit: SendLimit) -> hyper::Response<http::Body> {
+fn build_response(
+    response: Response,
+    limit: SendLimit,
+    faults: &fault::Injector,
+) -> hyper::Response<http::Body> {
     match response {
-        Response::Json(status, value) => full_body(status, value.to_string(), limit),
-        Response::Text(status, text) => full_body(status, text, limit),
-        Response::Events { events, pause, offset } => stream_events(events, pause, offset, limit),
+        Response::Json(status, value) => full_body(status, value.to_string(), limit, faults),
+        Response::Text(status, text) => full_body(status, text, limit, faults),
+        Response::Events { events, pause, offset } => {
+            let mut response = stream_events(events, pause, limit, faults);
+            if let Some(offset) = offset {
+                response.headers_mut().insert("stream-offset", offset.into());
+            }
+            response
+        }
         Response::Body(body) => {
             let mut response = http::respond(200, "application/json", "");
             *response.body_mut() = body;
@@ -185,11 +196,16 @@
     }
 }
 
-fn full_body(status: u16, text: String, limit: SendLimit) -> hyper::Response<http::Body> {
+fn full_body(
+    status: u16,
+    text: String,
+    limit: SendLimit,
+    faults: &fault::Injector,
+) -> hyper::Response<http::Body> {
     if limit.is_unlimited() {
         return http::respond(status, "application/json", text);
     }
-    let mut response = stream_events(vec![text.into()], time::Duration::ZERO, None, limit);
+    let mut response = stream_events(vec![text.into()], time::Duration::ZERO, limit, faults);
     *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     let media = hyper::header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(hyper::header::CONTENT_TYPE, media);
@@ -199,16 +215,13 @@
 fn stream_events(
     events: Vec<bytes::Bytes>,
     pause: time::Duration,
-    offset: Option<u64>,
     limit: SendLimit,
+    faults: &fault::Injector,
 ) -> hyper::Response<http::Body> {
     let (sender, body) = http::Body::stream(STREAM_BUFFER_EVENTS);
-    tokio::spawn(send_events(sender, events, pause, limit));
+    tokio::spawn(send_events(sender, events, pause, limit, faults.clone()));
     let mut response = http::respond(200, "text/event-stream", "");
     *response.body_mut() = body;
-    if let Some(offset) = offset {
-        response.headers_mut().insert("stream-offset", offset.into());
-    }
     response
 }
 
@@ -217,12 +230,14 @@
     events: Vec<bytes::Bytes>,
     pause: time::Duration,
     limit: SendLimit,
+    faults: fault::Injector,
 ) {
     let mut remaining = limit.bytes;
     for mut event in events {
         if !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
+        faults.wait_while_silent().await;
         let fits = remaining >= event.len() as u64;
         if !fits {
             event.truncate(remaining as usize);
