entry: a call whose message did not arrive is sent again freely

A call that may run only once and that a sidecar has not accepted after 700 ms is resolved at the same sidecar. That drops the first connection, so that a sidecar that was only silent may never read the message: it answers that the call did not run. Sending it again then cost a retry, and without one the caller got the refusal.

A call that is known not to have run adds no load to an upstream when it is sent again, so it now counts as a redirect, like that to another incarnation.

The new test fails without the change: the call is refused.

--- a/lib/src/entry/recovery.rs
+++ b/lib/src/entry/recovery.rs
@@ -389,7 +389,8 @@
     )
 }
 
-/// Whether a refusal only means that the attempt has to go to another sidecar or incarnation.
+/// Whether a refusal only means that the attempt has to go to another sidecar or incarnation, or has to
+/// be sent again because its message did not arrive.
 fn is_redirect(kind: refusal::Kind) -> bool {
     use refusal::Kind;
     matches!(
@@ -399,6 +400,7 @@
             | Kind::WrongIncarnation
             | Kind::Draining
             | Kind::NotReady
+            | Kind::Tombstoned
     )
 }
 
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -430,6 +430,37 @@
     assert_eq!(harness.attach_messages().len(), 1);
 }
 
+/// Returns a harness in which the retry budget of a service is used up for good.
+fn without_retries(service: &str) -> Harness {
+    let mut value: serde_json::Value = serde_json::from_str(CONFIG_TEXT).expect("JSON");
+    value["limits"]["retry_share"] = 0.into();
+    let mut harness = Harness::with_text(&value.to_string());
+    for _ in 0..10 {
+        let request = harness.arrive(service, |_| {});
+        while harness.refusal(request).is_none() {
+            let sent = harness.last_sent();
+            match sent.open.incarnation {
+                Some(_) => harness.refuse(sent.attempt, Kind::QueueFull, Ran::No),
+                None => harness.refuse(sent.attempt, Kind::WrongIncarnation, Ran::No),
+            }
+        }
+    }
+    harness
+}
+
+/// Guards against once-only calls that were refused after a silent sidecar had not got their message.
+#[test]
+fn call_resolved_as_not_run_is_sent_again_without_retry_budget() {
+    let mut harness = without_retries("deposits");
+    let (request, first) = harness.send_deposit();
+    harness.advance(800);
+    harness.refuse(first.attempt, Kind::Tombstoned, Ran::No);
+    let second = harness.last_sent();
+    assert_ne!(second.attempt, first.attempt);
+    harness.succeed(second.attempt, 3);
+    assert_eq!(harness.answer_count(request), 1);
+}
+
 #[test]
 fn incomplete_answer_is_never_sent() {
     // A chunk is missing, or the end frame announces more bytes than arrived. Nothing of such an
