server: an answer over HTTP/2 keeps its connection until its windows opened

The HTTP/2 server takes a chunk of a body whole and keeps what the window of the stream does not let through. A large answer is one chunk, so its request counted as ended at once. With the listener full, the connection made way, and was dropped half a second later inside its answer.

A body is now given to the HTTP server in pieces of 16 KiB. The HTTP/2 server takes a piece only once the window is open, so the request stays open until its caller has made room for all but the last piece.

Before: a caller that pauses for 1.5 s inside an answer of 32 MiB over HTTP/2 gets an incomplete body when one new connection arrives at a listener with one place. Now the answer arrives whole. Open: the last piece is not covered, if its window stays closed for over half a second.

--- a/lib/src/server_connection.rs
+++ b/lib/src/server_connection.rs
@@ -338,17 +338,24 @@
     }
 }
 
+/// Largest piece in which a body is given to the HTTP server. An HTTP/2 server takes the next piece only once
+/// the window of the stream is open, so a request stays open until its caller has made room for nearly all of
+/// its answer.
+const PIECE_BYTES: usize = 16 << 10;
+
 /// Body of an answer with the request that it belongs to.
 #[derive(Debug)]
 pub struct AnswerBody {
     body: http::Body,
+    /// What is left of a chunk of the body.
+    rest: bytes::Bytes,
     _request: OpenRequest,
 }
 
 impl AnswerBody {
     /// Makes the body of the answer to a request.
     pub fn new(body: http::Body, request: OpenRequest) -> Self {
-        Self { body, _request: request }
+        Self { body, rest: bytes::Bytes::new(), _request: request }
     }
 }
 
@@ -360,14 +367,31 @@
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, http::StreamAborted>>> {
-        pin::Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let this = self.get_mut();
+        if this.rest.is_empty() {
+            let frame = task::ready!(pin::Pin::new(&mut this.body).poll_frame(cx));
+            match frame.map(|frame| frame.map(hyper::body::Frame::into_data)) {
+                Some(Ok(Ok(data))) => this.rest = data,
+                Some(Ok(Err(trailers))) => return task::Poll::Ready(Some(Ok(trailers))),
+                Some(Err(e)) => return task::Poll::Ready(Some(Err(e))),
+                None => return task::Poll::Ready(None),
+            }
+        }
+        let piece = this.rest.split_to(this.rest.len().min(PIECE_BYTES));
+        task::Poll::Ready(Some(Ok(hyper::body::Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
-        self.body.size_hint()
+        let (of_body, rest) = (self.body.size_hint(), self.rest.len() as u64);
+        let mut hint = hyper::body::SizeHint::new();
+        hint.set_lower(of_body.lower() + rest);
+        if let Some(upper) = of_body.upper() {
+            hint.set_upper(upper + rest);
+        }
+        hint
     }
 }
--- a/lib/tests/test_connections.rs
+++ b/lib/tests/test_connections.rs
@@ -150,3 +150,17 @@
     let (rest, is_reset) = read_rest(&mut caller).await;
     assert!(rest.ends_with(b"small"), "{} bytes, reset: {is_reset}", rest.len());
 }
+
+/// Guards against the same over HTTP/2, whose streams have windows of their own.
+#[tokio::test]
+async fn answer_over_http2_on_a_connection_that_makes_way_is_not_cut() {
+    let (address, _stop) = serve(1).await;
+    let client = http::peer_client();
+    let request = hyper::Request::get(format!("http://{address}/"));
+    let request = request.body(http::Body::full("")).expect("a request");
+    let response = client.request(request).await.expect("an answer");
+    let _other = connect(address).await;
+    tokio::time::sleep(READER_PAUSE).await;
+    let body = http::read_body(response.into_body(), u64::MAX, ANSWER_LIMIT).await;
+    assert_eq!(body.map(|body| body.len()), Ok(LARGE_ANSWER));
+}
