server: a head that has begun before the stop may end on a kept connection

A new connection has 500 ms at a stop to send the rest of its first head. A kept connection on which a part of the next head had arrived was closed at once, so that the rest of the request met a closed connection.

Kept connections have the same time now. Bytes between requests mark a head that has begun; HTTP/2 connections are left out, as other frames look the same, and their clients learn from the shutdown which requests were not processed.

Before: a request whose head arrives in two parts, 50 ms before and 100 ms after the stop, gets 0 bytes and the end of its connection. Now it gets its answer.

--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -30,7 +30,8 @@
 const CLOSE_TIME: time::Duration = time::Duration::from_millis(500);
 /// Time in which a connection reads what its socket had received before it is told to accept no more.
 const LAST_READ_TIME: time::Duration = time::Duration::from_millis(10);
-/// Time that a connection which was established before the stop has to send its first head.
+/// Time that a connection which was established before the stop has to send the head that it has begun, or
+/// its first one.
 const STOP_HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Pause without a new connection after which a stopping server closes its listener.
 const STOP_ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(5);
@@ -313,6 +314,7 @@
     let served = handle.clone();
     let service = hyper::service::service_fn(move |mut request: hyper::Request<_>| {
         unframed.note(request.version());
+        served.note_version(request.version());
         let handler = handler.clone();
         let running = served.begin_request(hyper::body::Body::is_end_stream(request.body()));
         let head_bytes = head_size(&request);
@@ -326,7 +328,7 @@
     });
     let connection = builder.serve_connection(rt::TokioIo::new(socket), service);
     tokio::pin!(connection);
-    let mut stopping = false;
+    let mut stopped_at: Option<tokio::time::Instant> = None;
     let (mut last_read_at, mut close_at) = (None, None);
     loop {
         let now = tokio::time::Instant::now();
@@ -343,17 +345,23 @@
                 }
                 return;
             }
-            _ = stop.wait_for(|stop| *stop), if !stopping => {
-                stopping = true;
-                last_read_at = Some(tokio::time::Instant::now() + LAST_READ_TIME);
+            _ = stop.wait_for(|stop| *stop), if stopped_at.is_none() => {
+                let now = tokio::time::Instant::now();
+                (stopped_at, last_read_at) = (Some(now), Some(now + LAST_READ_TIME));
             }
             () = handle.closing(), if close_at.is_none() => {
                 let now = tokio::time::Instant::now();
                 (last_read_at, close_at) = (Some(now + LAST_READ_TIME), Some(now + CLOSE_TIME));
             }
             () = tokio::time::sleep_until(last_read_time), if last_read_at.is_some() => {
-                last_read_at = None;
-                connection.as_mut().graceful_shutdown();
+                let now = tokio::time::Instant::now();
+                let has_time = stopped_at.is_some_and(|at| now < at + STOP_HEAD_TIMEOUT);
+                if has_time && close_at.is_none() && handle.is_inside_head() {
+                    last_read_at = Some(now + LAST_READ_TIME);
+                } else {
+                    last_read_at = None;
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             // A request that arrived whole just before the decision still gets its answer.
             () = tokio::time::sleep_until(close_time), if close_at.is_some() => {
--- a/lib/src/server_connection.rs
+++ b/lib/src/server_connection.rs
@@ -183,6 +183,10 @@
     has_unread_body: atomic::AtomicBool,
     /// Whether the peer takes no more bytes at present.
     is_blocked: atomic::AtomicBool,
+    /// Whether bytes have arrived since the last request.
+    is_inside_head: atomic::AtomicBool,
+    /// Whether the peer speaks HTTP/2, in which other frames arrive between requests.
+    is_http2: atomic::AtomicBool,
 }
 
 impl Requests {
@@ -237,18 +241,33 @@
     }
 
     /// Records what the connection waits for if there is no request on it and the peer has taken all bytes
-    /// of the last answer.
-    fn set_state_between_requests(&self, state: connections::State) {
-        if self.requests.open.load(atomic::Ordering::Relaxed) == 0
-            && !self.requests.is_blocked.load(atomic::Ordering::Relaxed)
-        {
+    /// of the last answer; returns whether that is so.
+    fn set_state_between_requests(&self, state: connections::State) -> bool {
+        let is_between = self.requests.open.load(atomic::Ordering::Relaxed) == 0
+            && !self.requests.is_blocked.load(atomic::Ordering::Relaxed);
+        if is_between {
             self.set_state(state);
         }
+        is_between
     }
 
     /// Records that bytes arrived: on an idle connection, they begin a head.
     pub fn received(&self) {
-        self.set_state_between_requests(connections::State::Receiving);
+        if self.set_state_between_requests(connections::State::Receiving) {
+            self.requests.is_inside_head.store(true, atomic::Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether a part of the head of the next request has arrived; never on an HTTP/2 connection,
+    /// whose other frames look the same.
+    pub fn is_inside_head(&self) -> bool {
+        self.requests.is_inside_head.load(atomic::Ordering::Relaxed)
+            && !self.requests.is_http2.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Notes the version of a request.
+    pub fn note_version(&self, version: hyper::Version) {
+        self.requests.is_http2.store(version == hyper::Version::HTTP_2, atomic::Ordering::Relaxed);
     }
 
     /// Records whether the peer takes no more bytes of an answer, which may have left its body already.
@@ -264,6 +283,7 @@
     /// Records that a request has begun.
     pub fn begin_request(&self, is_whole: bool) -> OpenRequest {
         let others = self.requests.open.fetch_add(1, atomic::Ordering::Relaxed);
+        self.requests.is_inside_head.store(false, atomic::Ordering::Relaxed);
         if is_whole || others > 0 {
             self.requests.is_running.store(true, atomic::Ordering::Relaxed);
             self.set_state(connections::State::Running);
--- a/lib/tests/test_connections.rs
+++ b/lib/tests/test_connections.rs
@@ -164,3 +164,20 @@
     let body = http::read_body(response.into_body(), u64::MAX, ANSWER_LIMIT).await;
     assert_eq!(body.map(|body| body.len()), Ok(LARGE_ANSWER));
 }
+
+/// Guards against a request on a kept connection whose head has arrived in part at the stop, and whose rest
+/// meets a closed connection.
+#[tokio::test]
+async fn head_in_transit_at_the_stop_on_a_kept_connection_is_answered() {
+    let (address, stop) = serve(10).await;
+    let mut caller = connect(address).await;
+    get_small(&mut caller).await;
+    let head = head("/small");
+    caller.write_all(&head[..10]).await.expect("an open connection");
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    stop.send_replace(true);
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    caller.write_all(&head[10..]).await.expect("an open connection");
+    let (rest, is_reset) = read_rest(&mut caller).await;
+    assert!(rest.ends_with(b"small"), "{} bytes, reset: {is_reset}", rest.len());
+}
