--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -272,6 +272,49 @@
     bytes + target.len()
 }
 
+/// How far the end of a connection has come that this process has decided on.
+#[derive(Default)]
+struct Ending {
+    /// When the server stopped.
+    stopped: Option<tokio::time::Instant>,
+    /// When the connection is told to accept no more requests, unless it is inside a head.
+    last_read: Option<tokio::time::Instant>,
+    /// When a connection that makes way is closed, unless an answer on it is unfinished.
+    close: Option<tokio::time::Instant>,
+}
+
+impl Ending {
+    fn stop(&mut self) {
+        let now = tokio::time::Instant::now();
+        self.stopped = Some(now);
+        self.last_read = Some(now + LAST_READ_TIME);
+    }
+
+    fn make_way(&mut self) {
+        let now = tokio::time::Instant::now();
+        self.last_read = Some(now + LAST_READ_TIME);
+        self.close = Some(now + CLOSE_TIME);
+    }
+
+    /// Returns whether the connection is to accept no more requests. At a stop, it may first receive the
+    /// head that has begun.
+    fn has_read_all(&mut self, handle: &server_connection::Handle) -> bool {
+        let now = tokio::time::Instant::now();
+        let has_time = self.stopped.is_some_and(|at| now < at + STOP_HEAD_TIMEOUT);
+        let waits = has_time && self.close.is_none() && handle.is_inside_head();
+        self.last_read = waits.then_some(now + LAST_READ_TIME);
+        !waits
+    }
+}
+
+/// Waits until a time; forever if there is none.
+async fn sleep_until(time: Option<tokio::time::Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => future::pending().await,
+    }
+}
+
 async fn serve_connection<H: Handler>(
     stream: tokio::net::TcpStream,
     handler: H,
@@ -328,11 +371,8 @@
     });
     let connection = builder.serve_connection(rt::TokioIo::new(socket), service);
     tokio::pin!(connection);
-    let mut stopped_at: Option<tokio::time::Instant> = None;
-    let (mut last_read_at, mut close_at) = (None, None);
+    let mut ending = Ending::default();
     loop {
-        let now = tokio::time::Instant::now();
-        let (last_read_time, close_time) = (last_read_at.unwrap_or(now), close_at.unwrap_or(now));
         tokio::select! {
             // The connection goes first, so that it reads a request that has arrived before it is told to
             // accept no more. What its socket has received is known to it only once the runtime has polled
@@ -345,30 +385,19 @@
                 }
                 return;
             }
-            _ = stop.wait_for(|stop| *stop), if stopped_at.is_none() => {
-                let now = tokio::time::Instant::now();
-                (stopped_at, last_read_at) = (Some(now), Some(now + LAST_READ_TIME));
-            }
-            () = handle.closing(), if close_at.is_none() => {
-                let now = tokio::time::Instant::now();
-                (last_read_at, close_at) = (Some(now + LAST_READ_TIME), Some(now + CLOSE_TIME));
-            }
-            () = tokio::time::sleep_until(last_read_time), if last_read_at.is_some() => {
-                let now = tokio::time::Instant::now();
-                let has_time = stopped_at.is_some_and(|at| now < at + STOP_HEAD_TIMEOUT);
-                if has_time && close_at.is_none() && handle.is_inside_head() {
-                    last_read_at = Some(now + LAST_READ_TIME);
-                } else {
-                    last_read_at = None;
+            _ = stop.wait_for(|stop| *stop), if ending.stopped.is_none() => ending.stop(),
+            () = handle.closing(), if ending.close.is_none() => ending.make_way(),
+            () = sleep_until(ending.last_read) => {
+                if ending.has_read_all(&handle) {
                     connection.as_mut().graceful_shutdown();
                 }
             }
             // A request that arrived whole just before the decision still gets its answer.
-            () = tokio::time::sleep_until(close_time), if close_at.is_some() => {
+            () = sleep_until(ending.close) => {
                 if !handle.is_unfinished() {
                     return;
                 }
-                close_at = Some(tokio::time::Instant::now() + CLOSE_TIME);
+                ending.close = Some(tokio::time::Instant::now() + CLOSE_TIME);
             }
         }
     }
