--- a/lib/tests/test_connections.rs
+++ b/lib/tests/test_connections.rs
@@ -150,3 +150,34 @@
     let (rest, is_reset) = read_rest(&mut caller).await;
     assert!(rest.ends_with(b"small"), "{} bytes, reset: {is_reset}", rest.len());
 }
+
+/// Guards against the same over HTTP/2, whose streams have windows of their own.
+#[tokio::test]
+async fn answer_over_http2_on_a_connection_that_makes_way_is_not_cut() {
+    let (address, _stop) = serve(1).await;
+    let client = http::peer_client();
+    let request = hyper::Request::get(format!("http://{address}/"));
+    let request = request.body(http::Body::full("")).expect("a request");
+    let response = client.request(request).await.expect("an answer");
+    let _other = connect(address).await;
+    tokio::time::sleep(READER_PAUSE).await;
+    let body = http::read_body(response.into_body(), u64::MAX, ANSWER_LIMIT).await;
+    assert_eq!(body.map(|body| body.len()), Ok(LARGE_ANSWER));
+}
+
+/// Guards against a request on a kept connection whose head has arrived in part at the stop, and whose rest
+/// meets a closed connection.
+#[tokio::test]
+async fn head_in_transit_at_the_stop_on_a_kept_connection_is_answered() {
+    let (address, stop) = serve(10).await;
+    let mut caller = connect(address).await;
+    get_small(&mut caller).await;
+    let head = head("/small");
+    caller.write_all(&head[..10]).await.expect("an open connection");
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    stop.send_replace(true);
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    caller.write_all(&head[10..]).await.expect("an open connection");
+    let (rest, is_reset) = read_rest(&mut caller).await;
+    assert!(rest.ends_with(b"small"), "{} bytes, reset: {is_reset}", rest.len());
+}
