http: requests dropped at a frozen server do not end the others

A server that was frozen for a second finds the requests that a peer sent meanwhile together with their cancellations. From the 21st on, the HTTP/2 library takes them for an attack and closes the connection, with all requests on it. An entry drops calls at a silent sidecar and asks again, and a balancer those of callers that left, so that a silence could end every other call there.

The server now admits as many such requests as it admits open ones, 256 for callers and 4096 for peers. They take the same memory, so what a hostile caller can occupy stays bounded as before.

The new test, a client that drops 100 requests at a server frozen for 600 ms, fails without the change: its request in progress ends with a broken pipe. Whether this ended requests on a whole system is not shown.

--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -290,7 +290,10 @@
         .timer(rt::TokioTimer::new())
         .adaptive_window(true)
         .max_header_list_size(MAX_HEAD_BYTES as u32)
-        .max_concurrent_streams(limits.streams);
+        .max_concurrent_streams(limits.streams)
+        // A process that was frozen finds requests together with their cancellations; they take no
+        // more memory than as many open ones.
+        .max_pending_accept_reset_streams(limits.streams as usize);
     let unframed = caller_socket::Unframed::default();
     let socket =
         caller_socket::CallerSocket::new(stream, unframed.clone(), handle.clone(), limits.budget);
--- a/lib/tests/test_http.rs
+++ b/lib/tests/test_http.rs
@@ -244,3 +244,58 @@
         assert_eq!(http::is_timed_out(&error), is_timed_out, "{kind:?} {error:?}");
     }
 }
+
+/// Requests that a client drops while the server is frozen.
+const DROPPED: usize = 100;
+/// Time for which the server is frozen.
+const FREEZE: time::Duration = time::Duration::from_millis(600);
+
+/// A handler whose process freezes on one path and takes a while on another one.
+#[derive(Clone)]
+struct Freezing;
+
+impl http::Handler for Freezing {
+    async fn handle(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        match request.uri().path() {
+            "/freeze" => std::thread::sleep(FREEZE),
+            "/slow" => tokio::time::sleep(2 * FREEZE).await,
+            _ => {}
+        }
+        http::respond(200, "text/plain", "whole")
+    }
+}
+
+/// Guards against requests that were lost with their connection because the client had dropped others
+/// while the server was frozen.
+#[tokio::test]
+async fn requests_dropped_at_a_frozen_server_do_not_end_the_others() {
+    let (address, started) = tokio::sync::oneshot::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(async {
+            let (listener, bound) = listen().await;
+            address.send(bound).expect("the test waits");
+            let (_stop, stopping) = watch::channel(false);
+            http::serve(listener, Freezing, stopping).await;
+        });
+    });
+    let address = started.await.expect("it listens");
+    let client = http::peer_client();
+    let send = |path: &'static str| tokio::spawn(client.request(http::post(address, path, "")));
+    let slow = send("/slow");
+    tokio::time::sleep(FREEZE / 4).await;
+    let freeze = send("/freeze");
+    tokio::time::sleep(FREEZE / 4).await;
+    let dropped: Vec<_> = (0..DROPPED).map(|_| send("/dropped")).collect();
+    tokio::time::sleep(FREEZE / 4).await;
+    for request in dropped {
+        request.abort();
+    }
+    for request in [slow, freeze] {
+        let response = request.await.expect("no panic").expect("a response");
+        assert_eq!(response.status(), 200);
+    }
+}
