http: small chunks that arrive in a burst do not end their connection

The HTTP/2 library closes a connection whose received small chunks exceed an allowance, half of the connection's window, and with it all streams. The adaptive window of the client between processes begins at 64 KB: some 200 chunks of a few bytes that had not been read were enough. They come at once when an entry was frozen for a moment, or when a sidecar was and then sends what its upstream had written meanwhile.

The client has fixed windows now, of the size that the adaptive one grew to at most, so that the allowance is 8 MB.

The new test, 50 streams of 40 small chunks whose client is frozen for 600 ms, fails without the change: their bodies are incomplete.

--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -32,6 +32,11 @@
 const PING_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// Time within which a peer has to answer a ping before its connection is closed.
 const PING_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Bytes that a peer may send on one stream before this process has read them.
+const STREAM_WINDOW: u32 = 1 << 20;
+/// The same for all streams of a connection. The HTTP/2 library derives from it how many small chunks it
+/// holds: one more closes the connection with all its streams.
+const CONNECTION_WINDOW: u32 = 16 << 20;
 
 /// Error with which a body that cannot be sent whole is aborted; the peer receives a broken stream.
 #[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
@@ -351,7 +356,8 @@
         .pool_timer(rt::TokioTimer::new())
         .timer(rt::TokioTimer::new())
         .http2_only(true)
-        .http2_adaptive_window(true)
+        .http2_initial_stream_window_size(STREAM_WINDOW)
+        .http2_initial_connection_window_size(CONNECTION_WINDOW)
         .http2_keep_alive_interval(PING_INTERVAL)
         .http2_keep_alive_timeout(PING_TIMEOUT)
         .retry_canceled_requests(false)
--- a/lib/tests/test_http.rs
+++ b/lib/tests/test_http.rs
@@ -299,3 +299,59 @@
         assert_eq!(response.status(), 200);
     }
 }
+
+/// Streams on one connection, and the small chunks that each of them has.
+const STREAMS: usize = 50;
+const CHUNKS: usize = 40;
+
+/// A handler that answers with a stream of small chunks.
+#[derive(Clone)]
+struct Streaming;
+
+impl http::Handler for Streaming {
+    async fn handle(
+        &self,
+        _request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<http::Body> {
+        let (mut sender, body) = http::Body::stream(1);
+        tokio::spawn(async move {
+            for _ in 0..CHUNKS {
+                tokio::time::sleep(FREEZE / CHUNKS as u32).await;
+                sender.send("a small chunk".into()).await;
+            }
+        });
+        hyper::Response::new(body)
+    }
+}
+
+/// Guards against streams that were lost with their connection because many small chunks had arrived
+/// while the client was frozen.
+#[tokio::test]
+async fn chunks_that_arrive_at_a_frozen_client_do_not_end_their_streams() {
+    let (listener, address) = listen().await;
+    let listener = listener.into_std().expect("a listener");
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(async {
+            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+            let (_stop, stopping) = watch::channel(false);
+            http::serve(listener, Streaming, stopping).await;
+        });
+    });
+    let client = http::peer_client();
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|_| {
+            let response = client.request(http::post(address, "/", ""));
+            tokio::spawn(async move {
+                let body = response.await.expect("a response").into_body();
+                http::read_body(body, 1 << 20, 10 * FREEZE).await.map(|body| body.len())
+            })
+        })
+        .collect();
+    tokio::time::sleep(FREEZE / 4).await;
+    std::thread::sleep(FREEZE);
+    let length = "a small chunk".len() * CHUNKS;
+    for stream in streams {
+        assert_eq!(stream.await.expect("no panic"), Ok(length));
+    }
+}
