entry: a call at a silent sidecar is given up only if it can be retried

A repeatable call that a sidecar had not accepted for 700 ms, or a stream without data for 3 s, was cancelled first, and only then the entry asked for a retry. Without one the caller got 502, although the sidecar was sound and went on a moment later.

The entry now asks first: a retry has to be left, and an upstream has to take work. Otherwise the attempt goes on until its deadline, and the entry asks again at each tick. The silence still counts as a failure of the upstream once, so that later calls avoid it. A hedged call whose other attempt was accepted is not sent a third time.

The new tests of the reducer fail without the change.

--- a/lib/src/entry/attempts.rs
+++ b/lib/src/entry/attempts.rs
@@ -173,6 +173,7 @@
             sent_at: now,
             last_activity: now,
             accepted: false,
+            was_silent: false,
             status: None,
             next_offset: offset,
             resolve_count: 0,
--- a/lib/src/entry/recovery.rs
+++ b/lib/src/entry/recovery.rs
@@ -1,11 +1,14 @@
 //! Recovery of an entry from attempts that fail, lose their connection or stop responding.
 
+use std::collections;
 use std::time;
 
 use crate::id;
 use crate::key;
+use crate::plan;
 use crate::refusal;
 use crate::request;
+use crate::retry;
 use crate::telemetry;
 use crate::wire;
 
@@ -13,7 +16,7 @@
 use super::{Effect, Entry, MAX_FAST_REDIRECTS, REDIRECT_PAUSE};
 
 /// Time within which a sidecar has to accept an attempt before the entry acts: a repeatable call is
-/// sent to another sidecar, any other one is resolved at the same sidecar.
+/// sent to another sidecar if it may be retried, any other one is resolved at the same sidecar.
 const ACCEPT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Time without any frame after which a stream counts as stalled.
 const STREAM_STALL_TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -321,8 +324,8 @@
         }
     }
 
-    /// Handles an attempt without recent frames. With `can_move` the attempt is cancelled and the
-    /// stage retried; otherwise the same sidecar is asked for the outcome.
+    /// Handles an attempt without recent frames. With `can_move` it is replaced by another one if that
+    /// is possible; otherwise the same sidecar is asked for the outcome.
     pub(super) fn replace_or_resolve(
         &mut self,
         now: time::Duration,
@@ -330,17 +333,69 @@
         can_move: bool,
         effects: &mut Vec<Effect>,
     ) {
-        if !can_move {
+        if can_move {
+            self.replace(now, attempt, effects);
+        } else {
             // The call may run only once, or its stream cannot be resumed at another sidecar; only
             // this sidecar has its outcome.
             self.resolve(now, attempt, effects);
-            return;
         }
-        if let Some(record) = self.attempts.get(&attempt) {
-            effects.push(Effect::Cancel(record.address(), attempt));
+    }
+
+    /// Replaces an attempt at a silent sidecar. If no upstream takes work or no retry is left, the
+    /// attempt goes on, since a sound sidecar may be silent for a while.
+    fn replace(&mut self, now: time::Duration, attempt: id::AttemptId, effects: &mut Vec<Effect>) {
+        let Some(record) = self.attempts.get_mut(&attempt) else { return };
+        let (request, stage) = (record.request, record.stage);
+        if !std::mem::replace(&mut record.was_silent, true) {
+            // Later calls avoid the upstream, also if this one cannot.
+            let instance = record.pick.instance.clone();
+            self.record_failure(now, &instance, effects);
         }
-        let kind = refusal::Kind::SidecarLost;
-        self.fail_attempt(now, attempt, kind, refusal::Ran::Unknown, effects);
+        if self.is_accepted_elsewhere(attempt) || !self.can_retry(now, request, stage) {
+            return;
+        }
+        let Some(state) = self.requests.get_mut(&request) else { return };
+        let service = state.plan.steps[stage].service.clone();
+        self.retry_budgets.entry(service).or_default().try_withdraw();
+        state.record_ran(refusal::Ran::Unknown);
+        self.cancel_attempt(attempt, effects);
+        self.try_stage(now, request, stage, effects);
+    }
+
+    /// Whether another attempt of the same stage was accepted.
+    fn is_accepted_elsewhere(&self, attempt: id::AttemptId) -> bool {
+        let Some(record) = self.attempts.get(&attempt) else { return false };
+        let others = self.attempts_of(record.request, Some(record.stage));
+        others.iter().filter(|other| **other != attempt).any(|other| self.attempts[other].accepted)
+    }
+
+    /// Whether a failed attempt of a stage would be retried now.
+    fn can_retry(
+        &self,
+        now: time::Duration,
+        request: id::RequestId,
+        stage: plan::StageIndex,
+    ) -> bool {
+        let Some(state) = self.requests.get(&request) else { return false };
+        let Some(run) = state.stage_runs.get(&stage) else { return false };
+        let budget = self.retry_budgets.get(&state.plan.steps[stage].service);
+        run.attempts < MAX_ATTEMPTS
+            && budget.is_some_and(retry::Budget::has_retry)
+            && self.has_alternative(now, request, stage)
+    }
+
+    /// Whether a stage has time left for one more attempt, and an upstream that takes work.
+    fn has_alternative(
+        &self,
+        now: time::Duration,
+        request: id::RequestId,
+        stage: plan::StageIndex,
+    ) -> bool {
+        let Some(state) = self.requests.get(&request) else { return false };
+        let service = &state.plan.steps[stage].service;
+        now + REPLY_MARGIN < state.stage_deadline(stage)
+            && self.router.has_untried(service, &collections::BTreeSet::new())
     }
 
     /// Starts a second attempt if the first one takes much longer than usual and the retry budget
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -139,6 +139,8 @@
     pub last_activity: time::Duration,
     /// Whether the sidecar has accepted the attempt.
     pub accepted: bool,
+    /// Whether a silence of the sidecar has been counted as a failure of the upstream.
+    pub was_silent: bool,
     /// HTTP status of the answer; `None` until its head has arrived.
     pub status: Option<u16>,
     /// Offset of the next byte of the answer that is expected.
--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -23,9 +23,14 @@
         self.balance = (self.balance + share).min(MAX_BALANCE);
     }
 
+    /// Whether the budget has a retry left.
+    pub fn has_retry(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Takes one retry from the budget; returns false if it has none left.
     pub fn try_withdraw(&mut self) -> bool {
-        let has_enough = self.balance >= 1.0;
+        let has_enough = self.has_retry();
         if has_enough {
             self.balance -= 1.0;
         }
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -114,6 +114,15 @@
         request
     }
 
+    /// Lists all upstreams of a service as leaving.
+    fn list_leaving(&mut self, service: &str) {
+        let mut list = instances();
+        for (name, listed) in &mut list {
+            listed.leaving = name.as_str().starts_with(service);
+        }
+        self.step(entry::Event::InstancesListed(list));
+    }
+
     fn sent_attempts(&self) -> Vec<SentAttempt> {
         let sends = self.effects.iter().filter_map(|effect| match effect {
             entry::Effect::SendAttempt { stage, address, open, .. } => Some(SentAttempt {
@@ -448,6 +457,45 @@
     harness
 }
 
+/// Guards against sound calls that were given up at a silent sidecar before it was known that no retry
+/// was left.
+#[test]
+fn silent_sidecar_without_retry_is_awaited() {
+    let mut harness = without_retries("encoder");
+    let request = harness.arrive("encoder", |_| {});
+    let first = harness.last_sent();
+    for _ in 0..12 {
+        harness.advance(100);
+    }
+    assert_eq!(harness.refusal(request), None);
+    assert!(!harness.cancelled().contains(&first.attempt));
+    harness.succeed(first.attempt, 3);
+    assert_eq!(harness.answer_count(request), 1);
+}
+
+/// Guards against streams that were given up after a silence although nobody could continue them.
+#[test]
+fn silent_stream_is_awaited_if_no_upstream_takes_it() {
+    for has_other in [false, true] {
+        let mut harness = Harness::new();
+        let (request, first) = start_stream(&mut harness);
+        if !has_other {
+            harness.list_leaving("generator");
+        }
+        for _ in 0..31 {
+            harness.advance(100);
+        }
+        assert_eq!(harness.refusal(request), None);
+        assert_eq!(harness.last_sent().attempt != first.attempt, has_other);
+        assert_eq!(harness.cancelled().contains(&first.attempt), has_other);
+        let attempt = harness.last_sent().attempt;
+        harness.frame(attempt, entry::FrameInfo::Head(200));
+        harness.frame(attempt, entry::FrameInfo::Chunk { offset: 5, bytes: 4 });
+        harness.frame(attempt, entry::FrameInfo::End { total: 9, load: load() });
+        assert_eq!(harness.answer_count(request), 1, "another upstream: {has_other}");
+    }
+}
+
 /// Guards against once-only calls that were refused after a silent sidecar had not got their message.
 #[test]
 fn call_resolved_as_not_run_is_sent_again_without_retry_budget() {
