entry: a second attempt that finds no upstream does not end the first

A call that takes much longer than usual is sent to a second upstream as well. If none took work, as when all are leaving, the search for one counted like that of a new call: after about 600 ms the request was refused with 503 no_upstream, and its first attempt, which an upstream was running, was cancelled. Equally it was refused when the time left was too short for another attempt.

The entry now starts a second attempt only if an upstream takes work and time is left for it.

The new test of the reducer, a slow call whose upstreams are all listed as leaving, fails without the change: the request is refused.

--- a/lib/src/entry/recovery.rs
+++ b/lib/src/entry/recovery.rs
@@ -408,18 +408,25 @@
     ) {
         let Some(record) = self.attempts.get(&attempt) else { return };
         let (request, stage) = (record.request, record.stage);
-        let Some(state) = self.requests.get_mut(&request) else { return };
-        let step = &state.plan.steps[stage];
-        let Some(mean) = self.mean_latencies.get(&step.service) else { return };
+        let Some(state) = self.requests.get(&request) else { return };
+        let service = state.plan.steps[stage].service.clone();
+        let Some(mean) = self.mean_latencies.get(&service) else { return };
         let hedge_delay = time::Duration::from_secs_f64(*mean) * HEDGE_FACTOR;
-        let Some(run) = state.stage_runs.get_mut(&stage) else { return };
+        let Some(run) = state.stage_runs.get(&stage) else { return };
         if run.hedged || now.saturating_sub(record.sent_at) < hedge_delay.max(MIN_HEDGE_DELAY) {
             return;
         }
-        if self.retry_budgets.entry(step.service.clone()).or_default().try_withdraw() {
+        // A stage that finds no upstream would be refused, with its first attempt in progress.
+        if !self.has_alternative(now, request, stage)
+            || !self.retry_budgets.entry(service).or_default().try_withdraw()
+        {
+            return;
+        }
+        let state = self.requests.get_mut(&request);
+        if let Some(run) = state.and_then(|state| state.stage_runs.get_mut(&stage)) {
             run.hedged = true;
-            self.try_stage(now, request, stage, effects);
         }
+        self.try_stage(now, request, stage, effects);
     }
 }
 
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -496,6 +496,25 @@
     }
 }
 
+/// Guards against calls in progress that ended because no upstream was left for a second attempt.
+#[test]
+fn slow_call_is_awaited_if_no_upstream_takes_a_second_attempt() {
+    let mut harness = Harness::new();
+    harness.arrive("encoder", |_| {});
+    let earlier = harness.last_sent();
+    harness.succeed(earlier.attempt, 5);
+    let request = harness.arrive("encoder", |_| {});
+    let first = harness.last_sent();
+    harness.frame(first.attempt, entry::FrameInfo::Accepted(load()));
+    harness.list_leaving("encoder");
+    for _ in 0..20 {
+        harness.advance(100);
+    }
+    assert_eq!(harness.refusal(request), None);
+    harness.succeed(first.attempt, 3);
+    assert_eq!(harness.answer_count(request), 1);
+}
+
 /// Guards against once-only calls that were refused after a silent sidecar had not got their message.
 #[test]
 fn call_resolved_as_not_run_is_sent_again_without_retry_budget() {
