entry: a call whose connection broke is asked for before it is refused

A repeatable call whose connection to a sidecar broke, for instance because the sidecar did not answer a ping for 3 s, was ended. Without a retry left the caller got 502, while the sidecar kept the call for 3 s more and might have run it.

Without a retry the entry now first asks the same sidecar for the answer, as it does for calls that may run only once and for streams that have begun. If that connection fails as well, it refuses at once as before.

The new test of the reducer fails without the change: nothing is asked.

--- a/lib/src/entry/recovery.rs
+++ b/lib/src/entry/recovery.rs
@@ -44,7 +44,7 @@
         sent: bool,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(record) = self.attempts.get_mut(&attempt) else { return };
+        let Some(record) = self.attempts.get(&attempt) else { return };
         let (request, stage) = (record.request, record.stage);
         let Some(state) = self.requests.get(&request) else { return };
         let config = &state.plan.steps[stage].service_config;
@@ -56,16 +56,18 @@
         }
         let relayed_bytes = state.stage_runs.get(&stage).map_or(0, |run| run.relayed_bytes);
         // A repeatable call is sent to another sidecar at once. A stream that has started is first
-        // resumed at the same sidecar, which has the rest of it.
-        let is_resumable_here = relayed_bytes > 0 && record.resolve_count == 0;
+        // resumed at the same sidecar, which has the rest of it. So is a call without a retry left,
+        // because the sidecar may still run it.
+        let is_resumable_here =
+            !is_resolving && (relayed_bytes > 0 || !self.can_retry(now, request, stage));
         if config.idempotent && !is_resumable_here {
             let kind = refusal::Kind::SidecarLost;
             self.fail_attempt(now, attempt, kind, refusal::Ran::Unknown, effects);
             return;
         }
-        if record.resolve_count == 0 {
+        if !is_resolving {
             self.resolve(now, attempt, effects);
-        } else {
+        } else if let Some(record) = self.attempts.get_mut(&attempt) {
             record.resolve_at = Some(now + RESOLVE_PAUSE);
         }
     }
--- a/lib/tests/test_entry.rs
+++ b/lib/tests/test_entry.rs
@@ -528,6 +528,27 @@
     assert_eq!(harness.answer_count(request), 1);
 }
 
+/// Guards against calls that were lost with a connection although the sidecar still had them.
+#[test]
+fn lost_connection_without_retry_is_resolved_at_same_sidecar() {
+    for is_back in [true, false] {
+        let mut harness = without_retries("encoder");
+        let request = harness.arrive("encoder", |_| {});
+        let first = harness.last_sent();
+        harness.frame(first.attempt, entry::FrameInfo::Accepted(load()));
+        harness.step(entry::Event::ConnectionLost { attempt: first.attempt, sent: true });
+        assert_eq!(harness.refusal(request), None);
+        assert_eq!(harness.attach_messages().last().map(|a| a.attempt), Some(first.attempt));
+        if is_back {
+            harness.succeed(first.attempt, 3);
+            assert_eq!(harness.answer_count(request), 1);
+        } else {
+            harness.step(entry::Event::ConnectionLost { attempt: first.attempt, sent: false });
+            assert_eq!(harness.refusal(request), Some((Kind::SidecarLost, Ran::Unknown)));
+        }
+    }
+}
+
 #[test]
 fn incomplete_answer_is_never_sent() {
     // A chunk is missing, or the end frame announces more bytes than arrived. Nothing of such an
