gateway: a silent call is kept if the next one could not begin in time

A call whose answer had not begun was ended as long as a next one fitted before the deadline of the whole answer. But a next call of a resumable stream is sent 0.4 s later, and the answer has to begin by the deadline for its start: in the last 0.4 s before that the request was always refused, although its upstream might have gone on. The time that applies at present is compared now.

Test: silent_call_is_kept_if_the_next_one_could_not_begin_in_time failed before (the call was told to end) and passes.

--- a/lib/src/gateway/silence.rs
+++ b/lib/src/gateway/silence.rs
@@ -129,7 +129,7 @@
     /// Returns whether a request with a call in flight could be sent to another upstream now.
     fn can_move(&self, request: &request::Request) -> bool {
         let earliest = self.now.mono + moves::END_TIME + calls::MIN_BUDGET;
-        earliest < request.deadline
+        earliest < request.current_deadline()
             && may_run_again(request)
             && request.call_count < calls::MAX_CALLS
             && !self.is_suspect(request)
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -102,6 +102,21 @@
     }
 }
 
+/// Guards against answers that are given up shortly before they must begin, when a next call would be too late.
+#[test]
+fn silent_call_is_kept_if_the_next_one_could_not_begin_in_time() {
+    let mut harness = Harness::new();
+    let (_, effects) = harness.arrive("/again/1");
+    let call = request_call(&effects).expect("it is sent").call;
+    // The caller waits for three seconds, and a next call is sent 0.4 s after the end of this one.
+    harness.advance(ms(2_700));
+    let effects = harness.step(gateway::Event::CallSilent(call));
+    assert_eq!(ended_call(&effects), None);
+    harness.step(gateway::Event::AnswerStarted(call));
+    harness.end_call(call, gateway::Outcome::Ended);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
 #[test]
 fn silent_stream_ends_once_its_stages_are_computed_again() {
     let mut harness = Harness::new();
