gateway: a silent call is kept if the gateway stops before the next one

In a planned stop a silent stream was told to end although the process ends before its next call could be sent, so that the stream broke off in any case. The end of the stop is compared like the deadline now.

Test: silent_call_is_kept_if_the_gateway_stops_before_the_next_one failed before (the call was told to end) and passes.

--- a/lib/src/gateway/silence.rs
+++ b/lib/src/gateway/silence.rs
@@ -130,6 +130,7 @@
     fn can_move(&self, request: &request::Request) -> bool {
         let earliest = self.now.mono + moves::END_TIME + calls::MIN_BUDGET;
         earliest < request.current_deadline()
+            && self.stop.is_none_or(|stop| earliest < stop.end)
             && may_run_again(request)
             && request.call_count < calls::MAX_CALLS
             && !self.is_suspect(request)
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -117,6 +117,16 @@
     assert_eq!(harness.gateway.request_count(), 0);
 }
 
+/// Guards against streams that are given up in a planned stop whose time is over before they could go on.
+#[test]
+fn silent_call_is_kept_if_the_gateway_stops_before_the_next_one() {
+    let mut harness = Harness::new();
+    let call = begin_stream(&mut harness, "/again/1").call;
+    harness.step(gateway::Event::Drain { left: ms(300) });
+    let effects = harness.step(gateway::Event::CallSilent(call));
+    assert_eq!(ended_call(&effects), None);
+}
+
 #[test]
 fn silent_stream_ends_once_its_stages_are_computed_again() {
     let mut harness = Harness::new();
