gateway: stages of a stream that has begun have until its deadline

A stream that has begun and whose upstream is lost or silent needs its stages computed again. They were given the deadline for the start of the answer, which no longer applies: after it, the queue gave the stage up at once or the upstream got no time for it, and the stream broke off or was not moved, with time left. The deadline that applies at present is used.

Test: begun_stream_computes_its_stages_again_after_its_start_deadline failed before where load is shed by loss (no stage was sent) and passes.

--- a/lib/src/gateway/shed.rs
+++ b/lib/src/gateway/shed.rs
@@ -118,7 +118,8 @@
         if self.settings.overload == shedding::Overload::Due {
             return None;
         }
-        let mut latest = request.start_deadline.saturating_sub(self.shortest_rest(request, stage));
+        let mut latest =
+            request.current_deadline().saturating_sub(self.shortest_rest(request, stage));
         // Inputs are stored for a limited time; a request that is held for longer starts again.
         for dependency in &request.route.stages[stage].depends_on {
             let service = &request.route.stages[*dependency].service;
--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -92,7 +92,7 @@
             pool: roster::PoolId { service, region: request.region.clone() },
             stage,
             due,
-            deadline: request.start_deadline,
+            deadline: request.current_deadline(),
             terms,
             rank: request.rank,
             result_size,
--- a/lib/tests/gateway_harness/mod.rs
+++ b/lib/tests/gateway_harness/mod.rs
@@ -93,6 +93,11 @@
 impl Harness {
     /// Makes a gateway with two upstreams for requests and one for each stage.
     pub fn new() -> Self {
+        Self::with_overload(shedding::Overload::Due)
+    }
+
+    /// Makes the same gateway with this way to shed load.
+    pub fn with_overload(overload: shedding::Overload) -> Self {
         let regions = [("a", "east")].map(|(d, r)| (name(d), name(r)));
         let settings = gateway::Settings {
             instance: name("g1"),
@@ -101,7 +106,7 @@
             revocation_bound: Some(ms(5_000)),
             retry_share: 0.1,
             cold_allowance: cold::Allowance::default(),
-            overload: shedding::Overload::Due,
+            overload,
         };
         let now = clock::Now { mono: ms(10_000), wall: ms(1_000_000) };
         let mut harness =
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use bramleyshelf_lib::{gateway, id, table};
+use bramleyshelf_lib::{gateway, id, shedding, table};
 use bramleyshelf_testutils::values::ms;
 use gateway_harness::{Harness, batch_call, request_call, staged_route, table};
 
@@ -37,15 +37,21 @@
     sync::Arc::new(table)
 }
 
-/// Lets a stream with two stages arrive and begin, and says that it is silent. Returns its call and the
-/// effects.
-fn silence_staged_stream(harness: &mut Harness) -> (gateway::CallId, Vec<gateway::Effect>) {
+/// Lets a stream with two stages arrive and begin. Returns its call.
+fn begin_staged_stream(harness: &mut Harness) -> gateway::CallId {
     harness.apply_table(&table_with_resumable_stages());
     let (_, effects) = harness.arrive("/guide/1");
     let effects = harness.complete_batch(&batch_call(&effects).clone());
     let effects = harness.complete_batch(&batch_call(&effects).clone());
     let call = request_call(&effects).expect("its stages are done").call;
     harness.step(gateway::Event::AnswerStarted(call));
+    call
+}
+
+/// Lets a stream with two stages arrive and begin, and says that it is silent. Returns its call and the
+/// effects.
+fn silence_staged_stream(harness: &mut Harness) -> (gateway::CallId, Vec<gateway::Effect>) {
+    let call = begin_staged_stream(harness);
     (call, harness.step(gateway::Event::CallSilent(call)))
 }
 
@@ -127,6 +133,26 @@
     assert_eq!(ended_call(&effects), None);
 }
 
+/// Guards against streams that break off because their stages are given up at the deadline for the start of
+/// the answer, which has begun.
+#[test]
+fn begun_stream_computes_its_stages_again_after_its_start_deadline() {
+    for overload in [shedding::Overload::Due, shedding::Overload::Loss] {
+        let mut harness = Harness::with_overload(overload);
+        let call = begin_staged_stream(&mut harness);
+        harness.advance(ms(3_100));
+        let mut effects = harness.end_call(call, LOST);
+        for _ in 0..2 {
+            effects.extend(harness.advance(ms(20)));
+            let batch = find_batch(&effects).unwrap_or_else(|| panic!("{overload:?}"));
+            assert!(batch.items.iter().all(|item| item.budget > ms(500)), "{overload:?}");
+            effects = harness.complete_batch(&batch);
+        }
+        effects.extend(harness.advance(ms(20)));
+        assert_eq!(request_call(&effects).expect("it goes on").last_event, Some(3));
+    }
+}
+
 #[test]
 fn silent_stream_ends_once_its_stages_are_computed_again() {
     let mut harness = Harness::new();
