gateway: a stream that has begun outlives stage results that expired

If the results of a stage were gone before the next stage had its turn, and the answer should have begun by then, the request was refused. A stream that has begun and computes its stages again is always past that time, so it broke off with time left. It computes the lost results again now, as often as any other request.

Test: begun_stream_outlives_results_that_expired failed before (the request was dropped) and passes.

--- a/lib/src/gateway/stages.rs
+++ b/lib/src/gateway/stages.rs
@@ -149,16 +149,19 @@
                 }
             };
         }
+        let has_started = request.has_started;
+        let dependencies = request.route.stages[group.stage].depends_on.clone();
         if is_input_gone && request.due < self.now.mono {
             if self.keep_call(id, effects) {
                 return;
             }
-            let message = "results of a stage were gone before the next one had its turn";
-            self.refuse(id, refusal::Kind::DeadlineExceeded, message, effects);
-            return;
+            if !has_started {
+                let message = "results of a stage were gone before the next one had its turn";
+                self.refuse(id, refusal::Kind::DeadlineExceeded, message, effects);
+                return;
+            }
         }
         if is_input_gone {
-            let dependencies = request.route.stages[group.stage].depends_on.clone();
             self.recompute_stages(id, &dependencies, effects);
         } else if has_failed {
             self.count_recomputation(id, effects);
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -153,6 +153,21 @@
     }
 }
 
+/// Guards against streams that break off because the results of a stage expire while they wait to go on.
+#[test]
+fn begun_stream_outlives_results_that_expired() {
+    let mut harness = Harness::new();
+    let call = begin_staged_stream(&mut harness);
+    // The answer should have begun a second after the arrival.
+    harness.advance(ms(1_500));
+    let effects = harness.end_call(call, LOST);
+    let effects = harness.complete_batch(&batch_call(&effects).clone());
+    let second = batch_call(&effects).clone();
+    let gone = vec![gateway::PieceOutcome::InputGone; second.items.len()];
+    harness.end_batch(&second, gateway::BatchOutcome::Done(gone));
+    assert_eq!(harness.gateway.request_count(), 1);
+}
+
 #[test]
 fn silent_stream_ends_once_its_stages_are_computed_again() {
     let mut harness = Harness::new();
