--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use bramleyshelf_lib::{gateway, id, table};
+use bramleyshelf_lib::{gateway, id, shedding, table};
 use bramleyshelf_testutils::values::ms;
 use gateway_harness::{Harness, batch_call, request_call, staged_route, table};
 
@@ -37,15 +37,21 @@
     sync::Arc::new(table)
 }
 
-/// Lets a stream with two stages arrive and begin, and says that it is silent. Returns its call and the
-/// effects.
-fn silence_staged_stream(harness: &mut Harness) -> (gateway::CallId, Vec<gateway::Effect>) {
+/// Lets a stream with two stages arrive and begin. Returns its call.
+fn begin_staged_stream(harness: &mut Harness) -> gateway::CallId {
     harness.apply_table(&table_with_resumable_stages());
     let (_, effects) = harness.arrive("/guide/1");
     let effects = harness.complete_batch(&batch_call(&effects).clone());
     let effects = harness.complete_batch(&batch_call(&effects).clone());
     let call = request_call(&effects).expect("its stages are done").call;
     harness.step(gateway::Event::AnswerStarted(call));
+    call
+}
+
+/// Lets a stream with two stages arrive and begin, and says that it is silent. Returns its call and the
+/// effects.
+fn silence_staged_stream(harness: &mut Harness) -> (gateway::CallId, Vec<gateway::Effect>) {
+    let call = begin_staged_stream(harness);
     (call, harness.step(gateway::Event::CallSilent(call)))
 }
 
@@ -102,6 +108,66 @@
     }
 }
 
+/// Guards against answers that are given up shortly before they must begin, when a next call would be too late.
+#[test]
+fn silent_call_is_kept_if_the_next_one_could_not_begin_in_time() {
+    let mut harness = Harness::new();
+    let (_, effects) = harness.arrive("/again/1");
+    let call = request_call(&effects).expect("it is sent").call;
+    // The caller waits for three seconds, and a next call is sent 0.4 s after the end of this one.
+    harness.advance(ms(2_700));
+    let effects = harness.step(gateway::Event::CallSilent(call));
+    assert_eq!(ended_call(&effects), None);
+    harness.step(gateway::Event::AnswerStarted(call));
+    harness.end_call(call, gateway::Outcome::Ended);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
+/// Guards against streams that are given up in a planned stop whose time is over before they could go on.
+#[test]
+fn silent_call_is_kept_if_the_gateway_stops_before_the_next_one() {
+    let mut harness = Harness::new();
+    let call = begin_stream(&mut harness, "/again/1").call;
+    harness.step(gateway::Event::Drain { left: ms(300) });
+    let effects = harness.step(gateway::Event::CallSilent(call));
+    assert_eq!(ended_call(&effects), None);
+}
+
+/// Guards against streams that break off because their stages are given up at the deadline for the start of
+/// the answer, which has begun.
+#[test]
+fn begun_stream_computes_its_stages_again_after_its_start_deadline() {
+    for overload in [shedding::Overload::Due, shedding::Overload::Loss] {
+        let mut harness = Harness::with_overload(overload);
+        let call = begin_staged_stream(&mut harness);
+        harness.advance(ms(3_100));
+        let mut effects = harness.end_call(call, LOST);
+        for _ in 0..2 {
+            effects.extend(harness.advance(ms(20)));
+            let batch = find_batch(&effects).unwrap_or_else(|| panic!("{overload:?}"));
+            assert!(batch.items.iter().all(|item| item.budget > ms(500)), "{overload:?}");
+            effects = harness.complete_batch(&batch);
+        }
+        effects.extend(harness.advance(ms(20)));
+        assert_eq!(request_call(&effects).expect("it goes on").last_event, Some(3));
+    }
+}
+
+/// Guards against streams that break off because the results of a stage expire while they wait to go on.
+#[test]
+fn begun_stream_outlives_results_that_expired() {
+    let mut harness = Harness::new();
+    let call = begin_staged_stream(&mut harness);
+    // The answer should have begun a second after the arrival.
+    harness.advance(ms(1_500));
+    let effects = harness.end_call(call, LOST);
+    let effects = harness.complete_batch(&batch_call(&effects).clone());
+    let second = batch_call(&effects).clone();
+    let gone = vec![gateway::PieceOutcome::InputGone; second.items.len()];
+    harness.end_batch(&second, gateway::BatchOutcome::Done(gone));
+    assert_eq!(harness.gateway.request_count(), 1);
+}
+
 #[test]
 fn silent_stream_ends_once_its_stages_are_computed_again() {
     let mut harness = Harness::new();
