--- a/cli/tests/test_gateway_silence.rs
+++ b/cli/tests/test_gateway_silence.rs
@@ -39,9 +39,13 @@
         Silent::Upstreams(service, count) => {
             let all = system.upstreams.iter().filter(|upstream| upstream.service == service);
             let links: Vec<_> = all.take(count).map(|upstream| upstream.link.clone()).collect();
-            links.iter().for_each(|link| link.set_cut(true));
+            for link in &links {
+                link.set_cut(true);
+            }
             tokio::time::sleep(SILENCE).await;
-            links.iter().for_each(|link| link.set_cut(false));
+            for link in &links {
+                link.set_cut(false);
+            }
         }
         Silent::Gateway(index) => {
             let process = system.gateways[index].process.as_ref().expect("it runs");
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -335,23 +335,3 @@
         }
     }
 }
-
-/// Guards against a stream that breaks off because the time for its first event, which it has had, is over
-/// when its stages are computed again.
-#[test]
-fn begun_stream_computes_stages_again_after_its_start_deadline() {
-    let mut harness = Harness::new();
-    harness.apply_table(&table_with_resumable_stages());
-    let (_, effects) = harness.arrive("/guide/1");
-    let effects = harness.complete_batch(&batch_call(&effects).clone());
-    let effects = harness.complete_batch(&batch_call(&effects).clone());
-    let call = request_call(&effects).expect("its stages are done").call;
-    harness.step(gateway::Event::AnswerStarted(call));
-    harness.advance(ms(3_100));
-    let effects = harness.end_call(call, LOST);
-    let batch = batch_call(&effects).clone();
-    assert_eq!(batch.items[0].budget, ms(900));
-    let effects = harness.complete_batch(&batch);
-    let effects = harness.complete_batch(&batch_call(&effects).clone());
-    assert!(request_call(&effects).is_some(), "{effects:?}");
-}
