tests: a silent stream whose stages are given up

No test failed when the reducer refused a stream whose call is in flight because the stages for its next call were given up: the reducer's tests shed nothing, and the gateways' tests never queue that much. The new test fails then (the request is dropped) and passes as it is.

--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -199,6 +199,24 @@
     assert_eq!(harness.gateway.request_count(), 0);
 }
 
+/// Guards against a stream that breaks off because its stages are given up, though its upstream may go on.
+#[test]
+fn silent_stream_is_kept_if_its_stages_are_given_up() {
+    let mut harness = Harness::with_overload(shedding::Overload::Loss);
+    let call = begin_staged_stream(&mut harness);
+    // Half a second is left, which is too little for both stages.
+    harness.advance(ms(3_500));
+    let mut effects = harness.step(gateway::Event::CallSilent(call));
+    for _ in 0..20 {
+        effects.extend(harness.advance(ms(20)));
+    }
+    assert!(find_batch(&effects).is_none(), "it is given up");
+    assert_eq!(ended_call(&effects), None);
+    assert_eq!(harness.gateway.request_count(), 1);
+    harness.end_call(call, gateway::Outcome::Ended);
+    assert_eq!(harness.gateway.request_count(), 0);
+}
+
 #[test]
 fn resumed_stream_drops_stages_that_are_computed_again() {
     let mut harness = Harness::new();
