--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -84,6 +84,77 @@
     assert!(quarantine.held_parts(whole(&parts, 9)).is_empty());
 }
 
+/// A request without a prompt, by its digest.
+fn plain(content: u64) -> quarantine::Prompt<'static> {
+    quarantine::Prompt { parts: &[], content: Some(content) }
+}
+
+/// Guards against a request without a prompt that is passed on after it has crashed several upstreams.
+#[test]
+fn plain_request_that_explains_three_crashes_is_held() {
+    let mut quarantine = quarantine::Quarantine::new(7);
+    for number in 0..3 {
+        let now = ms(READY + number * 300);
+        assert!(quarantine.update(now).is_empty());
+        quarantine.record_crash(now, engine(number), None, plain(9));
+        quarantine.record_crash(now, engine(number), None, plain(20 + number));
+    }
+    assert!(quarantine.is_suspect(plain(9)), "it is not tried at another upstream");
+    assert!(!quarantine.is_suspect(plain(20)));
+    let now = ms(READY + SETTLED);
+    let changes = quarantine.update(now);
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    assert_eq!(quarantine.held_parts(plain(9)), [quarantine::request_suspect(9)]);
+    assert!(quarantine.held_parts(plain(20)).is_empty());
+    quarantine.record_sound(now + ms(100), plain(9));
+    assert_eq!(quarantine.update(now + ms(1_000)).len(), 1);
+    assert!(quarantine.held_parts(plain(9)).is_empty());
+}
+
+/// Guards against a hold of a request that is often repeated and waits at many crashes by chance.
+#[test]
+fn plain_request_with_sound_answers_is_not_held_after_many_crashes() {
+    let mut quarantine = quarantine::Quarantine::new(7);
+    for number in 0..60 {
+        let now = ms(READY + number * 500);
+        quarantine.record_sound(now, plain(9));
+        quarantine.record_crash(now + ms(100), engine(number), None, plain(9));
+        assert!(quarantine.update(now + ms(400)).is_empty());
+    }
+    // All upstreams crash at once, so that no answer can show that it is sound.
+    for number in 100..140 {
+        quarantine.record_crash(ms(READY + 31_000), engine(number), None, plain(9));
+    }
+    assert!(quarantine.update(ms(READY + 31_000 + SETTLED)).is_empty());
+}
+
+/// Guards against a request that crashes upstreams from some time on and was sound before.
+#[test]
+fn plain_request_that_was_sound_is_held_after_more_crashes() {
+    let mut quarantine = quarantine::Quarantine::new(7);
+    quarantine.record_sound(ms(0), plain(9));
+    for number in 0..5 {
+        assert!(quarantine.update(ms(READY + 2_000 * number)).is_empty(), "{number}");
+        quarantine.record_crash(ms(READY + 2_000 * number), engine(number), None, plain(9));
+    }
+    assert_eq!(quarantine.update(ms(READY + 8_000 + SETTLED)).len(), 1);
+}
+
+/// Guards against sound requests that take the place of parts in what gateways report as sound.
+#[test]
+fn sound_plain_requests_displace_no_sound_part_from_reports() {
+    let mut quarantine = experienced();
+    quarantine.record_crash(ms(READY), engine(1), None, &prompt(&[66, 950]));
+    quarantine.record_sound(ms(READY + 100), &prompt(&[66, 951]));
+    for content in 0..100 {
+        quarantine.record_crash(ms(READY + 200), engine(2), None, plain(content));
+        quarantine.record_sound(ms(READY + 300), plain(content));
+    }
+    let sound = quarantine.report(ms(READY + 300)).sound;
+    assert!(sound.iter().any(|sound| sound.part == 66), "{sound:?}");
+    assert!(sound.len() <= 64, "{}", sound.len());
+}
+
 /// Guards against a part that goes on to crash engines because a request with it is held.
 #[test]
 fn part_is_held_after_a_request_with_it() {
@@ -224,6 +295,23 @@
     assert!(format!("{quarantine:?}").len() < 4 << 20, "its state is bounded");
 }
 
+/// Guards against memory that grows with each request without a prompt.
+#[test]
+fn endless_distinct_plain_requests_are_not_remembered() {
+    let mut quarantine = experienced();
+    for content in 0..50_000 {
+        let now = ms(READY + content);
+        quarantine.record_crash(now, engine(content % 600), None, plain(content));
+        quarantine.record_sound(now + ms(1), plain(content));
+        quarantine.record_sound(now + ms(1), plain(100_000 + content));
+    }
+    let report = quarantine.report(ms(READY + 50_000));
+    let suspects: usize = report.crashes.iter().map(|crash| crash.suspects.len()).sum();
+    assert!(report.crashes.len() <= 16 && suspects <= 16 * 48, "{suspects}");
+    assert!(report.sound.len() <= 64, "{}", report.sound.len());
+    assert!(format!("{quarantine:?}").len() < 4 << 20, "its state is bounded");
+}
+
 #[test]
 fn sound_parts_are_not_held_after_many_engines_crash_at_once() {
     let mut quarantine = experienced();
@@ -397,8 +485,28 @@
 const REQUEST_PARTS: [u64; 3] = [1, 10, 69];
 const BESIDE_SHARE: f64 = 0.1;
 
+/// Digests from here on belong to requests without a prompt.
+const FIRST_PLAIN: u64 = 1 << 40;
+/// Number of sound requests without a prompt that arrive again and again, and of those that arrive in
+/// each step if some requests without a prompt crash upstreams.
+const REPEATED_PLAIN: u64 = 6;
+const MAX_PLAIN_ARRIVALS: u64 = 4;
+
+/// Returns the suspect that is a request without a prompt.
+fn plain_suspect(number: u64) -> u64 {
+    quarantine::request_suspect(FIRST_PLAIN + number)
+}
+
+/// Returns whether a suspect is a request without a prompt.
+fn is_plain(suspect: u64) -> bool {
+    quarantine::is_request(suspect) && suspect >= plain_suspect(0)
+}
+
 /// Returns the suspects of a request that crashes engines.
 fn crashing_request(suspect: u64) -> Vec<u64> {
+    if is_plain(suspect) {
+        return vec![suspect];
+    }
     [&REQUEST_PARTS[..], &[500, suspect]].concat()
 }
 
@@ -521,12 +629,20 @@
         self.arrive_whole([shared, &[own, quarantine::request_suspect(own)]].concat());
     }
 
+    /// Lets a sound request without a prompt arrive: one that arrives only once, or a repeated one.
+    fn arrive_plain(&mut self) {
+        self.next_own += 1;
+        let repeated = plain_suspect(self.rng.u64(..REPEATED_PLAIN));
+        let suspect = if self.rng.bool() { repeated } else { plain_suspect(self.next_own) };
+        self.arrive_whole(vec![suspect]);
+    }
+
     /// Lets a request arrive at any gateway.
     fn arrive_whole(&mut self, suspects: Vec<u64>) {
         let node = self.rng.usize(..self.nodes.len());
         let is_sound = self.cause(&suspects).is_none();
         let is_counted = is_sound && self.nodes[node].is_in_touch(self.now);
-        let is_beside = suspects.starts_with(&REQUEST_PARTS);
+        let is_beside = suspects.starts_with(&REQUEST_PARTS) || is_plain(suspects[0]);
         let has_begun = self.send(node, suspects, 1);
         // A sound prompt that was sent counts as begun; it is taken back if its engine crashes.
         if is_counted {
@@ -727,11 +843,19 @@
                     self.arrive(&shared);
                 }
             }
-            if self.crashing.iter().any(|suspect| quarantine::is_request(*suspect))
+            if self
+                .crashing
+                .iter()
+                .any(|suspect| quarantine::is_request(*suspect) && !is_plain(*suspect))
                 && self.rng.f64() < BESIDE_SHARE
             {
                 self.arrive(&REQUEST_PARTS);
             }
+            if self.crashing.iter().any(|suspect| is_plain(*suspect)) {
+                for _ in 0..self.rng.u64(..MAX_PLAIN_ARRIVALS) {
+                    self.arrive_plain();
+                }
+            }
             if disruptions > 0 && self.now >= disrupt_at {
                 disrupt_at = self.now + self.rng.u64(1_000..6_000);
                 self.disrupt(disruptions);
@@ -749,9 +873,11 @@
             let crashes = self.crashes.get(suspect).cloned().unwrap_or_default();
             let last = crashes.iter().take(5).next_back().copied().unwrap_or_default();
             settled = settled.max(last + 2 * STABLE_WINDOW);
-            let Some(fifth) = crashes.get(4) else { continue };
+            // The bound counts from an earlier crash for requests without a prompt.
+            let bound_crash = if is_plain(*suspect) { 2 } else { 4 };
+            let Some(counted) = crashes.get(bound_crash) else { continue };
             let sends = self.sends.get(suspect).into_iter().flatten();
-            let late = sends.filter(|at| **at > fifth + STABLE_WINDOW).count();
+            let late = sends.filter(|at| **at > counted + STABLE_WINDOW).count();
             if late > MAX_LATE_SENDS {
                 faults.push(format!("suspect {suspect:x}: {late} late, {crashes:?}"));
             }
@@ -811,6 +937,15 @@
     (sizes, crashing[seed as usize % 3].clone())
 }
 
+/// Returns the same for runs in which one request without a prompt, two, or one beside a part crash
+/// engines.
+fn plain_run(seed: u64) -> ((usize, usize), Vec<u64>) {
+    let (sizes, _) = parts_run(seed, (4, 8));
+    let [first, second] = [REPEATED_PLAIN, REPEATED_PLAIN + 1].map(plain_suspect);
+    let crashing = [vec![first], vec![first, second], vec![first, 66]];
+    (sizes, crashing[seed as usize % 3].clone())
+}
+
 #[test]
 fn many_gateways_hold_crashing_parts_back_and_serve_the_rest() {
     check_runs(seeds(0..SEEDS), 0, |seed| parts_run(seed, (1, 6)));
@@ -864,3 +999,20 @@
 fn mistaken_hold_does_not_outlast_a_restart_of_all_gateways() {
     check_runs(vec![258, 267], ALL_DISRUPTIONS, requests_run);
 }
+
+/// Guards against a request without a prompt that its callers send again and again, beside sound ones
+/// that are repeated as well.
+#[test]
+fn crashing_plain_requests_are_held_back_and_others_served() {
+    check_runs(seeds(0..SEEDS), 0, plain_run);
+}
+
+#[test]
+fn disrupted_gateways_hold_crashing_plain_requests_back_and_serve_others() {
+    check_runs(seeds(0..SEEDS), DISRUPTIONS, plain_run);
+}
+
+#[test]
+fn severed_gateways_hold_crashing_plain_requests_back_and_serve_others() {
+    check_runs(seeds(0..SEEDS), ALL_DISRUPTIONS, plain_run);
+}
