quarantine: hold back plain requests that crash upstreams

Callers send a request without a prompt again that crashes each upstream that runs it, and gateways passed it on each time: such requests were no suspects, as many of them are equal.

Any request is a suspect now, by the digest of its content and its caller's team, so that equal sound requests of other teams say nothing about it and are not held with it; the team stays when its credentials change. An answer of an upstream's process refutes a crash that was assumed before. Reports name up to 48 sound requests beside the 16 sound parts, so that requests displace no parts.

One test gave its gateway no time to know its upstreams, so that only two of three crashes counted; it now starts like the others of its file.

--- a/lib/src/gateway/holds.rs
+++ b/lib/src/gateway/holds.rs
@@ -1,4 +1,4 @@
-//! Prompts that are held back because they, or a part of them, crash engines.
+//! Requests that are held back because they, or a part of their prompt, crash upstreams.
 
 use std::time;
 
@@ -16,7 +16,7 @@
 
 /// Message to the callers of such prompts.
 pub(super) const HELD_MESSAGE: &str =
-    "the request, or a part of its prompt, has crashed several engines";
+    "the request, or a part of its prompt, has crashed several upstreams";
 
 impl gateway::Gateway {
     /// Returns what other gateways are told about crashes.
@@ -66,6 +66,8 @@
                 self.quarantine.record_sound(call.begun_at.unwrap_or(call.sent_at), prompt);
             }
             gateway::Outcome::Answered { status } if status < 500 => {
+                let engine = self.engine_process(&call.instance);
+                self.quarantine.record_alive(call.sent_at, &engine);
                 self.quarantine.record_sound(call.sent_at, prompt);
             }
             gateway::Outcome::Broken {
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -85,7 +85,7 @@
     pub deadline: time::Duration,
     /// Parts of the prompt, empty if the request is no generation.
     pub prompt_parts: Vec<placement::PromptPart>,
-    /// Digest of what the request asks for.
+    /// Digest of what the request asks for and of the team that asks.
     pub content: Option<u64>,
     /// Held part of the prompt with which it is let through to find out whether the part is sound.
     pub probed_part: Option<u64>,
@@ -149,7 +149,7 @@
             start_deadline: now + budget.min(route.start_timeout),
             deadline: now + budget,
             prompt_parts: arrival.prompt_parts.clone(),
-            content: arrival.content,
+            content: arrival.content.map(|content| team_content(content, team)),
             probed_part: None,
             last_event: arrival.last_event,
             input_key: arrival.input_key.clone(),
@@ -323,6 +323,14 @@
     }
 }
 
+/// Returns a digest that differs for equal requests of different teams. The credentials of a team
+/// change.
+fn team_content(content: u64, team: Option<&table::Team>) -> u64 {
+    team.map_or(content, |team| {
+        xxhash_rust::xxh3::xxh3_64_with_seed(team.name.as_str().as_bytes(), content)
+    })
+}
+
 /// Returns the regions in which the table allows requests of a route and team.
 pub fn initial_bound(route: &table::Route, team: Option<&table::Team>) -> table::RegionBound {
     let of_team = team.map(|team| &team.allowed_regions);
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -5,7 +5,8 @@
 //! of the engine. So gateways relate crashes to the parts of the prompts that an engine had not begun,
 //! or had just begun, to answer, and to these requests themselves, which callers send again under other
 //! ids. They report this to each other, and hold back prompts with a suspect that explains several
-//! crashes.
+//! crashes. Requests without a prompt are handled like prompts without parts, and their upstreams like
+//! engines.
 //!
 //! Requests and parts are weighed by one model ([`suspicion`]). Most prompts share parts with others,
 //! so a part is not to blame just because it was there: an answer that has run for a while shows
@@ -14,6 +15,7 @@
 //! their clocks.
 
 mod crash;
+mod sound_requests;
 mod suspects;
 pub mod suspicion;
 
@@ -53,8 +55,10 @@
 const REPORT_TIME: time::Duration = time::Duration::from_secs(30);
 /// Crashes that a part may have caused from which a prompt with it is not sent again.
 const RETRY_CRASH_LIMIT: usize = 2;
-/// Largest number of crashes and of sound suspects in a report.
+/// Largest number of crashes and of sound parts in a report.
 const MAX_REPORTED: usize = 16;
+/// Largest number of sound requests in a report: one crash leaves as many suspects.
+const MAX_REPORTED_REQUESTS: usize = 48;
 /// Largest number of suspects of one crash in a report.
 const MAX_REPORTED_SUSPECTS: usize = 48;
 /// Largest number of suspects of one crash.
@@ -108,6 +112,8 @@
     crashes: collections::BTreeMap<crash_report::EngineProcess, crash::CrashState>,
     /// Start of the last sound answer by suspect.
     sound: collections::BTreeMap<u64, time::Duration>,
+    /// The same of requests without a prompt.
+    sound_requests: sound_requests::SoundRequests,
     /// Suspects that this gateway has shown to be sound, the latest last.
     reported_sound: collections::VecDeque<crash_report::SoundPart>,
     /// Serials of sound parts that were read, by gateway and part.
@@ -151,8 +157,10 @@
         let crash = self.crashes.entry(engine).or_insert_with(|| crash::CrashState::new(now));
         crash.is_early &= now < started + START_MARGIN;
         for suspect in prompt.suspects() {
-            let last_sound = self.sound.get(&suspect);
-            let is_new = last_sound.is_none_or(|last| now > *last + SOUND_MARGIN);
+            // Not by `last_sound`, as a crash is borrowed.
+            let last_sound = self.sound.get(&suspect).copied();
+            let last_sound = last_sound.max(self.sound_requests.get(suspect));
+            let is_new = last_sound.is_none_or(|last| now > last + SOUND_MARGIN);
             if is_new && crash.present.len() < MAX_SUSPECTS {
                 crash.own_present.insert(suspect);
                 crash.present.insert(suspect);
@@ -164,11 +172,16 @@
     /// Records an answer that began at `begun` and ended whole, or has run for a while.
     pub fn record_sound<'p>(&mut self, begun: time::Duration, prompt: impl Into<Prompt<'p>>) {
         self.started.get_or_insert(begun);
-        for suspect in prompt.into().suspects() {
+        let prompt = prompt.into();
+        for suspect in prompt.suspects() {
             let was_suspected = self.clear(suspect, begun);
             if was_suspected {
                 self.report_sound(suspect);
             }
+            if prompt.is_plain() {
+                self.sound_requests.record(suspect, begun);
+                continue;
+            }
             // Most requests are never seen again, so only those that were suspected are remembered.
             if was_suspected || !is_request(suspect) {
                 let last = self.sound.entry(suspect).or_insert(begun);
@@ -187,11 +200,23 @@
         self.last_serial = self.last_serial.wrapping_add(1);
         self.reported_sound.retain(|sound| sound.part != part);
         self.reported_sound.push_back(crash_report::SoundPart { part, serial: self.last_serial });
-        if self.reported_sound.len() > MAX_REPORTED {
-            self.reported_sound.pop_front();
+        let is_request = is_request(part);
+        let limit = if is_request { MAX_REPORTED_REQUESTS } else { MAX_REPORTED };
+        let mut alike = (0..self.reported_sound.len())
+            .filter(|index| self::is_request(self.reported_sound[*index].part) == is_request);
+        let oldest = alike.next();
+        if alike.count() >= limit
+            && let Some(oldest) = oldest
+        {
+            self.reported_sound.remove(oldest);
         }
     }
 
+    /// Returns the start of the last sound answer that is remembered of a suspect.
+    fn last_sound(&self, suspect: u64) -> Option<time::Duration> {
+        self.sound.get(&suspect).copied().max(self.sound_requests.get(suspect))
+    }
+
     /// Records that an engine began an answer to a call that was sent at `sent`. A crash that was
     /// assumed before was none.
     pub fn record_alive(&mut self, sent: time::Duration, engine: &crash_report::EngineProcess) {
@@ -264,7 +289,7 @@
             .released
             .get(&held.part)
             .is_some_and(|at| now.saturating_sub(*at) < RELEASE_MEMORY);
-        let is_sound = self.sound.get(&held.part).is_some_and(|last| now < *last + SOUND_MEMORY);
+        let is_sound = self.last_sound(held.part).is_some_and(|last| now < last + SOUND_MEMORY);
         if !is_new || is_released || is_sound {
             return;
         }
@@ -333,7 +358,7 @@
     /// Returns the suspects to hold back next according to the settled crashes; `None` if none reaches
     /// its limit.
     fn judge(&self, now: time::Duration) -> Option<suspicion::Verdict> {
-        suspicion::judge(&self.evidence(now), |suspect| self.sound.contains_key(&suspect))
+        suspicion::judge(&self.evidence(now), |suspect| self.last_sound(suspect).is_some())
     }
 
     /// Returns the crashes of which other gateways have had the time to report what they saw.
@@ -346,8 +371,8 @@
             .filter(is_counted)
             .map(|crash| {
                 let is_suspect = |suspect: &u64| {
-                    let last_sound = self.sound.get(suspect);
-                    last_sound.is_none_or(|last| crash.learned > *last + SOUND_MARGIN)
+                    let last_sound = self.last_sound(*suspect);
+                    last_sound.is_none_or(|last| crash.learned > last + SOUND_MARGIN)
                 };
                 let is_held = |suspect: &u64| self.held.contains_key(suspect);
                 suspicion::Evidence {
@@ -389,7 +414,7 @@
             self.crashes.values().filter(is_suspect).count()
         };
         prompt.into().suspects().any(|suspect| {
-            !self.sound.contains_key(&suspect) && count(suspect) >= RETRY_CRASH_LIMIT
+            self.last_sound(suspect).is_none() && count(suspect) >= RETRY_CRASH_LIMIT
         })
     }
 
--- a/lib/src/quarantine/suspects.rs
+++ b/lib/src/quarantine/suspects.rs
@@ -15,10 +15,10 @@
     suspect & REQUEST_BIT != 0
 }
 
-/// What of a prompt may crash engines.
+/// What of a prompt, or of a request without one, may crash engines.
 #[derive(Clone, Copy, Debug)]
 pub struct Prompt<'a> {
-    /// Its parts, of which the last one belongs to the request itself.
+    /// Its parts, of which the last one belongs to the request itself; empty without a prompt.
     pub parts: &'a [placement::PromptPart],
     /// Digest of the whole request, the same for a request that is sent again; `None` if it is not
     /// known.
@@ -35,8 +35,11 @@
     /// Returns the ids of the parts that other prompts may share, and that of the request.
     pub(super) fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
         let parts = placement::shared_parts(self.parts).map(|part| part.id & !REQUEST_BIT);
-        // A request without a prompt does not run on an engine.
-        let content = self.content.filter(|_| !self.parts.is_empty());
-        parts.chain(content.map(request_suspect))
+        parts.chain(self.content.map(request_suspect))
+    }
+
+    /// Returns whether it is a request without a prompt.
+    pub(super) fn is_plain(&self) -> bool {
+        self.parts.is_empty()
     }
 }
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -119,7 +119,7 @@
     /// A stage's answer is larger than allowed.
     #[display("answer_too_large")]
     AnswerTooLarge,
-    /// A part of the prompt has crashed several engines.
+    /// The request, or a part of its prompt, has crashed several upstreams.
     #[display("prompt_held")]
     PromptHeld,
     /// The caller disconnected.
@@ -181,7 +181,9 @@
             }
             Self::StageFailed => (502, "see the stage and its status in the message", None),
             Self::AnswerTooLarge => (502, "ask for less or raise limits.answer_bytes", None),
-            Self::PromptHeld => (503, "send other prompts; operators: see part_held", MUCH_LATER),
+            Self::PromptHeld => {
+                (503, "send other requests; operators: see request_held and part_held", MUCH_LATER)
+            }
             Self::Cancelled => (499, "send the request again", None),
         };
         Details { status, remedy, retry_after }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -92,7 +92,7 @@
 /// Guards against a request without a prompt that is passed on after it has crashed several upstreams.
 #[test]
 fn plain_request_that_explains_three_crashes_is_held() {
-    let mut quarantine = quarantine::Quarantine::new(7);
+    let mut quarantine = experienced();
     for number in 0..3 {
         let now = ms(READY + number * 300);
         assert!(quarantine.update(now).is_empty());
