gateway: test of a held plain request and its refusals

A request without a prompt that crashed three upstreams is refused before it is sent (503, not run), one that waits at an upstream then ends with 502 (may have run), also after its caller's credential has changed; another request of the caller is served.

--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -147,15 +147,27 @@
 
     /// Lets a request arrive whose prompt has parts with these ids.
     fn arrive_with(&mut self, path: &str, parts: &[u64]) -> (id::RequestId, Vec<gateway::Effect>) {
+        self.arrive_as("key", path, parts, None)
+    }
+
+    /// Lets a request arrive with a credential, the ids of its parts and the digest of its content.
+    fn arrive_as(
+        &mut self,
+        credential: &str,
+        path: &str,
+        parts: &[u64],
+        content: Option<u64>,
+    ) -> (id::RequestId, Vec<gateway::Effect>) {
         self.request_count += 1;
         let request = id::RequestId(self.request_count);
         let arrival = gateway::Arrival {
             external_id: format!("r{}", self.request_count),
             host: "shop.example:80".to_owned(),
             path: path.to_owned(),
-            credential: Some(table::Credential("key".to_owned())),
+            credential: Some(table::Credential(credential.to_owned())),
             budget: Some(ms(4_000)),
             piece_counts: if path.starts_with("/guide") { vec![1, 3] } else { Vec::new() },
+            content,
             input_key: Some("k".to_owned()),
             prompt_parts: parts
                 .iter()
@@ -816,3 +828,35 @@
     assert_eq!(refusal_of(&effects), Some((refusal::Kind::PromptHeld, refusal::Ran::No)));
     assert!(!effects.iter().any(|effect| matches!(effect, gateway::Effect::SendBatch(_))));
 }
+
+/// Guards against a request without a prompt that is passed on after it has crashed several upstreams,
+/// also once the credential of its caller has changed.
+#[test]
+fn plain_request_that_crashes_upstreams_is_refused_as_not_run() {
+    use refusal::{Kind, Ran};
+    let mut harness = Harness::new();
+    wait(&mut harness, 2_000);
+    for number in 0..3_u64 {
+        harness.list_upstreams(&[&*format!("u{number}")]);
+        let (_, effects) = harness.arrive_as("key", "/book/1", &[], Some(9));
+        let sent = request_call(&effects).expect("a call");
+        let cause = gateway::BreakCause::ConnectionLost;
+        let effects = harness.end_call(sent.call, gateway::Outcome::Broken { last: None, cause });
+        assert_eq!(refusal_of(&effects), Some((Kind::UpstreamBroken, Ran::Unknown)));
+        wait(&mut harness, 700);
+    }
+    harness.list_upstreams(&["u8", "u9"]);
+    // One waits at an upstream when the request is held.
+    let (_, effects) = harness.arrive_as("key", "/book/1", &[], Some(9));
+    assert!(request_call(&effects).is_some());
+    let effects = harness.advance(ms(1_000));
+    assert_eq!(refusal_of(&effects), Some((Kind::PromptHeld, Ran::Unknown)));
+    harness.apply_table(&table(6, &["key", "next"]));
+    for credential in ["key", "next"] {
+        let (_, effects) = harness.arrive_as(credential, "/book/1", &[], Some(9));
+        assert_eq!(refusal_of(&effects), Some((Kind::PromptHeld, Ran::No)));
+        assert!(request_call(&effects).is_none());
+        let (_, effects) = harness.arrive_as(credential, "/book/1", &[], Some(10));
+        assert!(request_call(&effects).is_some(), "another request");
+    }
+}
