--- a/lib/tests/gateway_harness/mod.rs
+++ b/lib/tests/gateway_harness/mod.rs
@@ -165,6 +165,17 @@
         &mut self,
         path: &str,
         parts: &[u64],
+    ) -> (id::RequestId, Vec<gateway::Effect>) {
+        self.arrive_as("key", path, parts, None)
+    }
+
+    /// Lets a request arrive with a credential, the ids of its parts and the digest of its content.
+    pub fn arrive_as(
+        &mut self,
+        credential: &str,
+        path: &str,
+        parts: &[u64],
+        content: Option<u64>,
     ) -> (id::RequestId, Vec<gateway::Effect>) {
         self.request_count += 1;
         let request = id::RequestId(self.request_count);
@@ -172,9 +183,10 @@
             external_id: format!("r{}", self.request_count),
             host: "shop.example:80".to_owned(),
             path: path.to_owned(),
-            credential: Some(table::Credential("key".to_owned())),
+            credential: Some(table::Credential(credential.to_owned())),
             budget: Some(ms(4_000)),
             piece_counts: if path.starts_with("/guide") { vec![1, 3] } else { Vec::new() },
+            content,
             input_key: Some("k".to_owned()),
             prompt_parts: parts
                 .iter()
