gateway: retries are a module of their own

Whether a request is sent again, what that costs and what waits for it is in retries.rs now; silence.rs keeps what concerns silent calls. Moved without a change of behaviour; two log lines that stood twice are made in one place.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -19,6 +19,7 @@
 mod moves;
 mod regions;
 mod request;
+mod retries;
 mod shed;
 mod silence;
 mod stages;
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -375,31 +375,6 @@
         }
     }
 
-    /// Records that the last call did not run the request.
-    fn record_not_run(&mut self, id: id::RequestId) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.possible_runs = request.possible_runs.saturating_sub(1);
-        request.may_have_run = request.possible_runs > 0;
-    }
-
-    /// Calls another upstream for a request that did not run, if the limits on calls and retries
-    /// allow it.
-    fn retry_not_run(
-        &mut self,
-        id: id::RequestId,
-        message: &str,
-        effects: &mut Vec<gateway::Effect>,
-    ) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let service = request.service.clone();
-        let is_allowed = request.call_count < MAX_CALLS;
-        if is_allowed && self.withdraw_retry(&service) {
-            self.call_upstream(id, effects);
-        } else if !self.await_retry(id) {
-            self.refuse(id, refusal::Kind::UpstreamUnreachable, message, effects);
-        }
-    }
-
     /// Handles a complete answer: delivers it, or retries the request if the upstream failed. A status
     /// that would tell the caller that the request did not run is a failure as well: an upstream that
     /// has not run a request marks its refusal, and the call then ends as [`gateway::Outcome::NotRun`].
@@ -429,48 +404,6 @@
         self.finish_request(call.request, took, effects);
     }
 
-    /// Returns whether a request that may have run can be sent to another upstream. If so, this
-    /// takes one retry from the budget of the service.
-    fn try_spend_retry(&mut self, id: id::RequestId) -> bool {
-        let Some(request) = self.requests.get(&id) else { return false };
-        let is_allowed = silence::may_run_again(request) && request.call_count < MAX_CALLS;
-        let service = request.service.clone();
-        is_allowed && self.withdraw_retry(&service)
-    }
-
-    /// Takes one retry from the budget of a service; returns false if none is left.
-    pub(super) fn withdraw_retry(&mut self, service: &id::ServiceId) -> bool {
-        self.retry_budgets.entry(service.clone()).or_default().try_withdraw()
-    }
-
-    /// Returns the retry of a repeated call that did not reach its upstream.
-    fn return_retry(&mut self, id: id::RequestId) {
-        let Some(request) = self.requests.get(&id).filter(|request| request.call_count > 1) else {
-            return;
-        };
-        self.retry_budgets.entry(request.service.clone()).or_default().deposit(1.0);
-    }
-
-    /// Calls an upstream for an answer that has begun and waits for a retry, if there is one now.
-    /// Results that the call needs and that were already freed are computed again first.
-    fn take_awaited_retry(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let service = request.service.clone();
-        if !self.withdraw_retry(&service) {
-            self.await_retry(id);
-            return;
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.awaits_retry = false;
-        }
-        self.resume(id, effects);
-    }
-
-    /// Returns whether a request may have crashed engines, so that it is not sent to another one.
-    pub(super) fn is_suspect(&self, request: &request::Request) -> bool {
-        request.probed_part.is_some() || self.quarantine.is_suspect(request.prompt())
-    }
-
     /// Handles a call that broke off: retries the request, or refuses it.
     fn call_broken(
         &mut self,
@@ -491,16 +424,6 @@
         }
     }
 
-    /// Calls an upstream again. Results that the request needs and that were already freed are
-    /// computed again first.
-    fn resume(&mut self, id: id::RequestId, effects: &mut Vec<gateway::Effect>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        if request.has_freed_results() {
-            self.recompute_final_stages(id, effects);
-        }
-        self.advance(id, effects);
-    }
-
     /// Logs the end of an answered request and drops it.
     fn finish_request(
         &mut self,
--- a/lib/src/gateway/silence.rs
+++ b/lib/src/gateway/silence.rs
@@ -3,8 +3,7 @@
 //! Load pattern: an upstream, or all of a pool, pauses for a second or so in the middle of many answers and
 //! goes on. A call is ended only once its request can go on elsewhere: another upstream is free and not
 //! silent, a retry is left, and results of stages that the next call needs have been computed again.
-//! Otherwise the call is waited for. An answer that has begun cannot be refused any more, so it waits for
-//! its next call as long as its caller does.
+//! Otherwise the call is waited for.
 //!
 //! Part of the reducer of a gateway; only its other parts import this module.
 
@@ -15,8 +14,8 @@
 use crate::gateway::calls;
 use crate::gateway::moves;
 use crate::gateway::request;
+use crate::gateway::retries;
 use crate::id;
-use crate::refusal;
 use crate::table;
 use crate::telemetry;
 use crate::upstream_pool;
@@ -25,8 +24,6 @@
 const EVENT_PATIENCE: time::Duration = time::Duration::from_millis(900);
 /// Time without a first event after which a stream counts as silent.
 const FIRST_EVENT_PATIENCE: time::Duration = time::Duration::from_millis(2_500);
-/// Pause before an answer that has begun is tried again to go on.
-const CONTINUE_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// How a call is doing that makes no progress.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -65,11 +62,7 @@
         let (request, instance) = (call.request, call.instance.clone());
         if call.progress == Progress::Usual {
             call.progress = Progress::Silent;
-            let line = telemetry::Line::new("call_silent")
-                .with("request", self.external_id(request))
-                .with("call", id)
-                .with("upstream", &instance);
-            effects.push(gateway::Effect::Log(line));
+            self.log_progress("call_silent", id, effects);
             self.fleet.record_silent(&instance);
         }
         self.consider_move(request, effects);
@@ -83,11 +76,7 @@
         }
         call.progress = Progress::Usual;
         let (request, instance) = (call.request, call.instance.clone());
-        let line = telemetry::Line::new("call_resumed")
-            .with("request", self.external_id(request))
-            .with("call", id)
-            .with("upstream", &instance);
-        effects.push(gateway::Effect::Log(line));
+        self.log_progress("call_resumed", id, effects);
         self.fleet.record_resumed(&instance);
         self.drop_recomputed(request, effects);
     }
@@ -131,7 +120,7 @@
         let earliest = self.now.mono + moves::END_TIME + calls::MIN_BUDGET;
         earliest < request.current_deadline()
             && self.stop.is_none_or(|stop| earliest < stop.end)
-            && may_run_again(request)
+            && retries::may_run_again(request)
             && request.call_count < calls::MAX_CALLS
             && !self.is_suspect(request)
             && !self.is_held(request)
@@ -204,49 +193,18 @@
         }
     }
 
-    /// Ends a request that gets no call at present, unless its answer has begun: then it is tried again
-    /// a little later, until its time is over.
-    pub(super) fn refuse_call(
-        &mut self,
-        id: id::RequestId,
-        kind: refusal::Kind,
-        message: &str,
-        delay: impl Into<Option<time::Duration>>,
+    fn log_progress(
+        &self,
+        event: &'static str,
+        id: gateway::CallId,
         effects: &mut Vec<gateway::Effect>,
     ) {
-        if !self.continue_later(id) {
-            self.refuse_for(id, kind, message, delay, effects);
-        }
-    }
-
-    /// Schedules another try to continue an answer that has begun. Returns whether there is one.
-    fn continue_later(&mut self, id: id::RequestId) -> bool {
-        let next_call = self.now.mono + CONTINUE_PAUSE;
-        let can_wait = |request: &&mut request::Request| {
-            request.has_started && may_run_again(request) && next_call < request.deadline
-        };
-        let Some(request) = self.requests.get_mut(&id).filter(can_wait) else { return false };
-        request.next_call = request.next_call.max(next_call);
-        self.moves.insert((request.next_call, id));
-        true
-    }
-
-    /// The same for one that needs a retry, of which none is left at present.
-    pub(super) fn await_retry(&mut self, id: id::RequestId) -> bool {
-        let is_scheduled = self.continue_later(id);
-        if let Some(request) = self.requests.get_mut(&id).filter(|_| is_scheduled) {
-            request.awaits_retry = true;
-        }
-        is_scheduled
-    }
-
-    /// Returns the id that the caller of a request gave it, for logs.
-    fn external_id(&self, id: id::RequestId) -> &str {
-        self.requests.get(&id).map_or("", |request| &request.external_id)
+        let Some(call) = self.calls.get(&id) else { return };
+        let request = self.requests.get(&call.request);
+        let line = telemetry::Line::new(event)
+            .with("request", request.map_or("", |request| &request.external_id))
+            .with("call", id)
+            .with("upstream", &call.instance);
+        effects.push(gateway::Effect::Log(line));
     }
 }
-
-/// Returns whether a request may run once more, as far as its route is concerned.
-pub(super) fn may_run_again(request: &request::Request) -> bool {
-    request.route.kind.is_repeatable() && request.possible_runs < request.route.max_attempts
-}
