gateway: a stream that has begun waits for the lease on the table

A begun stream whose upstream was lost, or whose silent call was told to end, broke off if the lease on the table was over when its next call was due, with time left. The table may be confirmed again in a moment: it is tried again until its deadline. No call is made without a valid lease, and a credential that the table in force lacks ends the stream at once as before.

Test: begun_stream_waits_for_a_lease_on_the_table failed before (the request was dropped) and passes.

--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -3,6 +3,7 @@
 
 use std::time;
 
+use crate::admission;
 use crate::fleet;
 use crate::gateway;
 use crate::gateway::holds;
@@ -59,7 +60,13 @@
         let Some(request) = self.requests.get(&id) else { return };
         let budget = request.deadline.saturating_sub(self.now.mono);
         if !self.has_valid_credential(request) {
-            self.refuse(id, Kind::NotReady, "the credential could not be confirmed", effects);
+            let message = "the credential could not be confirmed";
+            // The table may be confirmed again in a moment, but a credential that it lacks is gone.
+            if self.table_lease.is_valid(self.now) {
+                self.refuse(id, Kind::NotReady, message, effects);
+            } else {
+                self.refuse_call(id, Kind::NotReady, message, admission::MIN_RETRY_DELAY, effects);
+            }
             return;
         }
         if self.is_held(request) {
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -168,6 +168,20 @@
     assert_eq!(harness.gateway.request_count(), 1);
 }
 
+/// Guards against streams that break off because the table was not confirmed for a moment.
+#[test]
+fn begun_stream_waits_for_a_lease_on_the_table() {
+    let mut harness = Harness::new();
+    harness.advance(ms(2_900));
+    let call = begin_stream(&mut harness, "/again/1");
+    harness.advance(ms(2_200));
+    harness.end_call(call.call, LOST);
+    assert_eq!(harness.gateway.request_count(), 1);
+    harness.apply_table(&table(6, &["key"]));
+    let next = wait_for_call(&mut harness).expect("it goes on");
+    assert_eq!(next.last_event, Some(3));
+}
+
 #[test]
 fn silent_stream_ends_once_its_stages_are_computed_again() {
     let mut harness = Harness::new();
