--- a/cli/tests/test_gateway_silence.rs
+++ b/cli/tests/test_gateway_silence.rs
@@ -6,7 +6,7 @@
 
 use bramleyshelf_lib::http;
 use bramleyshelf_platform_testutils::gateways;
-use bramleyshelf_testutils::cluster;
+use bramleyshelf_testutils::{cluster, link};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_bramleyshelf");
 /// Number of gateways.
@@ -34,18 +34,23 @@
     Store,
 }
 
+/// Holds back all data on links for [`SILENCE`].
+async fn cut_for_a_while(links: &[link::Link]) {
+    for link in links {
+        link.set_cut(true);
+    }
+    tokio::time::sleep(SILENCE).await;
+    for link in links {
+        link.set_cut(false);
+    }
+}
+
 async fn fall_silent(system: &gateways::GatewayCluster, silent: Silent) {
     match silent {
         Silent::Upstreams(service, count) => {
             let all = system.upstreams.iter().filter(|upstream| upstream.service == service);
             let links: Vec<_> = all.take(count).map(|upstream| upstream.link.clone()).collect();
-            for link in &links {
-                link.set_cut(true);
-            }
-            tokio::time::sleep(SILENCE).await;
-            for link in &links {
-                link.set_cut(false);
-            }
+            cut_for_a_while(&links).await;
         }
         Silent::Gateway(index) => {
             let process = system.gateways[index].process.as_ref().expect("it runs");
@@ -54,9 +59,8 @@
             process.signal(cluster::Signal::Continue);
         }
         Silent::Store => {
-            system.gateways.iter().for_each(|gateway| gateway.store_link.set_cut(true));
-            tokio::time::sleep(SILENCE).await;
-            system.gateways.iter().for_each(|gateway| gateway.store_link.set_cut(false));
+            let links = system.gateways.iter().map(|gateway| gateway.store_link.clone());
+            cut_for_a_while(&links.collect::<Vec<_>>()).await;
         }
     }
 }
