gateway: a failing test with silent upstreams of idempotent calls

With one of three upstreams silent for 1.2 s all of 120 calls are answered. With all three silent, idempotent calls end as 502 after the target time of their route, as no retry is left.

--- a/cli/tests/test_gateway_silence.rs
+++ b/cli/tests/test_gateway_silence.rs
@@ -133,3 +133,13 @@
 async fn silent_store_loses_no_request() {
     check_silences("silent-store", "/guide/1", &[Silent::Store]).await;
 }
+
+/// Guards against idempotent calls that were given up at silent upstreams before it was known whether a
+/// retry was left.
+#[tokio::test]
+async fn silent_upstreams_lose_no_accepted_request() {
+    for (name, path) in [("silent-calls", "/stock/1"), ("silent-final-calls", "/guide/1")] {
+        let silences = [Silent::Upstreams("app", 1), Silent::Upstreams("app", 3)];
+        check_silences(name, path, &silences).await;
+    }
+}
