http: windows between processes fit the memory of an entry

What was seen: entry_and_sidecar_memory_is_bounded_with_endless_bodies failed once beside load: the entry took 226 MB of 160 allowed. Cause: upstreams that send without end fill the windows of all streams, beside the bodies that the memory budget counts. The adaptive windows grew only with what was read. Change: 64 KB a stream, the protocol's default, and 4 MB a connection, whose half is the allowance for small chunks that the connection needs (some 13,000).

--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -33,10 +33,10 @@
 /// Time within which a peer has to answer a ping before its connection is closed.
 const PING_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Bytes that a peer may send on one stream before this process has read them.
-const STREAM_WINDOW: u32 = 1 << 20;
+const STREAM_WINDOW: u32 = 64 << 10;
 /// The same for all streams of a connection. The HTTP/2 library derives from it how many small chunks it
 /// holds: one more closes the connection with all its streams.
-const CONNECTION_WINDOW: u32 = 16 << 20;
+const CONNECTION_WINDOW: u32 = 4 << 20;
 
 /// Error with which a body that cannot be sent whole is aborted; the peer receives a broken stream.
 #[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
