gateway: one timer for each wait of a call

Each wait for a part of an answer, so each event of a stream, armed two timers: for the deadline and for the next report of a silence. One for the earlier of the two does the same. No change of behaviour: test_silent_upstreams (19), test_moved_streams and test_faulty_upstreams pass.

--- a/lib/src/gateway_calls/silence.rs
+++ b/lib/src/gateway_calls/silence.rs
@@ -57,8 +57,11 @@
                 biased;
                 part = &mut part => return Some(part),
                 () = self.end.notified() => return None,
-                () = tokio::time::sleep_until(self.deadline) => return None,
-                () = tokio::time::sleep_until(self.next_report) => {}
+                // One timer, as this runs for each event of a stream.
+                () = tokio::time::sleep_until(self.deadline.min(self.next_report)) => {}
+            }
+            if self.deadline <= self.next_report {
+                return None;
             }
             self.is_silent = true;
             self.next_report += REPORT_INTERVAL;
