gateway: one check of which upstreams accept a request

The choice of an upstream and the check for places elsewhere each tested pauses, regions and quotas. is_open_to serves both. No change of behaviour: test_silence, test_gateway (28), test_cold_calls, test_regions and test_evacuation pass.

--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -203,9 +203,8 @@
         results: &[request::StoredResult],
     ) -> Vec<placement::Candidate> {
         let now = self.now.mono;
-        let is_open = |up: &(&id::InstanceId, &fleet::Upstream)| {
-            !up.1.is_paused(now) && self.may_answer(request, up.1) && self.fleet.may_send(now, up.0)
-        };
+        let is_open =
+            |up: &(&id::InstanceId, &fleet::Upstream)| self.is_open_to(request, up.0, up.1);
         let all: Vec<_> = self.fleet.service_upstreams(&request.service).filter(is_open).collect();
         let is_untried = |up: &&(&id::InstanceId, &fleet::Upstream)| !request.tried.contains(up.0);
         let is_usable = |up: &&(&id::InstanceId, &fleet::Upstream)| up.1.is_usable(now);
@@ -237,6 +236,17 @@
             .collect()
     }
 
+    /// Returns whether an upstream accepts calls at present and may answer a request.
+    pub(super) fn is_open_to(
+        &self,
+        request: &request::Request,
+        instance: &id::InstanceId,
+        up: &fleet::Upstream,
+    ) -> bool {
+        let now = self.now.mono;
+        !up.is_paused(now) && self.may_answer(request, up) && self.fleet.may_send(now, instance)
+    }
+
     /// Returns an upstream with the figures that its cost depends on.
     fn candidate(
         &self,
--- a/lib/src/gateway/silence.rs
+++ b/lib/src/gateway/silence.rs
@@ -139,8 +139,7 @@
             !request.tried.contains(*instance)
                 && up.is_usable(now)
                 && !up.is_silent()
-                && self.may_answer(request, up)
-                && self.fleet.may_send(now, instance)
+                && self.is_open_to(request, instance, up)
         };
         let sound = self.fleet.service_upstreams(&request.service).filter(is_sound);
         let places: u64 = sound.map(|(_, up)| u64::from(limit.saturating_sub(up.in_flight))).sum();
