quarantine: the last sound answer of a suspect is looked up in one place

record_crash wrote the look-up of last_sound again, as a crash was borrowed there. The suspects are chosen before the crash is borrowed now. No change of behaviour: test_quarantine (34, without the known red test) and test_crashing_requests pass.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -154,14 +154,13 @@
             self.record_sound(begun, prompt);
             return;
         }
+        let is_new =
+            |suspect: &u64| self.last_sound(*suspect).is_none_or(|last| now > last + SOUND_MARGIN);
+        let suspects: Vec<_> = prompt.suspects().filter(is_new).collect();
         let crash = self.crashes.entry(engine).or_insert_with(|| crash::CrashState::new(now));
         crash.is_early &= now < started + START_MARGIN;
-        for suspect in prompt.suspects() {
-            // Not by `last_sound`, as a crash is borrowed.
-            let last_sound = self.sound.get(&suspect).copied();
-            let last_sound = last_sound.max(self.sound_requests.get(suspect));
-            let is_new = last_sound.is_none_or(|last| now > last + SOUND_MARGIN);
-            if is_new && crash.present.len() < MAX_SUSPECTS {
+        for suspect in suspects {
+            if crash.present.len() < MAX_SUSPECTS {
                 crash.own_present.insert(suspect);
                 crash.present.insert(suspect);
             }
