--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -166,9 +166,21 @@
     }
 }
 
-/// Returns a loopback address whose port is free now.
+/// Returns a loopback address whose port is free now and is not returned again. The ports are below those that
+/// the system gives to outgoing connections.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    const FIRST: u16 = 10_000;
+    const COUNT: u16 = 20_000;
+    let process = (std::process::id() % u32::from(COUNT)) as u16;
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = FIRST + (process.wrapping_mul(101) % COUNT + number) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Returns a request as bytes.
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -58,7 +58,7 @@
     /// Listens for one machine; returns the address.
     pub fn listen(&self, machine: usize) -> SocketAddr {
         let store = self.clone();
-        let server = http::Server::start("127.0.0.1:0".parse().unwrap(), move |stream| {
+        let server = http::Server::start(http::free_address(), move |stream| {
             store.serve(stream, machine);
         });
         server.expect("a free port").address
