Review case 8: pieces that crash the runners of a stage

A request whose piece crashes each runner of a stage that begins to work on it is sent to one after the other, each time that it comes.

Evidence: `batch_ended` sends the pieces of a call that broke off again and records no crash, so no gateway holds the request back.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod leaving;
 mod pieces;
+mod poison;
 mod runner;
 mod site;
 mod store;
@@ -31,6 +32,7 @@
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let verdict = match case.as_str() {
         "leaving" => leaving::run(&record, has_trouble),
+        "poison" => poison::run(&record, has_trouble),
         "pieces" => pieces::run(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standins-2/pieces.rs
+++ b/review/standins-2/pieces.rs
@@ -351,7 +351,7 @@
     http::call(front, &bytes, Duration::from_secs(7))
 }
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-pool","host":"pool.example","prefix":"/pool/",
+pub const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-pool","host":"pool.example","prefix":"/pool/",
 "kind":"streaming","timeout_ms":6000,"latency_target_ms":1700,"priority":0,"service":"pool","max_attempts":2,
 "stages":[{"service":"workshop","after":[],"bytes":8000}],"public":false,"affinity":true,
 "resume_streams":true,"gap_aim_ms":250}],
