--- a/review/standins-2/pieces.rs
+++ b/review/standins-2/pieces.rs
@@ -38,8 +38,8 @@
     /// The request, stage and piece of each result.
     results: Mutex<BTreeMap<String, (String, u64, u64)>>,
     next_result: AtomicUsize,
-    /// Answers and extra answers of the faulty runner in the current spoiled time.
-    spoiled: Mutex<(usize, usize, usize)>,
+    /// Answers of the faulty runner in the spoiled times, and those of them that it spoils.
+    spoiled: Mutex<(usize, usize)>,
     extras: AtomicUsize,
     foreign: AtomicUsize,
     served: AtomicUsize,
@@ -115,26 +115,24 @@
         }
     }
 
-    /// Returns whether the answer just given is sent once more later: at most 3 in 100 of the answers in a
-    /// spoiled time, and one at least.
+    /// Returns whether the answer just given is sent once more later: no more than 3 in 100 of the answers given
+    /// in the spoiled times so far.
     fn spoils(&self) -> bool {
         if !self.is_faulty || !self.shared.has_trouble {
             return false;
         }
         let now = self.shared.begin.elapsed();
-        let period = SPOILED_FROM.iter().position(|from| {
+        let is_spoiled_time = SPOILED_FROM.iter().any(|from| {
             let from = Duration::from_secs(*from);
             now >= from && now < from + SPOILED_TIME
         });
-        let Some(period) = period else { return false };
-        let mut spoiled = self.shared.spoiled.lock().unwrap();
-        if spoiled.0 != period + 1 {
-            *spoiled = (period + 1, 0, 0);
+        if !is_spoiled_time {
+            return false;
         }
-        spoiled.1 += 1;
-        let allowed = (spoiled.1 * SPOILED_SHARE / 100).max(1);
-        let may = spoiled.2 < allowed;
-        spoiled.2 += usize::from(may);
+        let mut spoiled = self.shared.spoiled.lock().unwrap();
+        spoiled.0 += 1;
+        let may = (spoiled.1 + 1) * 100 <= spoiled.0 * SPOILED_SHARE;
+        spoiled.1 += usize::from(may);
         may
     }
 
@@ -247,7 +245,7 @@
         has_trouble,
         results: Mutex::default(),
         next_result: AtomicUsize::new(1),
-        spoiled: Mutex::new((0, 0, 0)),
+        spoiled: Mutex::new((0, 0)),
         extras: AtomicUsize::new(0),
         foreign: AtomicUsize::new(0),
         served: AtomicUsize::new(0),
