gateway: logs and metrics tell which upstreams state a limit

A gateway now keeps the latest statement of each upstream's process and logs each change (event=upstream_limit, limit_unreadable; gateway_limit_changes_total). Nothing is decided by it yet.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -19,7 +19,7 @@
 use crate::upstream_notice;
 
 /// Properties of an upstream's answer that its head reveals.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Whether the answer does not name the request, so that it belongs to an earlier one on the
     /// connection, or to none. Nothing is concluded from it.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -18,6 +18,7 @@
 use crate::outlier;
 use crate::roster;
 use crate::routing;
+use crate::stated_limits;
 use crate::unit;
 use crate::upstream_notice;
 
@@ -306,6 +307,7 @@
     /// Processes that left lately, with the time.
     left: collections::BTreeMap<upstream_notice::Process, time::Duration>,
     notices: upstream_notice::Notices,
+    limits: stated_limits::StatedLimits,
     /// Terms of the services whose upstreams take few calls while they are cold.
     cold_terms: collections::BTreeMap<id::ServiceId, ColdTerms>,
     limiter: cold::Limiter,
@@ -327,6 +329,7 @@
             restored_at: None,
             left: collections::BTreeMap::new(),
             notices: upstream_notice::Notices::default(),
+            limits: stated_limits::StatedLimits::default(),
             cold_terms: collections::BTreeMap::new(),
             limiter: cold::Limiter::default(),
         }
@@ -402,6 +405,7 @@
             }
         }
         self.notices.prune(now);
+        self.limits.prune(now);
         self.remove_missing(now, &present, &mut change);
         self.update_cold_targets(now);
         self.left.retain(|_, at| now.saturating_sub(*at) < LEFT_MEMORY);
@@ -645,6 +649,23 @@
         notice.is_leaving && !std::mem::replace(&mut upstream.entry.leaving, true)
     }
 
+    /// Records the limit that a process stated in the answer to a call that was sent at `sent_at`.
+    /// Returns whether it has changed.
+    pub fn record_limit(
+        &mut self,
+        now: time::Duration,
+        sent_at: time::Duration,
+        process: &upstream_notice::Process,
+        limit: stated_limits::LimitNotice,
+    ) -> bool {
+        self.limits.record(now, sent_at, process, limit)
+    }
+
+    /// Returns the rate that a process takes from all gateways together, if it states one.
+    pub fn stated_rate(&self, process: &upstream_notice::Process) -> Option<unit::PerSecond> {
+        self.limits.get(process)?.rate
+    }
+
     /// Returns how long all eligible upstreams of a service that are not leaving want no calls; `None`
     /// if one takes calls, or there are none.
     pub fn service_pause(
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -49,6 +49,7 @@
 use crate::route_times;
 use crate::shedding;
 use crate::shedding::shares;
+use crate::stated_limits;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -219,8 +220,9 @@
             Event::CallEnded { call, outcome, load } => {
                 self.call_ended(call, outcome, load, effects);
             }
-            Event::UpstreamNoticed(process, notice) => {
+            Event::UpstreamNoticed { process, notice, sent_at } => {
                 self.upstream_noticed(&process, notice, effects);
+                self.limit_noticed(&process, notice.limit, sent_at, effects);
             }
             Event::EnginesPaced(paces) => self.fleet.record_paces(paces),
             Event::BatchEnded { batch, outcome, load } => {
@@ -382,6 +384,38 @@
         }
     }
 
+    /// Records the limit that an answer stated, and logs it if it has changed.
+    fn limit_noticed(
+        &mut self,
+        process: &upstream_notice::Process,
+        limit: stated_limits::LimitNotice,
+        sent_at: time::Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        if limit == stated_limits::LimitNotice::Unreadable {
+            let line = telemetry::Line::new("limit_unreadable").with("upstream", &process.instance);
+            effects.push(Effect::Log(line));
+        }
+        if self.fleet.record_limit(self.now.mono, sent_at, process, limit) {
+            self.log_limit(process, "answer", effects);
+        }
+    }
+
+    fn log_limit(
+        &self,
+        process: &upstream_notice::Process,
+        source: &'static str,
+        effects: &mut Vec<Effect>,
+    ) {
+        let rate = self.fleet.stated_rate(process);
+        let line = telemetry::Line::new("upstream_limit")
+            .with("upstream", &process.instance)
+            .with("rate", rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string()))
+            .with("source", source);
+        effects.push(Effect::Log(line));
+        metrics::counter!("gateway_limit_changes_total", "source" => source).increment(1);
+    }
+
     /// Applies a new listing of gateways, and logs what changed.
     fn apply_gateways(&mut self, listing: roster::Listing, effects: &mut Vec<Effect>) {
         let own_instance = &self.settings.instance;
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -274,7 +274,14 @@
     /// Paces of engines as they are known now, from this gateway's streams and those of others.
     EnginesPaced(Vec<(id::InstanceId, engine_pace::Pace)>),
     /// An answer stated something about the upstream, in its head.
-    UpstreamNoticed(upstream_notice::Process, upstream_notice::Notice),
+    UpstreamNoticed {
+        /// Process that answered.
+        process: upstream_notice::Process,
+        /// What it stated.
+        notice: upstream_notice::Notice,
+        /// When the call was sent.
+        sent_at: time::Duration,
+    },
     /// A batch call ended.
     BatchEnded {
         /// Batch that ended.
--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -152,6 +152,7 @@
         watch: &mut silence::Watch<'_>,
     ) -> CallResult {
         let last = request_call.last_event;
+        let sent_at = self.clock.now().mono;
         let broken = |cause| (gateway::Outcome::Broken { last, cause }, None);
         let request = self.build_request(request_call, original);
         let sent = self.pool.send(request_call.address, request_call.max_connections, request);
@@ -177,7 +178,7 @@
         if head.is_mismatched {
             return broken(gateway::BreakCause::Invalid);
         }
-        self.report_notice(process, &head).await;
+        self.report_notice(process, &head, sent_at).await;
         if head.not_run || head.wrong_instance {
             let outcome = gateway::Outcome::NotRun {
                 elsewhere: head.wrong_instance,
@@ -223,19 +224,26 @@
         &self,
         process: upstream_notice::Process,
         response: &hyper::Response<hyper::body::Incoming>,
+        sent_at: time::Duration,
     ) -> dialect::AnswerHead {
         let empty = hyper::Request::new(()).into_parts().0;
         let status = response.status().as_u16();
         let head = self.dialect.read_answer(&empty, &process.instance, status, response.headers());
-        self.report_notice(process, &head).await;
+        self.report_notice(process, &head, sent_at).await;
         head
     }
 
     /// Reports what an answer states about the process that gave it. This does not wait for the end
     /// of the answer, which may be a long stream.
-    async fn report_notice(&self, process: upstream_notice::Process, head: &dialect::AnswerHead) {
-        if !head.notice.is_empty() && !head.wrong_instance {
-            self.report(gateway::Event::UpstreamNoticed(process, head.notice)).await;
+    async fn report_notice(
+        &self,
+        process: upstream_notice::Process,
+        head: &dialect::AnswerHead,
+        sent_at: time::Duration,
+    ) {
+        let notice = head.notice;
+        if !notice.is_empty() && !head.wrong_instance {
+            self.report(gateway::Event::UpstreamNoticed { process, notice, sent_at }).await;
         }
     }
 
@@ -381,6 +389,7 @@
     ) -> (gateway::BatchOutcome, Option<fleet::Load>) {
         let message = self.dialect.write_batch(call);
         let request = post(call.address, message);
+        let sent_at = self.clock.now().mono;
         let sent = self.pool.send(call.address, call.max_connections, request).await;
         let Ok((response, mut connection)) = sent else {
             return (gateway::BatchOutcome::Broken, None);
@@ -390,7 +399,7 @@
             instance: call.instance.clone(),
             started_ms: call.started_ms,
         };
-        let head = self.read_message_head(process, &response).await;
+        let head = self.read_message_head(process, &response, sent_at).await;
         if status != 200 {
             // The connection is not used again, for the same reason as after a refused request.
             let outcome = match (head.wrong_instance, head.not_run) {
@@ -434,11 +443,12 @@
         let instance = process.instance.clone();
         let message = self.dialect.write_free(&instance, &handles);
         let request = post(address, message);
+        let sent_at = self.clock.now().mono;
         let sent = self.pool.send(address, u32::MAX, request);
         match http::with_timeout(FREE_TIMEOUT, sent).await {
             Some(Ok((response, connection))) => {
                 let is_freed = response.status().is_success();
-                self.read_message_head(process, &response).await;
+                self.read_message_head(process, &response, sent_at).await;
                 if is_freed {
                     discard_body(response, connection).await;
                     self.report(gateway::Event::ResultsFreed { instance, handles }).await;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod sidecar;
 pub mod sidecar_http;
 pub mod sidecar_shell;
+pub mod stated_limits;
 pub mod store;
 pub mod store_era;
 pub mod table;
--- a/lib/src/upstream_notice.rs
+++ b/lib/src/upstream_notice.rs
@@ -1,11 +1,12 @@
-//! What upstreams state about themselves in their answers: that they leave, or that they want no calls
-//! for a while. A gateway learns it from its own calls, sooner than from the platform's list and also
+//! What upstreams state about themselves in their answers: that they leave, that they want no calls
+//! for a while, or how many they take. A gateway learns it from its own calls, sooner than from the platform's list and also
 //! while it cannot read that.
 
 use std::collections;
 use std::time;
 
 use crate::id;
+use crate::stated_limits;
 
 /// Time for which a process that said that it leaves is remembered.
 const LEAVING_MEMORY: time::Duration = time::Duration::from_mins(10);
@@ -24,12 +25,14 @@
 }
 
 /// What an answer states about the upstream.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether it is about to stop.
     pub is_leaving: bool,
     /// Time for which it wants no calls; `None` if it states none.
     pub pause: Option<time::Duration>,
+    /// Rate that it takes from all gateways together.
+    pub limit: stated_limits::LimitNotice,
 }
 
 impl Notice {
--- a/lib/tests/test_regions.rs
+++ b/lib/tests/test_regions.rs
@@ -434,7 +434,8 @@
         let mut harness = Harness::new(table(1, &["north"], &[]));
         let process = upstream_notice::Process { instance: name("app5"), started_ms: None };
         let notice = upstream_notice::Notice { pause: Some(ms(2_000)), ..Default::default() };
-        harness.step(gateway::Event::UpstreamNoticed(process, notice));
+        let sent_at = harness.now.mono;
+        harness.step(gateway::Event::UpstreamNoticed { process, notice, sent_at });
         let effects = harness.arrive(path);
         assert_eq!((refusal_of(&effects), effects.len()), (NOT_NOW, 1), "{path}: {effects:?}");
     }
