gateway: logs tell versions of upstreams and which streams are resumed

The list of upstreams keeps the version now (relayed reads of version 8), and the log lines of arrivals and sends state it. Nothing is decided by it yet.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::roster;
 use crate::routing;
 use crate::stated_limits;
+use crate::stream_versions;
 use crate::unit;
 use crate::upstream_notice;
 
@@ -62,6 +63,9 @@
     pub address: net::SocketAddr,
     /// Failure domain of the upstream.
     pub domain: id::DomainId,
+    /// Version of its software.
+    #[serde(default)]
+    pub version: stream_versions::SoftwareVersion,
     /// Whether it is about to stop and should get no new calls.
     pub leaving: bool,
     /// Time at which its process started, in milliseconds since the Unix epoch; `None` if the list
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -31,7 +31,7 @@
         metrics::counter!("gateway_requests_total").increment(1);
         match self.admit(arrival) {
             Ok((request, estimate)) => {
-                self.log_arrival(&request, &estimate, effects);
+                self.log_arrival(&request, arrival, &estimate, effects);
                 self.deadlines.insert((request.current_deadline(), id));
                 self.requests.insert(id, request);
                 self.advance(id, effects);
@@ -52,10 +52,11 @@
     fn log_arrival(
         &self,
         request: &request::Request,
+        arrival: &gateway::Arrival,
         estimate: &admission::LatencyEstimate,
         effects: &mut Vec<gateway::Effect>,
     ) {
-        let line = telemetry::Line::new("arrive")
+        let mut line = telemetry::Line::new("arrive")
             .with("request", &request.external_id)
             .with("route", &request.route.name)
             .with("table", self.table.version)
@@ -67,6 +68,10 @@
             .with("return", estimate.is_retry)
             .with("parts", part_names(&request.prompt_parts))
             .with("content", content_name(request));
+        if let Some(last) = arrival.last_event {
+            let resumes = arrival.resumes.as_deref().unwrap_or("none");
+            line = line.with("last_event", last).with("resumes", resumes);
+        }
         effects.push(gateway::Effect::Log(line));
     }
 
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -144,6 +144,7 @@
             .with("request", &request.external_id)
             .with("call", call)
             .with("upstream", &choice.instance)
+            .with("version", &upstream.entry.version)
             .with("reason", reason)
             .with("cost_ms", choice.cost_ms.round())
             .with("tokens", choice.tokens)
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -57,6 +57,8 @@
     pub budget: Option<time::Duration>,
     /// Number of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Request id of the attempt that brought the first event of a stream that the caller resumes.
+    pub resumes: Option<String>,
     /// Number of pieces of each stage, in the order of the route's stages.
     pub piece_counts: Vec<u32>,
     /// Input of the stages that depend on no other stage.
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -26,7 +26,7 @@
 use crate::unit;
 
 /// Version of the messages; a gateway refuses other versions.
-pub const VERSION: u16 = 7;
+pub const VERSION: u16 = 8;
 /// Path for messages of type `ReadsRequest`.
 pub const READS_PATH: &str = "/relay/reads";
 /// Age from which reads are not passed on. By then the gateway cannot reach the store, and
--- a/lib/tests/shedding_replay/mod.rs
+++ b/lib/tests/shedding_replay/mod.rs
@@ -387,6 +387,7 @@
         service: name(service),
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: name("a"),
+        version: name("v1"),
         leaving: false,
         started_ms: None,
         cold_left: None,
--- a/lib/tests/test_cold.rs
+++ b/lib/tests/test_cold.rs
@@ -307,6 +307,7 @@
         service: name("llm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: name(domain),
+        version: name("v1"),
         leaving: false,
         started_ms: Some(started_ms),
         cold_left: left.map(|(time, sequence)| cold::Left { time: unit::Millis(time), sequence }),
--- a/lib/tests/test_cold_calls.rs
+++ b/lib/tests/test_cold_calls.rs
@@ -146,6 +146,7 @@
             service: name(if instance.starts_with('s') { "scan" } else { "app" }),
             address: "10.0.0.1:80".parse().expect("an address"),
             domain: name(domain),
+            version: name("v1"),
             leaving: false,
             started_ms: Some(1),
             cold_left: (cold_ms > 0)
--- a/lib/tests/test_engine_pace.rs
+++ b/lib/tests/test_engine_pace.rs
@@ -31,6 +31,7 @@
         service: SERVICE.parse().expect("a valid name"),
         address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
         domain: "a".parse().expect("a valid name"),
+        version: "v1".parse().expect("a version"),
         leaving: false,
         started_ms: None,
         cold_left: None,
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -144,6 +144,7 @@
             service: name(service),
             address: "10.0.0.1:80".parse().expect("an address"),
             domain: name(domain),
+            version: name("v1"),
             leaving: false,
             started_ms: None,
             cold_left: None,
--- a/lib/tests/test_gateway_parts.rs
+++ b/lib/tests/test_gateway_parts.rs
@@ -22,6 +22,7 @@
         service: name("encode"),
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: name(domain),
+        version: name("v1"),
         leaving: false,
         started_ms: None,
         cold_left: None,
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -26,6 +26,7 @@
         service: "encode".parse().expect("a name"),
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: "a".parse().expect("a name"),
+        version: "v1".parse().expect("a version"),
         leaving: false,
         started_ms: None,
         cold_left: None,
--- a/lib/tests/test_stated_limits.rs
+++ b/lib/tests/test_stated_limits.rs
@@ -103,6 +103,7 @@
             service: name("app"),
             address: "10.0.0.1:80".parse().expect("an address"),
             domain: name("a"),
+            version: name("v1"),
             leaving: false,
             started_ms: Some(1),
             cold_left: None,
--- a/lib/tests/test_store_era.rs
+++ b/lib/tests/test_store_era.rs
@@ -11,6 +11,7 @@
         service: "app".parse().expect("a name"),
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: "a".parse().expect("a name"),
+        version: "v1".parse().expect("a version"),
         leaving: false,
         started_ms: Some(started_ms),
         cold_left: None,
