gateway: a stream goes on only at the version that began it

Callers got streams whose first part came from one software version and whose rest came from another, with status 200 and to their end: gateways chose the upstream that goes on by cost only, and dropped the version of its list entry.

The version of the first event binds an answer now. Gateways log in the store which version they send resumable streams to, ahead of the first event, while versions are mixed; a resumed stream is looked up there. While one version has been listed alone for 30 s nothing is logged, and a record of that lets gateways go on that were all restarted. What nobody knows, or whose version has left, is refused at once as not run. A new version gets such streams only when every gateway with a recent list knows it, and an old list decides nothing.

Ruled out by the trace: only streams over several tries, and only upstreams that had just started (the first join was within one answer, at an upstream of 35 s).

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -15,6 +15,7 @@
 use crate::refusal;
 use crate::roster;
 use crate::store_era;
+use crate::stream_versions;
 use crate::table;
 use crate::upstream_notice;
 
@@ -177,6 +178,30 @@
         report: &crash_report::GatewayReport,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Replaces the log of a gateway's process about the versions that it sends streams to. It outlives
+    /// the process for about a minute.
+    fn log_streams(
+        &self,
+        process: &str,
+        log: &[stream_versions::LoggedStreams],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Reads the logs of all gateways about the versions that they sent streams to.
+    fn logged_streams(
+        &self,
+    ) -> impl Future<Output = Result<Vec<stream_versions::LoggedStreams>, StoreError>> + Send;
+
+    /// Records the services with a single version.
+    fn record_lone_versions(
+        &self,
+        lone: &stream_versions::LoneVersions,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Reads the services with a single version; none if nothing was recorded.
+    fn lone_versions(
+        &self,
+    ) -> impl Future<Output = Result<stream_versions::LoneVersions, StoreError>> + Send;
+
     /// Returns the latest era of the store, which changes when it is restored from an older copy.
     fn eras(&self) -> watch::Receiver<store_era::Era>;
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -23,6 +23,7 @@
 mod shed;
 mod silence;
 mod stages;
+mod stream_origin;
 
 pub use messages::{
     Arrival, BatchCall, BatchItem, BatchOutcome, BreakCause, CallId, Effect, Event, Handle,
@@ -50,6 +51,7 @@
 use crate::shedding;
 use crate::shedding::shares;
 use crate::stated_limits;
+use crate::stream_versions;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -127,6 +129,11 @@
     retry_budgets: collections::BTreeMap<id::ServiceId, retry::Budget>,
     /// Requests that wait for a call to a cold upstream, with the time since when.
     cold_waits: collections::BTreeMap<id::RequestId, time::Duration>,
+    versions: stream_versions::StreamVersions,
+    /// Requests that wait for a lookup of the version that began their stream.
+    origin_waits: collections::BTreeSet<id::RequestId>,
+    /// When the lookup in progress began.
+    lookup_sent: Option<time::Duration>,
     quarantine: quarantine::Quarantine,
     /// Calls whose answers have begun, with the time at which they count as sound.
     sound_calls: collections::BTreeSet<(time::Duration, CallId)>,
@@ -190,6 +197,9 @@
             unneeded_results: collections::BTreeMap::new(),
             retry_budgets: collections::BTreeMap::new(),
             cold_waits: collections::BTreeMap::new(),
+            versions: stream_versions::StreamVersions::default(),
+            origin_waits: collections::BTreeSet::new(),
+            lookup_sent: None,
             quarantine,
             sound_calls: collections::BTreeSet::new(),
             stop: None,
@@ -224,6 +234,8 @@
                 self.upstream_noticed(&process, notice, effects);
                 self.limit_noticed(&process, notice.limit, sent_at, effects);
             }
+            Event::StreamsFound(logged) => self.streams_found(&logged),
+            Event::LoneVersionsRead(lone) => self.versions.apply_lone_versions(self.now, lone),
             Event::LimitsTold(told) => self.limits_told(&told, effects),
             Event::EnginesPaced(paces) => self.fleet.record_paces(paces),
             Event::BatchEnded { batch, outcome, load } => {
@@ -335,6 +347,12 @@
 
     /// Applies a new list of upstreams, and logs what changed.
     fn apply_upstreams(&mut self, list: Vec<fleet::ListEntry>, effects: &mut Vec<Effect>) {
+        let mut versions: collections::BTreeMap<_, collections::BTreeSet<_>> =
+            collections::BTreeMap::new();
+        for entry in &list {
+            versions.entry(entry.service.clone()).or_default().insert(entry.version.clone());
+        }
+        self.versions.update(self.now, &versions);
         let change = self.fleet.update(self.now.mono, list);
         for (event, instances) in [
             ("upstream_joined", &change.joined),
--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -34,6 +34,8 @@
                 self.log_arrival(&request, arrival, &estimate, effects);
                 self.deadlines.insert((request.current_deadline(), id));
                 self.requests.insert(id, request);
+                // What cannot go on is refused before its stages are run.
+                self.settle_origin(id, effects);
                 self.advance(id, effects);
             }
             Err(rejection) => {
--- a/lib/src/gateway/calls.rs
+++ b/lib/src/gateway/calls.rs
@@ -14,6 +14,7 @@
 use crate::quarantine;
 use crate::refusal;
 use crate::routing;
+use crate::stream_versions;
 use crate::telemetry;
 use crate::unit;
 
@@ -39,6 +40,8 @@
     pub request: id::RequestId,
     /// Upstream that was called.
     pub instance: id::InstanceId,
+    /// Version of its software.
+    pub version: stream_versions::SoftwareVersion,
     /// When it was sent.
     pub sent_at: time::Duration,
     /// When the first event of its answer arrived; `None` before that.
@@ -83,6 +86,10 @@
             }
             return;
         }
+        if !self.settle_origin(id, effects) {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
         if request.awaits_retry {
             self.take_awaited_retry(id, effects);
             return;
@@ -114,6 +121,8 @@
         let Some(upstream) = self.fleet.get(&choice.instance) else { return };
         let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
         let is_limited = upstream.states_limit(self.now.mono);
+        let version = upstream.entry.version.clone();
+        self.record_stream(id, &version);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let is_first = request.call_count == 0;
         request.call_count += 1;
@@ -144,7 +153,7 @@
             .with("request", &request.external_id)
             .with("call", call)
             .with("upstream", &choice.instance)
-            .with("version", &upstream.entry.version)
+            .with("version", &version)
             .with("reason", reason)
             .with("cost_ms", choice.cost_ms.round())
             .with("tokens", choice.tokens)
@@ -162,6 +171,7 @@
         let state = PendingCall {
             request: id,
             instance: choice.instance,
+            version,
             sent_at: self.now.mono,
             begun_at: None,
             tokens: choice.tokens,
@@ -208,7 +218,11 @@
         let now = self.now.mono;
         let is_open =
             |up: &(&id::InstanceId, &fleet::Upstream)| self.is_open_to(request, up.0, up.1);
-        let all: Vec<_> = self.fleet.service_upstreams(&request.service).filter(is_open).collect();
+        let mut all: Vec<_> =
+            self.fleet.service_upstreams(&request.service).filter(is_open).collect();
+        if all.iter().any(|(_, up)| up.is_usable(now) && self.is_introduced(request, up)) {
+            all.retain(|(_, up)| self.is_introduced(request, up));
+        }
         let is_untried = |up: &&(&id::InstanceId, &fleet::Upstream)| !request.tried.contains(up.0);
         let is_usable = |up: &&(&id::InstanceId, &fleet::Upstream)| up.1.is_usable(now);
         let is_heard = |up: &&(&id::InstanceId, &fleet::Upstream)| {
@@ -297,6 +311,7 @@
         // The prompt has been read, so its tokens no longer count as work of the upstream.
         let tokens = std::mem::take(&mut call.tokens);
         let (request_id, instance) = (call.request, call.instance.clone());
+        let version = call.version.clone();
         if let Some(upstream) = self.fleet.get_mut(&instance) {
             upstream.unread_tokens = upstream.unread_tokens.saturating_sub(tokens);
         }
@@ -306,6 +321,7 @@
         let Some(request) = self.requests.get_mut(&request_id) else { return };
         self.deadlines.remove(&(request.current_deadline(), request_id));
         request.has_started = true;
+        request.version.get_or_insert(version);
         self.deadlines.insert((request.current_deadline(), request_id));
         let finals: Vec<_> = request.route.final_stages().collect();
         let unneeded: Vec<_> =
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -15,6 +15,7 @@
 use crate::refusal;
 use crate::roster;
 use crate::stated_limits;
+use crate::stream_versions;
 use crate::table;
 use crate::telemetry;
 use crate::upstream_notice;
@@ -289,6 +290,11 @@
         /// When the call was sent.
         sent_at: time::Duration,
     },
+    /// What gateways have logged about the versions that they sent streams to, nothing if that could not
+    /// be read.
+    StreamsFound(Vec<stream_versions::LoggedStreams>),
+    /// The services with a single version, as recorded in the store when this process started.
+    LoneVersionsRead(stream_versions::LoneVersions),
     /// Other gateways have heard these limits.
     LimitsTold(Vec<stated_limits::Heard>),
     /// A batch call ended.
@@ -384,6 +390,8 @@
         /// Results to free.
         handles: Vec<Handle>,
     },
+    /// Read what gateways have logged about the versions that they sent streams to.
+    FindStreams,
     /// Pass the answer of a call on to the caller of a request.
     DeliverAnswer(id::RequestId, CallId),
     /// Refuse a request.
--- a/lib/src/gateway/regions.rs
+++ b/lib/src/gateway/regions.rs
@@ -115,7 +115,9 @@
     pub(super) fn may_answer(&self, request: &request::Request, up: &fleet::Upstream) -> bool {
         let is_own_region = || self.fleet.region(&up.entry.domain) == Some(&request.region);
         let may_leave = !request.bound.is_restricted() || request.stages.is_empty();
-        self.allows_upstream(&request.bound, up) && (may_leave || is_own_region())
+        request.goes_on_at(&up.entry.version)
+            && self.allows_upstream(&request.bound, up)
+            && (may_leave || is_own_region())
     }
 
     /// Returns whether a restriction allows the region of an upstream. Without a restriction any
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -10,6 +10,7 @@
 use crate::placement;
 use crate::quarantine;
 use crate::shedding::shares;
+use crate::stream_versions;
 use crate::table;
 
 /// Maximum number of pieces of one stage.
@@ -91,6 +92,13 @@
     pub probed_part: Option<u64>,
     /// Number of the last event that the caller received.
     pub last_event: Option<u64>,
+    /// Request that brought the first event of the stream: this one, or the one that the caller names;
+    /// `None` if it resumes a stream and names none.
+    pub stream: Option<stream_versions::StreamKey>,
+    /// Version at which the answer goes on; `None` before its first event, or if that is not known.
+    pub version: Option<stream_versions::SoftwareVersion>,
+    /// Number of times that the version was looked up in vain.
+    pub lookups: u32,
     /// Input of the stages that depend on no other stage.
     pub input_key: Option<String>,
     /// State of the pieces of each stage, in the order of the route's stages.
@@ -154,6 +162,9 @@
             content: arrival.content.map(|content| team_content(content, team)),
             probed_part: None,
             last_event: arrival.last_event,
+            stream: stream_of(arrival),
+            version: None,
+            lookups: 0,
             input_key: arrival.input_key.clone(),
             stages,
             recomputations: 0,
@@ -169,6 +180,11 @@
         })
     }
 
+    /// Returns whether its answer may begin or go on at a software version.
+    pub fn goes_on_at(&self, version: &stream_versions::SoftwareVersion) -> bool {
+        self.version.as_ref().is_none_or(|begun| begun == version)
+    }
+
     /// Returns what of the request may crash engines.
     pub fn prompt(&self) -> quarantine::Prompt<'_> {
         quarantine::Prompt { parts: &self.prompt_parts, content: self.content }
@@ -340,6 +356,15 @@
     }
 }
 
+/// Returns the stream that a request begins or resumes.
+fn stream_of(arrival: &gateway::Arrival) -> Option<stream_versions::StreamKey> {
+    let first = match arrival.last_event {
+        Some(_) => arrival.resumes.as_deref()?,
+        None => &arrival.external_id,
+    };
+    Some(stream_versions::StreamKey::of(first))
+}
+
 /// Returns a digest that differs for equal requests of different teams. The credentials of a team
 /// change.
 fn team_content(content: u64, team: Option<&table::Team>) -> u64 {
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -27,6 +27,7 @@
 use crate::id;
 use crate::memory_budget;
 use crate::stated_limits;
+use crate::stream_log;
 use crate::table;
 use crate::telemetry;
 use crate::unit;
@@ -42,6 +43,9 @@
 /// Interval at which connections to upstreams that were idle for too long are closed.
 const PRUNE_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Interval at which the state of streams is published although its revision is the same.
+const STREAMS_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Signals that a gateway receives from its process.
 #[derive(Clone, Debug)]
 pub struct Signals {
@@ -83,6 +87,8 @@
     /// Buffer that is reused between steps.
     effects: Vec<gateway::Effect>,
     outputs: Outputs,
+    /// When the state of streams was last published.
+    streams_published: time::Instant,
 }
 
 /// What other tasks of the process follow.
@@ -95,6 +101,8 @@
     crash_reports: watch::Sender<crash_report::Report>,
     /// Limits that upstreams have stated, for other gateways.
     stated: watch::Sender<stated_limits::StatedLimits>,
+    /// What is kept in the store about streams.
+    streams: stream_log::StreamLog,
 }
 
 /// Time at the end of a stop in which the last answers are written.
@@ -139,10 +147,7 @@
         budget: budget.clone(),
         stopping: signals.stop.clone(),
     };
-    let caller_limits = http::ServerLimits::for_callers(&budget);
-    let serving =
-        http::serve_within(caller_listener, caller_handler, close_receiver, caller_limits);
-    let mut caller_server = tokio::spawn(serving);
+    let mut caller_server = serve_callers(caller_listener, caller_handler, close_receiver);
     serve_probes(probe_listeners, ready_receiver, &stopped_receiver);
     let (newest, newest_receiver) = watch::channel(None);
     let paces = engine_pace::SharedPaces::new(engine_pace::Paces::new(fastrand::u64(..)));
@@ -160,8 +165,9 @@
     let (crash_reports, crash_receiver) = watch::channel(crash_report::Report::default());
     let announcer =
         gateway_reads::spawn(&settings, &store, clock, newest, &read_events, crash_receiver);
+    let streams = stream_log::StreamLog::spawn(&store, &settings.instance, &read_events);
     exchange::spawn(&settings, clock, paces.clone(), newest_receiver, stated_receiver, read_events);
-    let outputs = Outputs { ready, limits, crash_reports, stated };
+    let outputs = Outputs { ready, limits, crash_reports, stated, streams };
     let client = gateway_calls::UpstreamClient::new(dialect, budget, paces, clock, reports);
     let mut shell = Shell::new(&settings, clock, client, outputs);
     let (mut tick, mut prune) = (interval(TICK_INTERVAL), interval(PRUNE_INTERVAL));
@@ -249,6 +255,16 @@
     }
 }
 
+/// Starts to serve the listener for callers.
+fn serve_callers<D: dialect::Dialect>(
+    listener: tokio::net::TcpListener,
+    handler: gateway_http::CallerHandler<D>,
+    close: watch::Receiver<bool>,
+) -> tokio::task::JoinHandle<()> {
+    let limits = http::ServerLimits::for_callers(&handler.budget);
+    tokio::spawn(http::serve_within(listener, handler, close, limits))
+}
+
 /// Starts to serve the listener for other gateways.
 fn serve_peers(
     listener: tokio::net::TcpListener,
@@ -334,6 +350,7 @@
             answers: collections::BTreeMap::new(),
             effects: Vec::new(),
             outputs,
+            streams_published: time::Instant::now(),
         }
     }
 
@@ -475,6 +492,7 @@
             gateway::Effect::FreeResults { process, address, handles } => {
                 tokio::spawn(self.client.clone().free_results(process, address, handles));
             }
+            gateway::Effect::FindStreams => self.outputs.streams.look_up(),
             gateway::Effect::DeliverAnswer(request, call) => self.deliver_answer(request, call),
             gateway::Effect::Refuse { request, refusal, retry_after } => {
                 let response =
@@ -508,6 +526,16 @@
         }
     }
 
+    /// Publishes what is kept in the store about streams.
+    fn publish_streams(&mut self) {
+        let is_same = self.outputs.streams.revision() == self.reducer.stream_revision();
+        if is_same && self.streams_published.elapsed() < STREAMS_INTERVAL {
+            return;
+        }
+        self.streams_published = time::Instant::now();
+        self.outputs.streams.publish(self.reducer.stream_log(self.clock.now()));
+    }
+
     /// Publishes readiness to the probe handler, limits to the caller handler and reports about
     /// crashes to the task that writes them.
     fn publish(&mut self) {
@@ -528,6 +556,7 @@
         self.outputs
             .limits
             .send_if_modified(|current| std::mem::replace(current, limits) != limits);
+        self.publish_streams();
         let stated = self.reducer.stated_limits();
         self.outputs.stated.send_if_modified(|current| {
             let is_changed = current.revision() != stated.revision();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod stated_limits;
 pub mod store;
 pub mod store_era;
+pub mod stream_log;
 pub mod stream_versions;
 pub mod table;
 pub mod team;
--- a/lib/tests/shedding_replay/mod.rs
+++ b/lib/tests/shedding_replay/mod.rs
@@ -321,6 +321,7 @@
                 self.calls.remove(&(index, call.0));
             }
             Effect::EndCall(_)
+            | Effect::FindStreams
             | Effect::DeliverAnswer(..)
             | Effect::DropRequest(_)
             | Effect::Log(_) => {}
