gateway: a status above 599 is no answer

Callers got status 600 from an upstream in trouble as an answer. The HTTP library accepts any status of three digits from 100 on, and nothing else checked it. Gateways and sidecars take such an answer for a broken one.

--- a/lib/src/gateway_calls.rs
+++ b/lib/src/gateway_calls.rs
@@ -167,6 +167,9 @@
             Some(Ok(answered)) => answered,
         };
         let status = response.status().as_u16();
+        if !http::is_status(status) {
+            return broken(gateway::BreakCause::Invalid);
+        }
         let instance = &request_call.instance;
         let head = self.dialect.read_answer(&original.head, instance, status, response.headers());
         let process = upstream_notice::Process {
--- a/lib/src/http.rs
+++ b/lib/src/http.rs
@@ -26,6 +26,8 @@
     Handler, MAX_CONNECTIONS, MAX_STREAMS, RunningServer, ServerLimits, serve, serve_within,
 };
 
+/// Largest status in the protocol.
+const MAX_STATUS: u16 = 599;
 /// Time within which a TCP connection has to be established.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Interval at which HTTP/2 peers are pinged.
@@ -163,6 +165,11 @@
     }
 }
 
+/// Returns whether a status exists in the protocol. The HTTP library accepts any of three digits.
+pub fn is_status(status: u16) -> bool {
+    status <= MAX_STATUS
+}
+
 /// Returns whether the network, not the peer, ended a connection: bytes were not acknowledged in
 /// time, or the peer cannot be reached any more.
 pub fn is_timed_out(error: &(dyn error::Error + 'static)) -> bool {
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -105,6 +105,9 @@
         if e.is_connect() { sidecar::CallError::NotSent } else { sidecar::CallError::Broken }
     })?;
     let status = response.status().as_u16();
+    if !http::is_status(status) {
+        return Err(sidecar::CallError::Broken);
+    }
     check_offset(call, &response)?;
     let media = response.headers().get(hyper::header::CONTENT_TYPE);
     let media = media.and_then(|value| value.to_str().ok()).unwrap_or("application/octet-stream");
--- a/lib/testutils/src/raw_server.rs
+++ b/lib/testutils/src/raw_server.rs
@@ -87,17 +87,63 @@
     address
 }
 
-/// Reads a request and returns its head in lower case, or `None` if the connection ends before.
-async fn read_request(stream: &mut tokio::net::TcpStream) -> std::io::Result<Option<String>> {
+/// Serves on a free loopback port until the runtime ends. Each connection gets the answer as soon as the
+/// head of its request has arrived, and is reset after a pause, whether or not the body is still on its
+/// way.
+///
+/// # Panics
+/// Panics if no port is free.
+pub async fn serve_early(
+    answer: impl Fn(&str) -> String + Send + Sync + 'static,
+    pause: time::Duration,
+) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    let answer = sync::Arc::new(answer);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                // A peer that has disconnected needs no answer.
+                let _ = answer_early(stream, &*answer, pause).await;
+            });
+        }
+    });
+    address
+}
+
+async fn answer_early(
+    mut stream: tokio::net::TcpStream,
+    answer: &(impl Fn(&str) -> String + Sync),
+    pause: time::Duration,
+) -> std::io::Result<()> {
     let mut received = Vec::new();
-    let head_end = loop {
+    let Some(end) = read_head(&mut stream, &mut received).await? else { return Ok(()) };
+    let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
+    stream.write_all(answer(&head).as_bytes()).await?;
+    tokio::time::sleep(pause).await;
+    socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO))
+}
+
+/// Reads until a head is complete and returns its length, or `None` if the connection ends before.
+async fn read_head(
+    stream: &mut tokio::net::TcpStream,
+    received: &mut Vec<u8>,
+) -> std::io::Result<Option<usize>> {
+    loop {
         if let Some(at) = received.windows(4).position(|window| window == b"\r\n\r\n") {
-            break at + 4;
+            return Ok(Some(at + 4));
         }
-        if stream.read_buf(&mut received).await? == 0 {
+        if stream.read_buf(received).await? == 0 {
             return Ok(None);
         }
-    };
+    }
+}
+
+/// Reads a request and returns its head in lower case, or `None` if the connection ends before.
+async fn read_request(stream: &mut tokio::net::TcpStream) -> std::io::Result<Option<String>> {
+    let mut received = Vec::new();
+    let Some(head_end) = read_head(stream, &mut received).await? else { return Ok(None) };
     let head = String::from_utf8_lossy(&received[..head_end]).to_ascii_lowercase();
     let length = header(&head, "content-length").parse().unwrap_or(0);
     while received.len() < head_end + length {
