gateway: how long a stream's version is remembered follows the routes

A version counted as alone after 30 s, which a route with a timeout above that would have broken: a stream of another version could still be under way. It is twice the longest timeout of a resumable route now, at least 30 s. A lookup keeps only the streams that requests wait for, so that the logs of many gateways do not displace this one's own streams.

All tests of test_stream_versions in lib and cli pass.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -179,7 +179,7 @@
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Replaces the log of a gateway's process about the versions that it sends streams to. It outlives
-    /// the process for about a minute.
+    /// the process for some minutes.
     fn log_streams(
         &self,
         process: &str,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -332,6 +332,10 @@
         self.table = table;
         self.has_table = true;
         self.rebind_requests(effects);
+        let resumable =
+            self.table.routes.iter().filter(|route| route.kind == table::RequestKind::Resumable);
+        let longest = resumable.map(|route| route.timeout).max();
+        self.versions.set_longest(longest.unwrap_or_default());
         let services = self.table.services.iter();
         let batched = services.filter(|(_, service)| service.batching.is_some());
         self.fleet.set_batched(batched.map(|(name, _)| name.clone()).collect());
--- a/lib/src/gateway/stream_origin.rs
+++ b/lib/src/gateway/stream_origin.rs
@@ -5,6 +5,7 @@
 //!
 //! Part of the reducer of a gateway; only its other parts import this module.
 
+use std::collections;
 use std::time;
 
 use crate::admission;
@@ -94,12 +95,14 @@
     /// Applies what a lookup has found to the requests that wait for it.
     pub(super) fn streams_found(&mut self, logged: &[stream_versions::LoggedStreams]) {
         self.lookup_sent = None;
-        self.versions.adopt(self.now.mono, logged);
+        let mut wanted = collections::BTreeSet::new();
         for id in std::mem::take(&mut self.origin_waits) {
             if let Some(request) = self.requests.get_mut(&id) {
                 request.lookups += 1;
+                wanted.extend(request.stream);
             }
         }
+        self.versions.adopt(self.now.mono, logged, &wanted);
     }
 
     /// Records the version of the upstream that a stream is sent to.
--- a/lib/src/stream_versions.rs
+++ b/lib/src/stream_versions.rs
@@ -21,11 +21,13 @@
 use crate::id;
 use crate::unit;
 
-/// Time for which a version must have been alone: streams that began at another one have ended, and
-/// their callers do not resume them any more.
-const ALONE_TIME: time::Duration = time::Duration::from_secs(30);
-/// Time for which it is known which version a stream was sent to.
-const STREAM_MEMORY: time::Duration = time::Duration::from_secs(40);
+/// Shortest time for which a version must have been alone, until streams that began at another one have
+/// ended and their callers do not resume them any more.
+const MIN_ALONE_TIME: time::Duration = time::Duration::from_secs(30);
+/// The same as a multiple of the longest time that a stream may take.
+const ALONE_FACTOR: u32 = 2;
+/// Time by which streams are known for longer than that.
+const MEMORY_MARGIN: time::Duration = time::Duration::from_secs(10);
 /// Age of the list of upstreams up to which it shows that a version is alone.
 const MAX_LIST_AGE: time::Duration = time::Duration::from_secs(3);
 /// Time for which a new version gets no streams that can be resumed while another one can take them:
@@ -142,8 +144,8 @@
     }
 
     /// Returns the version that has been alone for so long that all streams are its own.
-    fn settled(&self, now: clock::Now) -> Option<&SoftwareVersion> {
-        let is_settled = now.mono.saturating_sub(self.since.mono) >= ALONE_TIME;
+    fn settled(&self, now: clock::Now, alone_time: time::Duration) -> Option<&SoftwareVersion> {
+        let is_settled = now.mono.saturating_sub(self.since.mono) >= alone_time;
         self.lone().filter(|_| is_settled)
     }
 
@@ -151,9 +153,10 @@
     fn replace(
         &mut self,
         now: clock::Now,
+        alone_time: time::Duration,
         mut listed: collections::BTreeMap<SoftwareVersion, time::Duration>,
     ) {
-        if let Some(settled) = self.settled(now).cloned() {
+        if let Some(settled) = self.settled(now, alone_time).cloned() {
             self.former = Some((settled, now.mono + INTRODUCTION_TIME));
         }
         for (version, seen) in &mut listed {
@@ -185,17 +188,34 @@
     listed_at: Option<clock::Now>,
     /// Services with a single version, as recorded before this process started.
     recorded: LoneVersions,
+    /// Longest time that a stream may take.
+    longest: time::Duration,
     /// Counts what changes the log of this gateway.
     revision: u64,
 }
 
 impl StreamVersions {
+    /// Sets the longest time that a stream may take, by the routes in force.
+    pub fn set_longest(&mut self, longest: time::Duration) {
+        self.longest = longest;
+    }
+
+    fn alone_time(&self) -> time::Duration {
+        MIN_ALONE_TIME.max(ALONE_FACTOR * self.longest)
+    }
+
+    /// Returns the version of a service that has been alone for so long that all streams are its own.
+    fn settled(&self, now: clock::Now, service: &id::ServiceId) -> Option<&SoftwareVersion> {
+        self.services.get(service)?.settled(now, self.alone_time())
+    }
+
     /// Applies a list of upstreams: the versions of each service, also of those that are leaving.
     pub fn update(
         &mut self,
         now: clock::Now,
         listed: &collections::BTreeMap<id::ServiceId, collections::BTreeSet<SoftwareVersion>>,
     ) {
+        let alone_time = self.alone_time();
         let is_first = self.listed_at.is_none();
         self.listed_at = Some(now);
         // The first list contains what others have known for long.
@@ -205,7 +225,7 @@
             match self.services.get_mut(service) {
                 Some(known) if known.listed.keys().eq(versions) => {}
                 Some(known) => {
-                    known.replace(now, first_seen);
+                    known.replace(now, alone_time, first_seen);
                     // What was not logged so far may be looked up from now on.
                     self.revision += 1;
                 }
@@ -223,7 +243,8 @@
     }
 
     fn prune(&mut self, now: time::Duration) {
-        self.streams.retain(|_, stream| now.saturating_sub(stream.at) < STREAM_MEMORY);
+        let memory = self.alone_time() + MEMORY_MARGIN;
+        self.streams.retain(|_, stream| now.saturating_sub(stream.at) < memory);
         let excess = self.streams.len().saturating_sub(MAX_STREAMS);
         if excess > 0 {
             let mut times: Vec<_> = self.streams.values().map(|stream| stream.at).collect();
@@ -250,7 +271,8 @@
             return Origin::Unknown;
         };
         let former = listed.former.as_ref().filter(|(_, until)| now.mono < *until);
-        let version = listed.settled(now).or(former.map(|(version, _)| version));
+        let settled = self.settled(now, service);
+        let version = settled.or(former.map(|(version, _)| version));
         version.map_or(Origin::Unknown, |version| Origin::Version(version.clone()))
     }
 
@@ -273,18 +295,22 @@
         key: StreamKey,
         version: &SoftwareVersion,
     ) {
-        let listed = self.services.get(service);
-        if listed.is_none_or(|listed| listed.settled(now).is_none()) {
+        if self.settled(now, service).is_none() {
             self.revision += 1;
         }
         let (service, version) = (service.clone(), version.clone());
         self.streams.insert(key, KnownStream { service, version, at: now.mono, is_own: true });
     }
 
-    /// Adopts what other gateways have logged.
-    pub fn adopt(&mut self, now: time::Duration, logged: &[LoggedStreams]) {
+    /// Adopts what gateways have logged about some streams.
+    pub fn adopt(
+        &mut self,
+        now: time::Duration,
+        logged: &[LoggedStreams],
+        wanted: &collections::BTreeSet<StreamKey>,
+    ) {
         for streams in logged {
-            for key in &streams.streams {
+            for key in streams.streams.iter().filter(|key| wanted.contains(key)) {
                 let (service, version) = (streams.service.clone(), streams.version.clone());
                 let stream = KnownStream { service, version, at: now, is_own: false };
                 self.streams.entry(*key).or_insert(stream);
@@ -302,8 +328,7 @@
     pub fn log(&self, now: clock::Now) -> Vec<LoggedStreams> {
         let mut by_version: collections::BTreeMap<_, Vec<StreamKey>> = collections::BTreeMap::new();
         for (key, stream) in self.streams.iter().filter(|(_, stream)| stream.is_own) {
-            let listed = self.services.get(&stream.service);
-            if listed.is_none_or(|listed| listed.settled(now).is_none()) {
+            if self.settled(now, &stream.service).is_none() {
                 by_version.entry((&stream.service, &stream.version)).or_default().push(*key);
             }
         }
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -51,6 +51,16 @@
     assert_eq!(origin(&versions, 35_000, "x"), Origin::Version(version("v1")));
 }
 
+#[test]
+fn origin_waits_for_twice_the_longest_stream() {
+    let mut versions = StreamVersions::default();
+    versions.set_longest(ms(40_000));
+    list_from(&mut versions, 0, 79_000, &["v1"]);
+    assert_eq!(origin(&versions, 79_500, "x"), Origin::Unknown);
+    list(&mut versions, at(80_000), &["v1"]);
+    assert_eq!(origin(&versions, 80_000, "x"), Origin::Version(version("v1")));
+}
+
 #[test]
 fn origin_after_a_freeze_needs_a_new_list() {
     let mut versions = StreamVersions::default();
@@ -82,7 +92,9 @@
     let mut other = StreamVersions::default();
     list(&mut other, at(0), &["v1", "v2"]);
     assert_eq!(origin(&other, 20, "x"), Origin::Unknown);
-    other.adopt(at(30).mono, &versions.log(at(30)));
+    other.adopt(at(30).mono, &versions.log(at(30)), &[].into());
+    assert_eq!(origin(&other, 30, "x"), Origin::Unknown, "nobody has asked for it");
+    other.adopt(at(30).mono, &versions.log(at(30)), &[StreamKey::of("x")].into());
     assert_eq!(origin(&other, 30, "x"), Origin::Version(version("v2")));
     assert!(other.log(at(30)).is_empty(), "each gateway logs its own streams");
     // The version has left; the other one did not begin the stream.
