gateway: requests that no limit lets through are refused on arrival

A gateway without a part of any rate ran the stages of a request whose upstreams all state limits, and refused it when they were done. It is refused at once now, as not run. request_is_refused_before_its_stages_without_a_part_of_any_rate failed before (no refusal) and passes.

--- a/lib/src/gateway/arrivals.rs
+++ b/lib/src/gateway/arrivals.rs
@@ -6,6 +6,7 @@
 use crate::admission;
 use crate::gateway;
 use crate::gateway::calls;
+use crate::gateway::cold_calls;
 use crate::gateway::request;
 use crate::id;
 use crate::placement;
@@ -125,6 +126,7 @@
             let rejection = reject(Kind::NoUpstream, calls::PAUSED_MESSAGE);
             return Err(admission::Rejection { retry_after: Some(pause), ..rejection });
         }
+        self.check_quota(&request)?;
         let times = self.route_times.entry(route.name.clone()).or_default();
         let spent = times.estimate_spent(request.deadline.saturating_sub(now));
         request.due = request.due.saturating_sub(spent);
@@ -146,6 +148,16 @@
         Ok((request, estimate))
     }
 
+    /// Checks that the limits of the upstreams that may answer a request let this gateway call one before
+    /// the deadline. Its stages would be run in vain otherwise.
+    fn check_quota(&self, request: &request::Request) -> Result<(), admission::Rejection> {
+        let wait = self.answer_quota_wait(request).unwrap_or_default();
+        if self.now.mono + wait < request.deadline {
+            return Ok(());
+        }
+        Err(reject(refusal::Kind::NoUpstream, cold_calls::LIMITED_MESSAGE))
+    }
+
     /// Returns the region of the engine that all gateways prefer for a prompt, if the prompt is
     /// worth the distance and the region has an upstream for each stage.
     fn region_with_engine(
--- a/lib/src/gateway/cold_calls.rs
+++ b/lib/src/gateway/cold_calls.rs
@@ -22,8 +22,8 @@
 const MAX_WAIT: time::Duration = time::Duration::from_millis(400);
 /// Time over which the retries of refused callers are spread: that in which quotas renew themselves.
 const RETRY_SPREAD: time::Duration = time::Duration::from_secs(1);
-/// Why a request is refused while all upstreams of its service are cold.
-const COLD_MESSAGE: &str = "all upstreams of the service take few calls at present";
+/// Why a request is refused while all upstreams of its service are cold or state a limit.
+pub(super) const LIMITED_MESSAGE: &str = "all upstreams of the service take few calls at present";
 
 impl gateway::Gateway {
     /// Returns the terms of the services whose upstreams take few calls while they are cold.
@@ -155,7 +155,7 @@
             effects.push(gateway::Effect::Log(line));
             let spread = RETRY_SPREAD.mul_f64(self.rng.f64());
             let delay = wait.max(admission::MIN_RETRY_DELAY) + spread;
-            self.refuse_call(id, refusal::Kind::NoUpstream, COLD_MESSAGE, delay, effects);
+            self.refuse_call(id, refusal::Kind::NoUpstream, LIMITED_MESSAGE, delay, effects);
         }
     }
 }
--- a/lib/tests/test_stated_limits.rs
+++ b/lib/tests/test_stated_limits.rs
@@ -1,10 +1,13 @@
 //! Tests of the limits that upstreams state: which statement counts, and what all gateways send
 //! together.
 
+mod gateway_harness;
+
 use std::time;
 
-use bramleyshelf_lib::{fleet, id, roster, stated_limits, unit, upstream_notice};
+use bramleyshelf_lib::{fleet, gateway, id, refusal, roster, stated_limits, unit, upstream_notice};
 use bramleyshelf_testutils::values::{ms, name};
+use gateway_harness::{Harness, refusal_of};
 use stated_limits::{LimitNotice, Selection, StatedLimits};
 
 /// Time over which calls are counted, and what the platform allows in it: a multiple of the rate and
@@ -145,3 +148,17 @@
         }
     }
 }
+
+/// Guards against stages that are run for a request which this gateway may not send anywhere.
+#[test]
+fn request_is_refused_before_its_stages_without_a_part_of_any_rate() {
+    let mut harness = Harness::new();
+    for upstream in ["u1", "u2"] {
+        let process = upstream_notice::Process { instance: name(upstream), started_ms: None };
+        let notice = upstream_notice::Notice { limit: rate(1.0), ..Default::default() };
+        let sent_at = harness.now.mono;
+        harness.step(gateway::Event::UpstreamNoticed { process, notice, sent_at });
+    }
+    let (_, effects) = harness.arrive("/guide/1");
+    assert_eq!(refusal_of(&effects), Some((refusal::Kind::NoUpstream, refusal::Ran::No)));
+}
