--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -177,12 +177,16 @@
         }
     }
 
-    /// Records what changed since an earlier snapshot, so that responses can state it, and keeps the
-    /// earlier table if that is newer.
+    /// Records what changed since an earlier snapshot, so that responses can state it, and keeps what of
+    /// the earlier one is newer: while the store does not answer, another gateway may pass on reads that
+    /// were sent before those at hand.
     #[must_use]
     pub fn following(mut self, earlier: Option<&Self>) -> Self {
         let Some(earlier) = earlier else { return self };
         self.table = self.table.newer(&earlier.table);
+        if self.era == earlier.era && self.sent.mono < earlier.sent.mono {
+            return Self { table: self.table, ..earlier.clone() };
+        }
         self.changes.clone_from(&earlier.changes);
         if earlier.fleet_digest != self.fleet_digest {
             self.changes.push_back(find_changes(earlier, &self.fleet));
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -134,6 +134,25 @@
     assert!(response.table.is_some() && response.fleet.is_some());
 }
 
+/// Guards against an upstream that counts as ready again, because another gateway passes on a list from
+/// before the one in which it leaves.
+#[test]
+fn older_reads_of_another_gateway_replace_no_newer_lists() {
+    let own = snapshot(at(2_000), 3, &["u1"]);
+    let other = snapshot(at(1_000), 4, &["u1", "u2"]);
+    let request = relay::Snapshot::to_request(Some(&own));
+    let response = other.to_response(at(2_100), request).expect("it is fresh");
+    let received = relay::Snapshot::from_response(at(2_050), response, Some(&own));
+    let received = received.expect("it is whole");
+    assert_eq!(received.fleet.len(), 1, "its own list is newer");
+    assert_eq!(received.sent, own.sent);
+    assert_eq!(received.table.table.version, table::Version(4), "the other table is newer");
+    // After a restore, what was read before counts no more.
+    let mut restored = other;
+    restored.era = "9".parse().expect("an era");
+    assert_eq!(restored.following(Some(&own)).fleet.len(), 2);
+}
+
 #[test]
 fn response_states_changes_since_a_known_list() {
     let first = snapshot(at(1_000), 3, &["u1", "u2", "u3", "u4", "u6", "u7"]);
