--- a/lib/src/engine_pace/exchange.rs
+++ b/lib/src/engine_pace/exchange.rs
@@ -1,9 +1,9 @@
 //! Exchange of paces between gateways, and of the limits that upstreams have stated. Each gateway sends
-//! what it has measured and heard to the one that reads the store for its failure domain, which sends it
+//! what it has measured and received to the one that reads the store for its failure domain, which sends it
 //! on to one gateway of the whole fleet; the way back brings what has changed there.
 //!
 //! If one of these gateways fails, the others go on with what they know and measure, until another
-//! one is chosen. A message that is lost loses some measurements; limits are told again.
+//! one is chosen. A message that is lost loses some measurements; limits are sent again.
 
 use std::time;
 
@@ -43,7 +43,7 @@
     /// What the sender has measured since its last message.
     pub measured: Vec<(id::InstanceId, engine_pace::Pace)>,
     /// Limits that the sender knows.
-    pub limits: Vec<stated_limits::Told>,
+    pub limits: Vec<stated_limits::LimitMessage>,
     /// Whether the response should contain all limits.
     pub wants_all: bool,
 }
@@ -58,7 +58,7 @@
     /// Paces that have changed after the state that the request named.
     pub changed: Vec<(id::InstanceId, engine_pace::Pace)>,
     /// Limits that the receiver knows.
-    pub limits: Vec<stated_limits::Told>,
+    pub limits: Vec<stated_limits::LimitMessage>,
 }
 
 /// Handles the measurements of another gateway. `stated` are the limits that this one knows.
@@ -68,7 +68,7 @@
     stated: &stated_limits::StatedLimits,
     request: &Request,
 ) -> Response {
-    let limits = stated.tell(now, selection(request.wants_all), &mut fastrand::Rng::new());
+    let limits = stated.select(now, selection(request.wants_all), &mut fastrand::Rng::new());
     paces.with(|paces| {
         for (engine, pace) in &request.measured {
             paces.record_relayed(now, engine, *pace);
@@ -83,8 +83,11 @@
 }
 
 /// Returns limits of a message, by the clock of this process.
-pub fn to_heard(now: time::Duration, told: &[stated_limits::Told]) -> Vec<stated_limits::Heard> {
-    told.iter().filter_map(|told| told.to_heard(now)).collect()
+pub fn to_relayed(
+    now: time::Duration,
+    limits: &[stated_limits::LimitMessage],
+) -> Vec<stated_limits::RelayedLimit> {
+    limits.iter().filter_map(|limit| limit.to_relayed(now)).collect()
 }
 
 /// Starts the task that exchanges paces with another gateway and passes them to the event loop.
@@ -139,13 +142,13 @@
             let wants_all = until_all == 0;
             let sent = clock.now().mono;
             let limits =
-                stated.borrow().tell(sent, selection(wants_all), &mut fastrand::Rng::new());
+                stated.borrow().select(sent, selection(wants_all), &mut fastrand::Rng::new());
             let request = Request { version: VERSION, known, measured, limits, wants_all };
             let response = gateway_peers::exchange_paces(&pool, peer.address, &request).await;
             until_all = if wants_all { ALL_LIMITS_PERIOD } else { until_all }.saturating_sub(1);
             if let Some(response) = response {
-                let told = gateway::Event::LimitsTold(to_heard(sent, &response.limits));
-                if !response.limits.is_empty() && events.send(told).await.is_err() {
+                let relayed = gateway::Event::LimitsRelayed(to_relayed(sent, &response.limits));
+                if !response.limits.is_empty() && events.send(relayed).await.is_err() {
                     return;
                 }
                 known = response.known;
--- a/lib/src/fleet/limited_upstreams.rs
+++ b/lib/src/fleet/limited_upstreams.rs
@@ -71,11 +71,15 @@
         is_changed
     }
 
-    /// Adopts a statement that another gateway has heard, unless a later one is known. Returns whether
+    /// Adopts a statement that another gateway has received, unless a later one is known. Returns whether
     /// the limit has changed.
-    pub fn adopt_limit(&mut self, now: time::Duration, heard: &stated_limits::Heard) -> bool {
-        let is_changed = self.stated.adopt(now, heard);
-        self.apply_stated(now, &heard.process, is_changed);
+    pub fn adopt_limit(
+        &mut self,
+        now: time::Duration,
+        relayed: &stated_limits::RelayedLimit,
+    ) -> bool {
+        let is_changed = self.stated.adopt(now, relayed);
+        self.apply_stated(now, &relayed.process, is_changed);
         is_changed
     }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -236,7 +236,7 @@
             }
             Event::StreamsFound(logged) => self.streams_found(&logged),
             Event::LoneVersionsRead(lone) => self.versions.apply_lone_versions(self.now, lone),
-            Event::LimitsTold(told) => self.limits_told(&told, effects),
+            Event::LimitsRelayed(limits) => self.limits_relayed(&limits, effects),
             Event::EnginesPaced(paces) => self.fleet.record_paces(paces),
             Event::BatchEnded { batch, outcome, load } => {
                 self.batch_ended(batch, outcome, load, effects);
@@ -427,11 +427,15 @@
         }
     }
 
-    /// Adopts limits that other gateways have heard, and logs those that have changed.
-    fn limits_told(&mut self, told: &[stated_limits::Heard], effects: &mut Vec<Effect>) {
-        for heard in told {
-            if self.fleet.adopt_limit(self.now.mono, heard) {
-                self.log_limit(&heard.process, "gateway", effects);
+    /// Adopts limits that other gateways have received, and logs those that have changed.
+    fn limits_relayed(
+        &mut self,
+        limits: &[stated_limits::RelayedLimit],
+        effects: &mut Vec<Effect>,
+    ) {
+        for limit in limits {
+            if self.fleet.adopt_limit(self.now.mono, limit) {
+                self.log_limit(&limit.process, "gateway", effects);
             }
         }
     }
--- a/lib/src/gateway/messages.rs
+++ b/lib/src/gateway/messages.rs
@@ -295,8 +295,8 @@
     StreamsFound(Vec<stream_versions::LoggedStreams>),
     /// The services with a single version, as recorded in the store when this process started.
     LoneVersionsRead(stream_versions::LoneVersions),
-    /// Other gateways have heard these limits.
-    LimitsTold(Vec<stated_limits::Heard>),
+    /// Other gateways have received these limits from upstreams.
+    LimitsRelayed(Vec<stated_limits::RelayedLimit>),
     /// A batch call ended.
     BatchEnded {
         /// Batch that ended.
--- a/lib/src/gateway_peers.rs
+++ b/lib/src/gateway_peers.rs
@@ -55,8 +55,8 @@
     HandoverCancelled(gateway::HandoverId),
     /// Results that another gateway does not need any more.
     ReleaseReceived(handoff::Release),
-    /// Limits of upstreams that another gateway has heard.
-    LimitsTold(Vec<stated_limits::Heard>),
+    /// Limits of upstreams that another gateway has received.
+    LimitsRelayed(Vec<stated_limits::RelayedLimit>),
 }
 
 /// HTTP handler for requests of other gateways.
@@ -185,7 +185,7 @@
         Ok(text_response(200, ""))
     }
 
-    /// Records what another gateway has measured and heard, and answers with what has changed.
+    /// Records what another gateway has measured and received, and answers with what has changed.
     async fn exchange_paces(
         &self,
         body: &[u8],
@@ -195,8 +195,8 @@
         let now = self.clock.now().mono;
         let response = exchange::respond(now, &self.paces, &self.stated.borrow(), &request);
         if !request.limits.is_empty() {
-            let told = Message::LimitsTold(exchange::to_heard(now, &request.limits));
-            self.messages.send(told).await.map_err(|_| PeerRequestError::Stopping)?;
+            let relayed = Message::LimitsRelayed(exchange::to_relayed(now, &request.limits));
+            self.messages.send(relayed).await.map_err(|_| PeerRequestError::Stopping)?;
         }
         let body = rmp_serde::to_vec(&response).expect("paces can be encoded");
         Ok(http::respond(200, MEDIA_TYPE, body))
--- a/lib/src/gateway_shell.rs
+++ b/lib/src/gateway_shell.rs
@@ -399,8 +399,8 @@
                 self.handover_replies.remove(&handover);
                 self.step(gateway::Event::HandoverCancelled(handover));
             }
-            gateway_peers::Message::LimitsTold(told) => {
-                self.step(gateway::Event::LimitsTold(told));
+            gateway_peers::Message::LimitsRelayed(limits) => {
+                self.step(gateway::Event::LimitsRelayed(limits));
             }
             gateway_peers::Message::ReleaseReceived(message) => {
                 self.step(gateway::Event::ReleaseReceived(message));
--- a/lib/src/stated_limits.rs
+++ b/lib/src/stated_limits.rs
@@ -1,7 +1,7 @@
 //! Rate limits that upstreams state in their answers: the calls a second that one takes from all
 //! gateways together, until it answers without a limit.
 //!
-//! Answers of one upstream arrive out of order, and gateways pass on what they were told. So each
+//! Answers of one upstream arrive out of order, and gateways pass on what they have received. So each
 //! statement has the time at which it is known to have held, and a later one replaces it.
 
 use std::collections;
@@ -14,11 +14,11 @@
 /// Time after which a statement that was not repeated is forgotten.
 const MEMORY: time::Duration = time::Duration::from_mins(1);
 
-/// Age up to which a change is told to other gateways with each message. Everything else is told now and
+/// Age up to which a change is in each message to another gateway. Everything else is sent now and
 /// then, so that it is not forgotten.
 const NEWS_AGE: time::Duration = time::Duration::from_secs(5);
 /// Largest number of statements in one message between gateways.
-const MAX_TOLD: usize = 32;
+const MAX_SENT: usize = 32;
 
 /// What an answer says about the rate that its upstream takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -50,9 +50,9 @@
     }
 }
 
-/// A statement that another gateway has heard.
+/// A statement that another gateway has received.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Heard {
+pub struct RelayedLimit {
     /// Process that made it.
     pub process: upstream_notice::Process,
     /// Rate that it takes; `None` if it states no limit any more.
@@ -63,7 +63,7 @@
 
 /// A statement in a message between gateways, whose clocks differ.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Told {
+pub struct LimitMessage {
     /// Instance id of the upstream.
     pub instance: id::InstanceId,
     /// Start time of its process in milliseconds since the Unix epoch, if it is known.
@@ -74,16 +74,20 @@
     pub age_ms: unit::Millis,
 }
 
-impl Told {
+impl LimitMessage {
     /// Returns the statement as one of this process's clock; `None` if it holds no rate. `now` is a
     /// time at which the message was on its way.
-    pub fn to_heard(&self, now: time::Duration) -> Option<Heard> {
+    pub fn to_relayed(&self, now: time::Duration) -> Option<RelayedLimit> {
         if self.rate.is_some_and(|rate| rate.0.is_nan() || rate.0 < 0.0) {
             return None;
         }
         let (instance, started_ms) = (self.instance.clone(), self.started_ms);
         let process = upstream_notice::Process { instance, started_ms };
-        Some(Heard { process, rate: self.rate, at: now.checked_sub(self.age_ms.duration())? })
+        Some(RelayedLimit {
+            process,
+            rate: self.rate,
+            at: now.checked_sub(self.age_ms.duration())?,
+        })
     }
 }
 
@@ -121,7 +125,7 @@
         };
         let known = self.statements.get(process);
         // An answer may have overtaken one that was given later. Only a call that was sent after the
-        // statement was heard shows that the upstream takes more by now.
+        // statement was received shows that the upstream takes more by now.
         let takes_more = known.is_some_and(|known| is_above(rate, known.rate));
         let at = if takes_more { sent_at } else { now };
         if known.is_none() && rate.is_none() {
@@ -130,11 +134,11 @@
         self.put(now, process, rate, at)
     }
 
-    /// Adopts a statement that another gateway has heard, unless a later one is known. Returns whether
+    /// Adopts a statement that another gateway has received, unless a later one is known. Returns whether
     /// the limit has changed.
-    pub fn adopt(&mut self, now: time::Duration, heard: &Heard) -> bool {
-        let at = heard.at.min(now);
-        self.put(now, &heard.process, heard.rate, at)
+    pub fn adopt(&mut self, now: time::Duration, relayed: &RelayedLimit) -> bool {
+        let at = relayed.at.min(now);
+        self.put(now, &relayed.process, relayed.rate, at)
     }
 
     fn put(
@@ -174,28 +178,28 @@
 
     /// Returns the statements for a message to another gateway: the latest changes first, and of the
     /// others a random choice if there are too many.
-    pub fn tell(
+    pub fn select(
         &self,
         now: time::Duration,
         selection: Selection,
         rng: &mut fastrand::Rng,
-    ) -> Vec<Told> {
+    ) -> Vec<LimitMessage> {
         let is_news = |statement: &Statement| now.saturating_sub(statement.changed_at) < NEWS_AGE;
-        let (mut told, mut others): (Vec<_>, Vec<_>) =
+        let (mut selected, mut others): (Vec<_>, Vec<_>) =
             self.statements.iter().partition(|(_, statement)| is_news(statement));
-        told.sort_by_key(|(_, statement)| std::cmp::Reverse(statement.changed_at));
+        selected.sort_by_key(|(_, statement)| std::cmp::Reverse(statement.changed_at));
         if selection == Selection::All {
             rng.shuffle(&mut others);
-            told.append(&mut others);
+            selected.append(&mut others);
         }
-        told.truncate(MAX_TOLD);
-        let told = told.into_iter().map(|(process, statement)| Told {
+        selected.truncate(MAX_SENT);
+        let messages = selected.into_iter().map(|(process, statement)| LimitMessage {
             instance: process.instance.clone(),
             started_ms: process.started_ms,
             rate: statement.rate,
             age_ms: unit::Millis(unit::Millis::from(now.saturating_sub(statement.at)).0 + 1),
         });
-        told.collect()
+        messages.collect()
     }
 
     /// Forgets what was not repeated for long.
--- a/lib/tests/test_stated_limits.rs
+++ b/lib/tests/test_stated_limits.rs
@@ -36,7 +36,7 @@
     let mut limits = StatedLimits::default();
     assert!(!limits.record(ms(5), ms(1), &process(), LimitNotice::Absent));
     assert!(limits.record(ms(10), ms(1), &process(), rate(2.0)));
-    // It was sent before the limit was heard, and may have been answered before it was stated.
+    // It was sent before the limit was received, and may have been answered before it was stated.
     assert!(!limits.record(ms(20), ms(9), &process(), LimitNotice::Absent));
     assert!(!limits.record(ms(21), ms(9), &process(), rate(8.0)));
     assert!(!limits.record(ms(22), ms(9), &process(), LimitNotice::Unreadable));
@@ -60,29 +60,29 @@
     let mut rng = fastrand::Rng::with_seed(1);
     let (mut near, mut far) = (StatedLimits::default(), StatedLimits::default());
     near.record(ms(1_000), ms(900), &process(), rate(2.0));
-    let told = near.tell(ms(1_100), Selection::News, &mut rng);
+    let sent = near.select(ms(1_100), Selection::News, &mut rng);
     // The clock of the other one began later.
-    assert!(far.adopt(ms(600), &told[0].to_heard(ms(500)).expect("a rate")));
+    assert!(far.adopt(ms(600), &sent[0].to_relayed(ms(500)).expect("a rate")));
     assert_eq!(known(&far), Some(2.0));
     near.record(ms(2_000), ms(1_900), &process(), LimitNotice::Absent);
-    let over = near.tell(ms(2_000), Selection::News, &mut rng);
-    assert!(far.adopt(ms(1_500), &over[0].to_heard(ms(1_500)).expect("a rate")));
-    assert!(!far.adopt(ms(1_600), &told[0].to_heard(ms(500)).expect("a rate")), "it is older");
+    let over = near.select(ms(2_000), Selection::News, &mut rng);
+    assert!(far.adopt(ms(1_500), &over[0].to_relayed(ms(1_500)).expect("a rate")));
+    assert!(!far.adopt(ms(1_600), &sent[0].to_relayed(ms(500)).expect("a rate")), "it is older");
     assert_eq!(known(&far), None);
-    assert!(near.tell(ms(9_000), Selection::News, &mut rng).is_empty());
-    assert_eq!(near.tell(ms(9_000), Selection::All, &mut rng).len(), 1);
+    assert!(near.select(ms(9_000), Selection::News, &mut rng).is_empty());
+    assert_eq!(near.select(ms(9_000), Selection::All, &mut rng).len(), 1);
 }
 
 #[test]
 fn adopt_ignores_what_is_no_rate() {
     for rate in [f64::NAN, -1.0] {
-        let told = stated_limits::Told {
+        let message = stated_limits::LimitMessage {
             instance: name("u1"),
             started_ms: None,
             rate: Some(unit::PerSecond(rate)),
             age_ms: unit::Millis(0),
         };
-        assert_eq!(told.to_heard(ms(10)), None);
+        assert_eq!(message.to_relayed(ms(10)), None);
     }
 }
 
