--- a/lib/testutils/src/raw_server.rs
+++ b/lib/testutils/src/raw_server.rs
@@ -72,16 +72,27 @@
 /// # Panics
 /// Panics if no port is free.
 pub async fn serve(answer: impl Fn(&str) -> Answer + Send + Sync + 'static) -> net::SocketAddr {
+    let answer = sync::Arc::new(answer);
+    accept_all(move |stream| {
+        let answer = answer.clone();
+        async move { serve_once(stream, &*answer).await }
+    })
+    .await
+}
+
+/// Serves each connection on a free loopback port until the runtime ends.
+async fn accept_all<F>(
+    serve: impl Fn(tokio::net::TcpStream) -> F + Send + 'static,
+) -> net::SocketAddr
+where
+    F: Future<Output = std::io::Result<()>> + Send + 'static,
+{
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it listens");
-    let answer = sync::Arc::new(answer);
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let answer = answer.clone();
-            tokio::spawn(async move {
-                // A peer that has disconnected needs no answer.
-                let _ = serve_once(stream, &*answer).await;
-            });
+            // A peer that has disconnected needs no answer.
+            tokio::spawn(serve(stream));
         }
     });
     address
@@ -97,19 +108,12 @@
     answer: impl Fn(&str) -> String + Send + Sync + 'static,
     pause: time::Duration,
 ) -> net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("it listens");
     let answer = sync::Arc::new(answer);
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let answer = answer.clone();
-            tokio::spawn(async move {
-                // A peer that has disconnected needs no answer.
-                let _ = answer_early(stream, &*answer, pause).await;
-            });
-        }
-    });
-    address
+    accept_all(move |stream| {
+        let answer = answer.clone();
+        async move { answer_early(stream, &*answer, pause).await }
+    })
+    .await
 }
 
 async fn answer_early(
@@ -179,17 +183,7 @@
 /// # Panics
 /// Panics if no port is free.
 pub async fn serve_without_end() -> net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("it listens");
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            // A peer that has disconnected gets no more.
-            tokio::spawn(async move {
-                let _ = write_without_end(stream).await;
-            });
-        }
-    });
-    address
+    accept_all(write_without_end).await
 }
 
 async fn write_without_end(mut stream: tokio::net::TcpStream) -> std::io::Result<()> {
@@ -211,23 +205,20 @@
 pub async fn serve_endless(
     start: impl Fn(&str) -> String + Send + Sync + 'static,
 ) -> net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("it listens");
     let start = sync::Arc::new(start);
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let start = start.clone();
-            tokio::spawn(async move {
-                let Ok(Some(head)) = read_request(&mut stream).await else { return };
-                let mut bytes = start(&head).into_bytes();
-                // Ends when the peer closes the connection.
-                while stream.write_all(&bytes).await.is_ok() {
-                    bytes = vec![b'x'; 65_536];
-                }
-            });
+    accept_all(move |mut stream| {
+        let start = start.clone();
+        async move {
+            let Some(head) = read_request(&mut stream).await? else { return Ok(()) };
+            let mut bytes = start(&head).into_bytes();
+            // Ends when the peer closes the connection.
+            loop {
+                stream.write_all(&bytes).await?;
+                bytes = vec![b'x'; 65_536];
+            }
         }
-    });
-    address
+    })
+    .await
 }
 
 /// What a server writes for one request.
@@ -247,23 +238,21 @@
 pub async fn serve_kept(
     answer: impl Fn(&str, usize) -> Written + Send + Sync + 'static,
 ) -> net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("it listens");
     let answer = sync::Arc::new(answer);
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let answer = answer.clone();
-            tokio::spawn(async move {
-                for number in 0.. {
-                    // A peer that has disconnected needs no answer.
-                    let Ok(Some(head)) = read_request(&mut stream).await else { return };
-                    let written = answer(&head, number);
-                    if stream.write_all(written.text.as_bytes()).await.is_err() || written.is_last {
-                        return;
-                    }
+    accept_all(move |mut stream| {
+        let answer = answer.clone();
+        async move {
+            let mut number = 0;
+            while let Some(head) = read_request(&mut stream).await? {
+                let written = answer(&head, number);
+                stream.write_all(written.text.as_bytes()).await?;
+                if written.is_last {
+                    break;
                 }
-            });
+                number += 1;
+            }
+            Ok(())
         }
-    });
-    address
+    })
+    .await
 }
