--- a/lib/src/cold.rs
+++ b/lib/src/cold.rs
@@ -60,6 +60,11 @@
         self.quotas.update_targets(targets);
     }
 
+    /// Returns whether the rate of any upstream is or may become limited.
+    pub fn has_targets(&self) -> bool {
+        self.quotas.has_targets()
+    }
+
     /// Returns whether this gateway may use a quota for an upstream, whether or not it is used up.
     pub fn has_quota(&self, now: time::Duration, upstream: &id::InstanceId) -> bool {
         self.quotas.usable_from(upstream).is_some_and(|from| from <= now)
--- a/lib/src/cold/quota.rs
+++ b/lib/src/cold/quota.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Returns whether there are any upstreams to choose gateways for.
+    pub(super) fn has_targets(&self) -> bool {
+        !self.targets.is_empty()
+    }
+
     /// Returns the time from which this gateway may use its quota for an upstream; `None` if it has
     /// none.
     pub(super) fn usable_from(&self, upstream: &id::InstanceId) -> Option<time::Duration> {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -5,8 +5,6 @@
 
 mod limited_upstreams;
 
-pub use limited_upstreams::ColdTerms;
-
 use std::collections;
 use std::net;
 use std::time;
@@ -318,8 +316,8 @@
     stated: stated_limits::StatedLimits,
     /// Services for whose upstreams one gateway of a region forms the batches.
     batched: collections::BTreeSet<id::ServiceId>,
-    /// Terms of the services whose upstreams take few calls while they are cold.
-    cold_terms: collections::BTreeMap<id::ServiceId, ColdTerms>,
+    /// Limits of the services whose upstreams take few calls while they are cold.
+    cold_limits: collections::BTreeMap<id::ServiceId, cold::Limit>,
     limiter: cold::Limiter,
 }
 
@@ -341,7 +339,7 @@
             notices: upstream_notice::Notices::default(),
             stated: stated_limits::StatedLimits::default(),
             batched: collections::BTreeSet::new(),
-            cold_terms: collections::BTreeMap::new(),
+            cold_limits: collections::BTreeMap::new(),
             limiter: cold::Limiter::default(),
         }
     }
--- a/lib/src/fleet/limited_upstreams.rs
+++ b/lib/src/fleet/limited_upstreams.rs
@@ -12,15 +12,6 @@
 use crate::unit;
 use crate::upstream_notice;
 
-/// Terms of a service whose upstreams take few calls while they are cold.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdTerms {
-    /// Limit of each upstream.
-    pub limit: cold::Limit,
-    /// Whether one gateway forms the batches for all upstreams of a region.
-    pub is_batched: bool,
-}
-
 impl Upstream {
     /// Returns the time from which it is warm, if its service has a limit for cold upstreams. It
     /// counts as cold while it is ejected, too, because it may have restarted in the meantime.
@@ -42,13 +33,13 @@
 }
 
 impl Fleet {
-    /// Sets the services whose upstreams take few calls while they are cold.
-    pub fn set_cold_terms(
+    /// Sets the limits of services whose upstreams take few calls while they are cold.
+    pub fn set_cold_limits(
         &mut self,
         now: time::Duration,
-        terms: collections::BTreeMap<id::ServiceId, ColdTerms>,
+        limits: collections::BTreeMap<id::ServiceId, cold::Limit>,
     ) {
-        self.cold_terms = terms;
+        self.cold_limits = limits;
         self.update_limit_targets(now);
     }
 
@@ -144,7 +135,7 @@
         let was_cold = self.is_cold(now, instance);
         let Some(upstream) = self.upstreams.get_mut(instance) else { return false };
         upstream.cold.assume(now);
-        !was_cold && self.cold_terms.contains_key(&upstream.entry.service)
+        !was_cold && self.cold_limits.contains_key(&upstream.entry.service)
     }
 
     /// Records what a list says about how long an upstream stays cold. `is_new` says whether the
@@ -162,7 +153,7 @@
         if is_new {
             upstream.cold.assume(now);
         }
-        becomes_cold && self.cold_terms.contains_key(&upstream.entry.service)
+        becomes_cold && self.cold_limits.contains_key(&upstream.entry.service)
     }
 
     /// Tells the limiter which upstreams have a limit.
@@ -177,8 +168,7 @@
     /// Returns the number of gateways that may call an upstream while it is limited; `None` if it has
     /// no limit.
     fn holders(&self, now: time::Duration, upstream: &Upstream) -> Option<usize> {
-        let terms = self.cold_terms.get(&upstream.entry.service);
-        let cold = terms.map(|terms| terms.limit.holders());
+        let cold = self.cold_limits.get(&upstream.entry.service).map(cold::Limit::holders);
         let Some((stated, _)) = upstream.stated_limit(now) else { return cold };
         // The others hand their pieces over, so that the rate is of no use to them.
         let is_batched = self.batched.contains(&upstream.entry.service);
@@ -188,13 +178,13 @@
 
     fn limit_target(&self, entry: &ListEntry, holders: usize) -> cold::Target {
         let region = self.regions.get(&entry.domain).cloned();
-        let is_batched = self.batched.contains(&entry.service)
-            || self.cold_terms.get(&entry.service).is_some_and(|terms| terms.is_batched);
         let order = match &region {
-            Some(region) if is_batched => cold::Order::Pool(roster::PoolId {
-                service: entry.service.clone(),
-                region: region.clone(),
-            }),
+            Some(region) if self.batched.contains(&entry.service) => {
+                cold::Order::Pool(roster::PoolId {
+                    service: entry.service.clone(),
+                    region: region.clone(),
+                })
+            }
             _ => cold::Order::Upstream,
         };
         cold::Target { region, holders, order }
@@ -202,8 +192,8 @@
 
     /// Returns the limit of an upstream if it is cold.
     fn cold_limit(&self, now: time::Duration, upstream: &Upstream) -> Option<&cold::Limit> {
-        let terms = self.cold_terms.get(&upstream.entry.service)?;
-        (now < upstream.warm_from()).then_some(&terms.limit)
+        let limit = self.cold_limits.get(&upstream.entry.service)?;
+        (now < upstream.warm_from()).then_some(limit)
     }
 
     /// Returns whether an upstream is cold and its service has a limit for that.
@@ -264,6 +254,9 @@
         service: &id::ServiceId,
         is_eligible: impl Fn(&Upstream) -> bool,
     ) -> Option<time::Duration> {
+        if !self.limiter.has_targets() {
+            return None;
+        }
         let open = self.service_upstreams(service).filter(|(_, up)| !up.is_paused(now));
         let open = open.filter(|(_, up)| is_eligible(up));
         let next = open.map(|(instance, _)| self.next_send(now, instance)).min()?;
@@ -280,8 +273,8 @@
         end: time::Duration,
         is_eligible: impl Fn(&Upstream) -> bool,
     ) -> Vec<time::Duration> {
-        let terms = self.cold_terms.get(service);
-        let at_end = terms.map_or(1, |terms| terms.limit.per_second as usize);
+        let cold = self.cold_limits.get(service);
+        let at_end = cold.map_or(1, |limit| limit.per_second as usize);
         let open = self.service_upstreams(service).filter(|(_, up)| !up.is_paused(now));
         let mut times: Vec<_> = open
             .filter(|(_, up)| is_eligible(up))
@@ -323,9 +316,9 @@
     /// Counts a call or message against the limit of an upstream, at the moment at which it is sent.
     pub fn record_limited_send(&mut self, now: time::Duration, instance: &id::InstanceId) {
         let Some(upstream) = self.upstreams.get(instance) else { return };
-        let terms = self.cold_terms.get(&upstream.entry.service);
+        let cold = self.cold_limits.get(&upstream.entry.service);
         let quota = self.limit_in_force(now, upstream).map(|(quota, _)| quota);
-        if let Some(quota) = quota.or_else(|| terms.map(|terms| (&terms.limit).into())) {
+        if let Some(quota) = quota.or_else(|| cold.map(Into::into)) {
             self.limiter.record_sent(now, instance, quota);
         }
     }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -339,7 +339,7 @@
         let services = self.table.services.iter();
         let batched = services.filter(|(_, service)| service.batching.is_some());
         self.fleet.set_batched(batched.map(|(name, _)| name.clone()).collect());
-        self.fleet.set_cold_terms(self.now.mono, self.cold_terms());
+        self.fleet.set_cold_limits(self.now.mono, self.cold_limits());
     }
 
     /// Prepares for lists that are older than the ones before.
--- a/lib/src/gateway/cold_calls.rs
+++ b/lib/src/gateway/cold_calls.rs
@@ -26,12 +26,11 @@
 pub(super) const LIMITED_MESSAGE: &str = "all upstreams of the service take few calls at present";
 
 impl gateway::Gateway {
-    /// Returns the terms of the services whose upstreams take few calls while they are cold.
-    pub(super) fn cold_terms(&self) -> collections::BTreeMap<id::ServiceId, fleet::ColdTerms> {
+    /// Returns the limits of the services whose upstreams take few calls while they are cold.
+    pub(super) fn cold_limits(&self) -> collections::BTreeMap<id::ServiceId, cold::Limit> {
         let limited = self.table.services.iter().filter_map(|(name, service)| {
             let limit = cold::Limit::new(service.cold_rate?.0, self.settings.cold_allowance)?;
-            let terms = fleet::ColdTerms { limit, is_batched: service.batching.is_some() };
-            Some((name.clone(), terms))
+            Some((name.clone(), limit))
         });
         limited.collect()
     }
--- a/lib/tests/test_cold.rs
+++ b/lib/tests/test_cold.rs
@@ -320,8 +320,7 @@
     let mut roster = roster::Roster::default();
     roster.update(at, (0..GATEWAYS).map(peer).collect());
     fleet.set_gateways(at, &name(&format!("g{index}")), &roster);
-    let terms = fleet::ColdTerms { limit: LIMIT, is_batched: false };
-    fleet.set_cold_terms(at, [(name("llm"), terms)].into());
+    fleet.set_cold_limits(at, [(name("llm"), LIMIT)].into());
     fleet
 }
 
